Add the log's records, their folds, the tailer, parsers and stand-ins

The first building blocks: typed records in the platform's log, pure folds over each stream, a tailer that finds lost answers again by record id, INI parsers that name every fault, and the stand-ins of platform, engine and service. Nothing runs as a process yet; not measured.

--- /dev/null
+++ b/internal/authorizer/doc.go
@@ -0,0 +1,2 @@
+// Package authorizer folds the Control stream into leases, fencing numbers and orders.
+package authorizer
--- /dev/null
+++ b/internal/configurator/doc.go
@@ -0,0 +1,2 @@
+// Package configurator folds the Config stream into inventory, rules, keys and members.
+package configurator
--- /dev/null
+++ b/internal/configurator/fold.go
@@ -0,0 +1,160 @@
+package configurator
+
+import (
+	"errors"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// ErrConflict is returned to the operator whose publish was based on an older version.
+var ErrConflict = errors.New("conflict")
+
+const verdictLimit = 512
+
+// Fold is the state of the Config stream; the zero value is the state before the first record.
+type Fold struct {
+	state recorder.ConfigState
+}
+
+// Next returns the offset after the last applied record.
+func (f *Fold) Next() identifier.Offset { return identifier.Offset(f.state.Next) }
+
+// Snapshot returns the encoded state.
+func (f *Fold) Snapshot() ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(&f.state)
+}
+
+// Restore replaces the state by an encoded one.
+func (f *Fold) Restore(state []byte) error {
+	proto.Reset(&f.state)
+	return proto.Unmarshal(state, &f.state)
+}
+
+// State returns a copy of the state.
+func (f *Fold) State() *recorder.ConfigState {
+	return proto.Clone(&f.state).(*recorder.ConfigState)
+}
+
+// Verdict returns what became of a record, or nil where it is not known.
+func (f *Fold) Verdict(recordID string) *recorder.Verdict {
+	for _, v := range f.state.Verdicts {
+		if v.RecordID == recordID {
+			return v
+		}
+	}
+	return nil
+}
+
+// Apply folds in the record at offset; records of other streams' types have no effect.
+func (f *Fold) Apply(offset identifier.Offset, r *recorder.Record) {
+	f.state.Next = uint64(offset) + 1
+	if f.Verdict(r.ID) != nil {
+		return
+	}
+	var err error
+	switch b := r.Body.(type) {
+	case *recorder.Record_Publish:
+		err = f.publish(b.Publish)
+	case *recorder.Record_KeyGrant:
+		err = f.grant(b.KeyGrant.GetKey())
+	case *recorder.Record_KeyWithdraw:
+		err = f.withdraw(b.KeyWithdraw.GetID())
+	case *recorder.Record_Join:
+		f.join(b.Join.GetMember())
+		return
+	case *recorder.Record_Leave:
+		f.leave(b.Leave.GetInstance(), b.Leave.GetIncarnation())
+		return
+	case *recorder.Record_Evict:
+		f.evict(b.Evict.GetInstance(), b.Evict.GetIncarnation())
+		return
+	default:
+		return
+	}
+	f.note(offset, r.ID, err)
+}
+
+func (f *Fold) publish(p *recorder.Publish) error {
+	if p.BaseVersion != f.state.Version {
+		return fmt.Errorf("%w: based on version %d, in force is %d", ErrConflict, p.BaseVersion, f.state.Version)
+	}
+	f.state.Version++
+	f.state.Inventory = p.Inventory
+	f.state.Rules = p.Rules
+	return nil
+}
+
+func (f *Fold) grant(k *recorder.Key) error {
+	if k == nil || k.ID == "" || k.Hash == "" {
+		return fmt.Errorf("%w: empty key", ErrConflict)
+	}
+	if f.state.Withdrawn[k.ID] {
+		return fmt.Errorf("%w: key id %s was withdrawn", ErrConflict, k.ID)
+	}
+	if f.state.Keys == nil {
+		f.state.Keys = map[string]*recorder.Key{}
+	}
+	for _, other := range f.state.Keys {
+		if other.ID == k.ID || other.Hash == k.Hash {
+			return fmt.Errorf("%w: key id %s is in use", ErrConflict, other.ID)
+		}
+	}
+	f.state.Keys[k.Hash] = k
+	return nil
+}
+
+func (f *Fold) withdraw(id string) error {
+	for hash, k := range f.state.Keys {
+		if k.ID == id {
+			delete(f.state.Keys, hash)
+			if f.state.Withdrawn == nil {
+				f.state.Withdrawn = map[string]bool{}
+			}
+			f.state.Withdrawn[id] = true
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: no key %s", ErrConflict, id)
+}
+
+func (f *Fold) join(m *recorder.Member) {
+	if m.GetInstance() == "" {
+		return
+	}
+	if f.state.Members == nil {
+		f.state.Members = map[string]*recorder.Member{}
+	}
+	f.state.Members[m.Instance] = m
+}
+
+func (f *Fold) leave(instance, incarnation string) {
+	m := f.state.Members[instance]
+	if m == nil || m.Incarnation != incarnation {
+		return
+	}
+	left := proto.Clone(m).(*recorder.Member)
+	left.Leaving = true
+	f.state.Members[instance] = left
+}
+
+func (f *Fold) evict(instance, incarnation string) {
+	m := f.state.Members[instance]
+	if m != nil && m.Incarnation == incarnation {
+		delete(f.state.Members, instance)
+	}
+}
+
+func (f *Fold) note(offset identifier.Offset, recordID string, err error) {
+	v := &recorder.Verdict{RecordID: recordID, Offset: uint64(offset), Accepted: err == nil}
+	if err != nil {
+		v.Reason = err.Error()
+	}
+	f.state.Verdicts = append(f.state.Verdicts, v)
+	if over := len(f.state.Verdicts) - verdictLimit; over > 0 {
+		f.state.Verdicts = f.state.Verdicts[over:]
+	}
+}
--- /dev/null
+++ b/internal/imitator/engine.go
@@ -0,0 +1,331 @@
+package imitator
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/chatter"
+)
+
+// Engine is a stand-in for a model engine; PrefillPerSecond, DecodePerSecond and Slots must be set.
+type Engine struct {
+	Model            string
+	PrefillPerSecond float64
+	DecodePerSecond  float64
+	Slots            int
+	CachePieces      int
+	LoadLag          time.Duration
+	ChangeTime       time.Duration
+	ChecksFence      bool
+
+	mu           sync.Mutex
+	role         string
+	running      int
+	waiting      int64
+	prefillFree  time.Time
+	cache        pieceCache
+	events       []chatter.CacheEvent
+	firstEvent   uint64
+	reports      []timedLoad
+	fence        uint64
+	lastOrder    chatter.EngineOrder
+	firstOrder   chatter.EngineOrder
+	changingTill time.Time
+	leaving      bool
+	crashed      bool
+	crash        chan struct{}
+	verdict      EngineVerdict
+	slots        chan struct{}
+}
+
+// EngineVerdict counts what the engine saw that the promises rule out, and its work.
+type EngineVerdict struct {
+	Started           int
+	Finished          int
+	Cut               int
+	KeysSeen          int
+	StartedLeaving    int
+	Orders            int
+	StaleOrders       int
+	ConflictingOrders int
+	PrefilledTokens   int64
+	CachedTokens      int64
+}
+
+type timedLoad struct {
+	at   time.Time
+	load chatter.Load
+}
+
+const keptEvents = 1024
+
+// Handler returns the engine's HTTP interface.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.complete)
+	mux.HandleFunc("POST /kv/prefill", e.prefillOnly)
+	mux.HandleFunc("GET /control/load", e.load)
+	mux.HandleFunc("GET /control/cache-events", e.cacheEvents)
+	mux.HandleFunc("GET /control/state", e.state)
+	mux.HandleFunc("POST /control/order", e.order)
+	mux.HandleFunc("POST /control/leave", e.leave)
+	mux.HandleFunc("POST /fault/crash", func(w http.ResponseWriter, _ *http.Request) { e.Crash(); writeJSON(w, struct{}{}) })
+	mux.HandleFunc("POST /fault/restart", func(w http.ResponseWriter, _ *http.Request) { e.Restart(); writeJSON(w, struct{}{}) })
+	mux.HandleFunc("GET /verdict", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Verdict()) })
+	return mux
+}
+
+// Verdict returns what was counted so far.
+func (e *Engine) Verdict() EngineVerdict {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.verdict
+}
+
+// Crash cuts all answers and refuses work until Restart.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashed = true
+	close(e.crashing())
+	e.crash = nil
+	e.cache = pieceCache{}
+}
+
+// Restart ends a crash with an empty cache.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashed = false
+	e.leaving = false
+}
+
+// Leave marks the engine as leaving; work that arrives afterwards is counted.
+func (e *Engine) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
+func (e *Engine) crashing() chan struct{} {
+	if e.crash == nil {
+		e.crash = make(chan struct{})
+	}
+	return e.crash
+}
+
+func (e *Engine) start(w http.ResponseWriter, r *http.Request) (<-chan struct{}, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crashed {
+		abort(w)
+	}
+	if time.Now().Before(e.changingTill) {
+		http.Error(w, "role change in progress", http.StatusServiceUnavailable)
+		return nil, false
+	}
+	e.verdict.Started++
+	if e.leaving {
+		e.verdict.StartedLeaving++
+	}
+	if r.Header.Get("Authorization") != "" {
+		e.verdict.KeysSeen++
+	}
+	if e.slots == nil {
+		e.slots = make(chan struct{}, e.Slots)
+	}
+	return e.crashing(), true
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var req chatter.Request
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	crash, ok := e.start(w, r)
+	if !ok {
+		return
+	}
+	finished := false
+	defer func() { e.end(finished) }()
+	if !e.enter(r, crash) {
+		abort(w)
+	}
+	defer e.exit()
+	if !e.prefill(r, crash, req) {
+		abort(w)
+	}
+	if req.Stream {
+		finished = e.stream(w, r, crash, req)
+		return
+	}
+	finished = e.whole(w, r, crash, req)
+}
+
+func (e *Engine) end(finished bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if finished {
+		e.verdict.Finished++
+		return
+	}
+	e.verdict.Cut++
+}
+
+func (e *Engine) enter(r *http.Request, crash <-chan struct{}) bool {
+	e.mu.Lock()
+	e.waiting++
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		e.waiting--
+		e.mu.Unlock()
+	}()
+	select {
+	case e.slots <- struct{}{}:
+	case <-crash:
+		return false
+	case <-r.Context().Done():
+		return false
+	}
+	e.mu.Lock()
+	e.running++
+	e.mu.Unlock()
+	return true
+}
+
+func (e *Engine) exit() {
+	e.mu.Lock()
+	e.running--
+	e.mu.Unlock()
+	<-e.slots
+}
+
+// prefill takes the engine's prefill unit for as long as the uncached prompt needs.
+func (e *Engine) prefill(r *http.Request, crash <-chan struct{}, req chatter.Request) bool {
+	tokens := req.PromptTokens()
+	pieces := req.Pieces()
+	e.mu.Lock()
+	cached := min(tokens, e.cache.hit(pieces)*chatter.PieceTokens)
+	if r.Header.Get(chatter.HandleHeader) != "" {
+		cached = tokens
+	}
+	e.noteCached(pieces)
+	e.verdict.CachedTokens += cached
+	e.verdict.PrefilledTokens += tokens - cached
+	now := time.Now()
+	if e.prefillFree.Before(now) {
+		e.prefillFree = now
+	}
+	e.prefillFree = e.prefillFree.Add(time.Duration(float64(tokens-cached) / e.PrefillPerSecond * float64(time.Second)))
+	wait := e.prefillFree.Sub(now)
+	e.mu.Unlock()
+	return e.wait(r, crash, wait)
+}
+
+func (e *Engine) noteCached(pieces []uint64) {
+	for _, event := range e.cache.add(pieces, e.CachePieces) {
+		event.Sequence = e.firstEvent + uint64(len(e.events))
+		e.events = append(e.events, event)
+	}
+	if over := len(e.events) - keptEvents; over > 0 {
+		e.events = e.events[over:]
+		e.firstEvent += uint64(over)
+	}
+}
+
+func (e *Engine) wait(r *http.Request, crash <-chan struct{}, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-crash:
+		return false
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (e *Engine) decodeInterval() time.Duration {
+	return time.Duration(float64(time.Second) / e.DecodePerSecond)
+}
+
+// Token returns the text of the n-th output token, counted from 1, which depends on the prompt alone.
+func Token(req chatter.Request, n int64) string {
+	return "t" + strconv.FormatUint(xxhash.Sum64String(req.Prompt()+strconv.FormatInt(n, 10))%100_000, 10) + " "
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, crash <-chan struct{}, req chatter.Request) bool {
+	id := r.Header.Get(chatter.RequestIDHeader)
+	done, _ := strconv.ParseInt(r.Header.Get(chatter.ResumeHeader), 10, 64)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(chatter.RequestIDHeader, id)
+	w.WriteHeader(http.StatusOK)
+	flush(w)
+	total := req.OutputLimit()
+	for n := done + 1; n <= total; n++ {
+		if !e.wait(r, crash, e.decodeInterval()) {
+			abort(w)
+		}
+		chunk := chatter.NewChunk(id, req.Model, Token(req, n))
+		if err := chatter.WriteEvent(w, n, chunk); err != nil {
+			return false
+		}
+		flush(w)
+	}
+	chatter.WriteEvent(w, total, chatter.NewFinalChunk(id, req.Model, req.PromptTokens(), total))
+	chatter.WriteDone(w)
+	flush(w)
+	return true
+}
+
+func (e *Engine) whole(w http.ResponseWriter, r *http.Request, crash <-chan struct{}, req chatter.Request) bool {
+	id := r.Header.Get(chatter.RequestIDHeader)
+	total := req.OutputLimit()
+	text := ""
+	for n := int64(1); n <= total; n++ {
+		text += Token(req, n)
+	}
+	if !e.wait(r, crash, time.Duration(total)*e.decodeInterval()) {
+		abort(w)
+	}
+	w.Header().Set(chatter.RequestIDHeader, id)
+	writeJSON(w, chatter.NewCompletion(id, req.Model, text, req.PromptTokens(), total))
+	return true
+}
+
+// prefillOnly computes a prompt's KV cache and answers with the handle for its import elsewhere.
+func (e *Engine) prefillOnly(w http.ResponseWriter, r *http.Request) {
+	var req chatter.Request
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	crash, ok := e.start(w, r)
+	if !ok {
+		return
+	}
+	if !e.prefill(r, crash, req) {
+		e.end(false)
+		abort(w)
+	}
+	e.end(true)
+	writeJSON(w, chatter.Transfer{Handle: fmt.Sprintf("%s/kv/%s", r.Host, r.Header.Get(chatter.RequestIDHeader))})
+}
+
+// abort cuts the connection without an answer.
+func abort(http.ResponseWriter) { panic(http.ErrAbortHandler) }
+
+func flush(w http.ResponseWriter) {
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
--- /dev/null
+++ b/internal/imitator/service.go
@@ -0,0 +1,68 @@
+package imitator
+
+import (
+	"io"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Service is a stand-in for a plain service that counts executions per idempotency key.
+type Service struct {
+	Latency time.Duration
+
+	mu         sync.Mutex
+	executions map[string]int
+	keysSeen   int
+}
+
+// ServiceAnswer is the service's answer to a call.
+type ServiceAnswer struct {
+	Key       string
+	Execution int
+	Echo      string
+}
+
+// ServiceVerdict counts what the service saw.
+type ServiceVerdict struct {
+	Executions map[string]int
+	KeysSeen   int
+}
+
+// Handler returns the service's HTTP interface.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /verdict", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Verdict()) })
+	mux.HandleFunc("/", s.execute)
+	return mux
+}
+
+// Verdict returns what was counted so far.
+func (s *Service) Verdict() ServiceVerdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ServiceVerdict{Executions: maps.Clone(s.executions), KeysSeen: s.keysSeen}
+}
+
+func (s *Service) execute(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	key := r.Header.Get("Idempotency-Key")
+	s.mu.Lock()
+	if s.executions == nil {
+		s.executions = map[string]int{}
+	}
+	s.executions[key]++
+	n := s.executions[key]
+	if r.Header.Get("Authorization") != "" {
+		s.keysSeen++
+	}
+	s.mu.Unlock()
+	if s.Latency > 0 && !pause(r, s.Latency) {
+		return
+	}
+	writeJSON(w, ServiceAnswer{Key: key, Execution: n, Echo: string(body)})
+}
--- /dev/null
+++ b/internal/journaler/doc.go
@@ -0,0 +1,2 @@
+// Package journaler folds the Journal stream, which decides who may send a request that must not run twice.
+package journaler
--- /dev/null
+++ b/internal/journaler/fold.go
@@ -0,0 +1,94 @@
+package journaler
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// RetentionOffsets is how many records an idempotency key is remembered for.
+const RetentionOffsets = 200_000
+
+// Fold is the state of the Journal stream; the zero value is the state before the first record.
+//
+// The first dispatch of a key in stream order wins and only its writer may send the request.
+type Fold struct {
+	state recorder.JournalState
+	order []string
+}
+
+// Next returns the offset after the last applied record.
+func (f *Fold) Next() identifier.Offset { return identifier.Offset(f.state.Next) }
+
+// Snapshot returns the encoded state.
+func (f *Fold) Snapshot() ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(&f.state)
+}
+
+// Restore replaces the state by an encoded one.
+func (f *Fold) Restore(state []byte) error {
+	proto.Reset(&f.state)
+	f.order = nil
+	if err := proto.Unmarshal(state, &f.state); err != nil {
+		return err
+	}
+	f.order = keysByOffset(f.state.Entries)
+	return nil
+}
+
+// Entry returns a copy of what is known of an idempotency key, or nil.
+func (f *Fold) Entry(key string) *recorder.JournalEntry {
+	e := f.state.Entries[key]
+	if e == nil {
+		return nil
+	}
+	return proto.Clone(e).(*recorder.JournalEntry)
+}
+
+// Apply folds in the record at offset; records of other streams' types have no effect.
+func (f *Fold) Apply(offset identifier.Offset, r *recorder.Record) {
+	f.state.Next = uint64(offset) + 1
+	f.expire(offset)
+	switch b := r.Body.(type) {
+	case *recorder.Record_Dispatch:
+		f.dispatch(offset, r, b.Dispatch)
+	case *recorder.Record_Result:
+		f.result(r, b.Result)
+	}
+}
+
+func (f *Fold) dispatch(offset identifier.Offset, r *recorder.Record, d *recorder.Dispatch) {
+	if d.Key == "" || f.state.Entries[d.Key] != nil {
+		return
+	}
+	if f.state.Entries == nil {
+		f.state.Entries = map[string]*recorder.JournalEntry{}
+	}
+	f.state.Entries[d.Key] = &recorder.JournalEntry{
+		DispatchID: r.ID,
+		Writer:     r.Writer,
+		Digest:     d.Digest,
+		Offset:     uint64(offset),
+	}
+	f.order = append(f.order, d.Key)
+}
+
+func (f *Fold) result(r *recorder.Record, result *recorder.Result) {
+	e := f.state.Entries[result.Key]
+	if e == nil || e.Writer != r.Writer || e.Result != nil {
+		return
+	}
+	e.Result = result
+}
+
+func (f *Fold) expire(offset identifier.Offset) {
+	for len(f.order) > 0 {
+		e := f.state.Entries[f.order[0]]
+		if e != nil && e.Offset+RetentionOffsets > uint64(offset) {
+			return
+		}
+		delete(f.state.Entries, f.order[0])
+		f.order = f.order[1:]
+	}
+}
--- /dev/null
+++ b/internal/messenger/doc.go
@@ -0,0 +1,2 @@
+// Package messenger holds the protobuf messages that entry instances exchange.
+package messenger
--- /dev/null
+++ b/internal/parser/settings.go
@@ -0,0 +1,97 @@
+package parser
+
+import (
+	"encoding/hex"
+	"time"
+
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// Settings configures one entry instance.
+type Settings struct {
+	Instance        identifier.InstanceID
+	Zone            identifier.ZoneID
+	Listen          string
+	PeerListen      string
+	Platform        string
+	OperatorKeyHash identifier.KeyHash
+	Limits          Limits
+	Timing          Timing
+}
+
+// Limits bounds what one entry instance accepts from callers.
+type Limits struct {
+	HeaderBytes    int
+	BodyBytes      int64
+	Connections    int
+	HeaderTimeout  time.Duration
+	BodyTimeout    time.Duration
+	RequestTimeout time.Duration
+}
+
+// Timing holds the durations that the instances of one site share.
+type Timing struct {
+	Lease           time.Duration
+	DriftMargin     time.Duration
+	OrderTimeout    time.Duration
+	AddressLifetime time.Duration
+	Freshness       time.Duration
+	Heartbeat       time.Duration
+	UsageInterval   time.Duration
+	Window          time.Duration
+	Stop            time.Duration
+}
+
+// ParseSettings reads the settings of an entry instance; the error holds Faults.
+func ParseSettings(file string, data []byte) (*Settings, error) {
+	d, err := openDocument(file, data)
+	if err != nil {
+		return nil, err
+	}
+	s := &Settings{}
+	i := d.single("Instance")
+	s.Instance = identifier.InstanceID(i.required("ID"))
+	s.Zone = identifier.ZoneID(i.required("AvailabilityZone"))
+	s.Listen = i.hostPort("Listen", "")
+	s.PeerListen = i.hostPort("PeerListen", "")
+	s.Platform = i.url("Platform")
+	s.OperatorKeyHash = identifier.KeyHash(i.text("OperatorKeyHash", ""))
+	if b, err := hex.DecodeString(string(s.OperatorKeyHash)); err != nil || len(b) != 32 {
+		i.fault("OperatorKeyHash", string(s.OperatorKeyHash), "64 hexadecimal digits, the SHA-256 digest of the operators' key")
+	}
+	s.Limits = parseLimits(d.single("Limits"))
+	s.Timing = parseTiming(d.single("Timing"))
+	if err := d.finish("Instance, Limits, Timing"); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func parseLimits(s *section) Limits {
+	return Limits{
+		HeaderBytes:    int(s.integer("HeaderBytes", defaultHeaderBytes, 1024, maximumBytes)),
+		BodyBytes:      s.integer("BodyBytes", defaultBodyBytes, 1024, maximumBytes),
+		Connections:    int(s.integer("Connections", defaultConnections, 1, maximumConnections)),
+		HeaderTimeout:  s.milliseconds("HeaderMilliseconds", defaultHeaderTimeout, minimumMilliseconds, maximumMilliseconds),
+		BodyTimeout:    s.milliseconds("BodyMilliseconds", defaultBodyTimeout, minimumMilliseconds, maximumMilliseconds),
+		RequestTimeout: s.milliseconds("RequestMilliseconds", defaultRequestTimeout, minimumMilliseconds, maximumMilliseconds),
+	}
+}
+
+func parseTiming(s *section) Timing {
+	t := Timing{
+		Lease:           s.milliseconds("LeaseMilliseconds", defaultLeaseDuration, minimumLeaseMilliseconds, maximumMilliseconds),
+		DriftMargin:     s.milliseconds("DriftMarginMilliseconds", defaultDriftMargin, minimumMilliseconds, maximumMilliseconds),
+		OrderTimeout:    s.milliseconds("OrderMilliseconds", defaultOrderTimeout, minimumMilliseconds, maximumMilliseconds),
+		AddressLifetime: s.milliseconds("AddressMilliseconds", defaultAddressLifetime, minimumMilliseconds, maximumMilliseconds),
+		Freshness:       s.milliseconds("FreshnessMilliseconds", defaultFreshness, minimumLeaseMilliseconds, 3500),
+		Heartbeat:       s.milliseconds("HeartbeatMilliseconds", defaultHeartbeat, minimumMilliseconds, maximumMilliseconds),
+		UsageInterval:   s.milliseconds("UsageMilliseconds", defaultUsageInterval, minimumMilliseconds, maximumMilliseconds),
+		Window:          s.milliseconds("WindowMilliseconds", defaultWindowDuration, minimumLeaseMilliseconds, maximumMilliseconds),
+		Stop:            s.milliseconds("StopMilliseconds", defaultStopTimeout, minimumMilliseconds, maximumMilliseconds),
+	}
+	if t.OrderTimeout >= t.Lease {
+		s.fault("OrderMilliseconds", t.OrderTimeout.String(), "less than LeaseMilliseconds")
+	}
+	return t
+}
