--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,24 @@
 GOTOOL = go tool -modfile=tools/go.mod
 PROTOS = internal/recorder/recorder.proto internal/messenger/messenger.proto
+OWN = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
 .PHONY: build test lint demo proto
 
 build:
 	go build -o bin/ ./cmd/...
 
+test:
+	go test ./...
+
+lint:
+	@unformatted=$$(gofmt -s -l $(OWN)); test -z "$$unformatted" || { echo "not formatted: $$unformatted"; exit 1; }
+	go vet ./...
+	$(GOTOOL) staticcheck ./...
+	$(GOTOOL) revive -config revive.toml -set_exit_status ./...
+
+demo: build
+	bash scripts/demo.sh
+
 proto:
 	go build -modfile=tools/go.mod -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
 	protoc --plugin=bin/protoc-gen-go --go_out=. --go_opt=module=github.com/coltsfootscale/coltsfootscale $(PROTOS)
--- /dev/null
+++ b/internal/administrator/administrator.go
@@ -0,0 +1,80 @@
+package administrator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/configurator"
+	"github.com/coltsfootscale/coltsfootscale/internal/freshener"
+	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/internal/tailer"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// ErrNotInForce is returned when a change was appended but is not yet known to be in force everywhere.
+var ErrNotInForce = errors.New("not yet known to be in force everywhere")
+
+const pollInterval = 20 * time.Millisecond
+
+// Administrator appends changes of the configuration; all exported fields must be set.
+type Administrator struct {
+	Config    *tailer.Tailer
+	Fold      *configurator.Fold
+	Members   func() []freshener.Member
+	Removed   func() time.Time
+	Freshness time.Duration
+	Margin    time.Duration
+	Logger    *zap.Logger
+}
+
+// Change appends a record and returns its offset once it is in force everywhere; a lost race is configurator.ErrConflict.
+func (a *Administrator) Change(ctx context.Context, r *recorder.Record) (identifier.Offset, error) {
+	verdict, err := a.decide(ctx, r)
+	if err != nil {
+		return 0, err
+	}
+	offset := identifier.Offset(verdict.Offset)
+	if !verdict.Accepted {
+		return offset, fmt.Errorf("%w: %s", configurator.ErrConflict, verdict.Reason)
+	}
+	started := time.Now()
+	acceptance := freshener.Acceptance{Offset: offset, Bound: a.Freshness, Margin: a.Margin}
+	for !acceptance.InForce(time.Now(), a.Removed(), a.Members()) {
+		if err := pause(ctx); err != nil {
+			return offset, fmt.Errorf("%w: offset %d", ErrNotInForce, offset)
+		}
+	}
+	a.Logger.Info("Accept",
+		zap.String("RecordID", r.ID),
+		zap.Uint64("Offset", uint64(offset)),
+		zap.Duration("InForceAfter", time.Since(started)))
+	return offset, nil
+}
+
+// decide appends a record and returns what the fold made of it.
+func (a *Administrator) decide(ctx context.Context, r *recorder.Record) (*recorder.Verdict, error) {
+	if _, err := a.Config.Append(ctx, r); err != nil {
+		return nil, err
+	}
+	var verdict *recorder.Verdict
+	a.Config.Query(func() { verdict = a.Fold.Verdict(r.ID) })
+	if verdict == nil {
+		return nil, fmt.Errorf("%w: record %s", tailer.ErrUnknown, r.ID)
+	}
+	return verdict, nil
+}
+
+func pause(ctx context.Context) error {
+	timer := time.NewTimer(pollInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/authorizer/fold.go
+++ b/internal/authorizer/fold.go
@@ -67,7 +67,7 @@
 	case *recorder.Record_Renew:
 		f.renew(offset, b.Renew)
 	case *recorder.Record_Intent:
-		f.intent(b.Intent)
+		f.intent(offset, b.Intent)
 	case *recorder.Record_Outcome:
 		f.outcome(b.Outcome)
 	}
@@ -97,7 +97,7 @@
 
 // intent opens an order unless its sender lost the lease, the target has an open order,
 // or the target does not check fencing numbers and has had its one order.
-func (f *Fold) intent(i *recorder.Intent) {
+func (f *Fold) intent(offset identifier.Offset, i *recorder.Intent) {
 	o := i.GetOrder()
 	l := f.state.Leases[i.GetScope()]
 	if o == nil || l == nil || l.Released || o.Fence != l.Fence || f.state.Orders[o.ID] != nil {
@@ -116,6 +116,7 @@
 	}
 	opened := proto.Clone(o).(*recorder.Order)
 	opened.Status = recorder.OrderStatus_Open
+	opened.Sequence = uint64(offset) + 1
 	f.state.Orders[o.ID] = opened
 	f.forgetClosed()
 }
--- /dev/null
+++ b/internal/commander/client.go
@@ -0,0 +1,70 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/answerer"
+)
+
+const maximumAnswerBytes = 64 << 20
+
+// callOperator calls the first entry instance that answers; a changing call that may have run is not sent to another.
+func callOperator(env *Environment, site *Site, operator *Operator, method, path string, in, out any) error {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(env.Stop, site.Timeout)
+	defer cancel()
+	var failed error
+	for _, entry := range site.Entries {
+		req, err := http.NewRequestWithContext(ctx, method, entry+path, bytes.NewReader(body))
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrUsage, err)
+		}
+		req.Header.Set("Authorization", "Bearer "+operator.key)
+		req.Header.Set("Content-Type", "application/json")
+		resp, err := env.HTTP.Do(req)
+		if err != nil {
+			failed = fmt.Errorf("%w: %s: %w", ErrUnreachable, entry, err)
+			continue
+		}
+		return readAnswer(resp, out)
+	}
+	return failed
+}
+
+func readAnswer(resp *http.Response, out any) error {
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maximumAnswerBytes))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return refusedBy(resp, data)
+	}
+	return json.Unmarshal(data, out)
+}
+
+func refusedBy(resp *http.Response, data []byte) error {
+	var body answerer.Body
+	if json.Unmarshal(data, &body) != nil || body.Error.Code == "" {
+		return fmt.Errorf("%w: status %d", ErrRefused, resp.StatusCode)
+	}
+	return fmt.Errorf("%w: %s (%s): %s", ErrRefused, body.Error.Code, body.Error.Run, body.Error.Message)
+}
+
+// printJSON prints a value for programs.
+func printJSON(env *Environment, v any) error {
+	encoder := json.NewEncoder(env.Stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(v)
+}
--- /dev/null
+++ b/internal/commander/exit.go
@@ -0,0 +1,39 @@
+package commander
+
+import (
+	"errors"
+	"fmt"
+	"io"
+)
+
+// Exit codes of the program.
+const (
+	ExitDone        = 0
+	ExitRefused     = 1
+	ExitUsage       = 2
+	ExitUnreachable = 3
+)
+
+// ErrRefused is returned when an entry instance refused a command, or a check found faults.
+var ErrRefused = errors.New("refused")
+
+// ErrUsage is returned for wrong arguments or files.
+var ErrUsage = errors.New("wrong use")
+
+// ErrUnreachable is returned when no entry instance answered.
+var ErrUnreachable = errors.New("unreachable")
+
+// exitCode prints an error and returns the exit code for it.
+func exitCode(err error, stderr io.Writer) int {
+	if err == nil {
+		return ExitDone
+	}
+	fmt.Fprintln(stderr, err)
+	switch {
+	case errors.Is(err, ErrRefused):
+		return ExitRefused
+	case errors.Is(err, ErrUnreachable):
+		return ExitUnreachable
+	}
+	return ExitUsage
+}
--- /dev/null
+++ b/internal/commander/help.go
@@ -0,0 +1,41 @@
+package commander
+
+import "github.com/jessevdk/go-flags"
+
+const longDescription = `coltsfootscale serves language models from a limited fleet.
+
+Commands that change something: serve, publish, key grant, key withdraw, ask, call, load.
+Queries: status, inventory, usage, explain, addresses, check, hash.
+
+Exit codes: 0 done, 1 refused, 2 wrong use, 3 unreachable.`
+
+var examples = map[string]string{
+	"serve":     "Runs an entry instance until SIGTERM, then leaves without cutting a request.\n\nExample: coltsfootscale serve --Settings entry-a.ini",
+	"publish":   "Puts an inventory and rules in force everywhere. Without --Base it replaces what is in force now.\n\nExample: coltsfootscale publish --Entry http://127.0.0.1:8101 --OperatorKeyFile operator.key --Inventory inventory.ini --Rules rules.ini",
+	"key":       "Grants and withdraws keys.\n\nExample: coltsfootscale key grant --help",
+	"status":    "Shows the members, the lease and the orders as one entry instance sees them.\n\nExample: coltsfootscale status --Entry http://127.0.0.1:8101 --OperatorKeyFile operator.key",
+	"inventory": "Shows the inventory, rules and key ids in force.\n\nExample: coltsfootscale inventory --Entry http://127.0.0.1:8101 --OperatorKeyFile operator.key --Json",
+	"usage":     "Shows the open usage window and the closed ones that are not yet reported.\n\nExample: coltsfootscale usage --Entry http://127.0.0.1:8101 --OperatorKeyFile operator.key",
+	"explain":   "Shows the routing decisions that the entry instances keep for a request.\n\nExample: coltsfootscale explain --Entry http://127.0.0.1:8101 --OperatorKeyFile operator.key 0b9d7c1e-5c1b-4f0e-9f54-0a8a4c7c2d11",
+	"addresses": "Shows the ranked entry addresses for an availability zone.\n\nExample: coltsfootscale addresses --Entry http://127.0.0.1:8101 --AvailabilityZone seoul-a",
+	"check":     "Names every fault of the given files in one run.\n\nExample: coltsfootscale check --Settings entry-a.ini --Inventory inventory.ini --Rules rules.ini",
+	"hash":      "Prints the hash of the key in a file.\n\nExample: coltsfootscale hash --KeyFile operator.key",
+	"ask":       "Asks for addresses, connects to the best entry and streams one answer.\n\nExample: coltsfootscale ask --Entry http://127.0.0.1:8101 --KeyFile team.key --Model menu-7b \"Explain the tab.\"",
+	"call":      "Sends one call to a plain service. With --IdempotencyKey it runs at most once, however often it is sent.\n\nExample: coltsfootscale call --Entry http://127.0.0.1:8101 --KeyFile team.key --Path /settlements --IdempotencyKey tab-7 '{\"Tab\":7}'",
+	"load":      "Sends a bounded load and prints a table of latencies and refusals.\n\nExample: coltsfootscale load --Entry http://127.0.0.1:8101 --KeyFile team.key --Model menu-7b --Requests 100 --Concurrency 10",
+}
+
+// describe adds each command's help with an example.
+func describe(parser *flags.Parser) {
+	for _, c := range parser.Commands() {
+		c.LongDescription = examples[c.Name]
+		for _, sub := range c.Commands() {
+			sub.LongDescription = subExamples[sub.Name]
+		}
+	}
+}
+
+var subExamples = map[string]string{
+	"grant":    "Creates a key, puts its hash in force everywhere and writes the key to standard output.\n\nExample: coltsfootscale key grant --Entry http://127.0.0.1:8101 --OperatorKeyFile operator.key --Team tabline --ID tabline-1",
+	"withdraw": "Withdraws a key; when it returns 0 the key no longer works at any entry instance.\n\nExample: coltsfootscale key withdraw --Entry http://127.0.0.1:8101 --OperatorKeyFile operator.key --ID tabline-1",
+}
--- /dev/null
+++ b/internal/commander/options.go
@@ -0,0 +1,150 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/networker"
+)
+
+// Environment is what a command runs in.
+type Environment struct {
+	Stdout io.Writer
+	Stderr io.Writer
+	HTTP   *http.Client
+	// Stop ends when the process is asked to stop.
+	Stop context.Context
+}
+
+// Site says which entry instances to talk to.
+type Site struct {
+	Entries []string      `long:"Entry" value-name:"URL" required:"true" description:"an entry instance, such as http://127.0.0.1:8101; may be given several times"`
+	Timeout time.Duration `long:"Timeout" default:"15s" description:"how long to wait for an answer"`
+	JSON    bool          `long:"Json" description:"print JSON for programs"`
+}
+
+// Operator says which key the operator has.
+type Operator struct {
+	KeyFile string `long:"OperatorKeyFile" value-name:"FILE" required:"true" description:"file that holds the operators' key"`
+
+	key string
+}
+
+// Options are all commands with their arguments.
+type Options struct {
+	Serve     serveCommand   `command:"serve" description:"run an entry instance"`
+	Publish   publishCommand `command:"publish" description:"put an inventory and rules in force"`
+	Key       keyCommands    `command:"key" description:"grant or withdraw keys"`
+	Status    statusQuery    `command:"status" description:"show an entry instance and the fleet"`
+	Inventory inventoryQuery `command:"inventory" description:"show the inventory and rules in force"`
+	Usage     usageQuery     `command:"usage" description:"show the usage that is not yet reported"`
+	Explain   explainQuery   `command:"explain" description:"show the decisions made for a request"`
+	Addresses addressesQuery `command:"addresses" description:"show the addresses that callers get"`
+	Check     checkCommand   `command:"check" description:"check settings, inventory and rules offline"`
+	Hash      hashCommand    `command:"hash" description:"print the hash of a key for OperatorKeyHash"`
+	Ask       askCommand     `command:"ask" description:"send one chat completion and print the answer"`
+	Call      callCommand    `command:"call" description:"send one call to a plain service and print the answer"`
+	Load      loadCommand    `command:"load" description:"send a bounded load with a shifting prompt-to-output mix"`
+}
+
+type keyCommands struct {
+	Grant    grantCommand    `command:"grant" description:"create a key for a team and print it"`
+	Withdraw withdrawCommand `command:"withdraw" description:"withdraw a key"`
+}
+
+// command is a parsed command: validate checks everything before run starts to work.
+type command interface {
+	validate() error
+	run(env *Environment) error
+}
+
+// Run parses the arguments, validates them, runs the command and returns the exit code.
+func Run(args []string, env *Environment) int {
+	options := &Options{}
+	parser := flags.NewNamedParser("coltsfootscale", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = longDescription
+	if _, err := parser.AddGroup("Options", "", options); err != nil {
+		return exitCode(err, env.Stderr)
+	}
+	describe(parser)
+	var chosen command
+	parser.CommandHandler = func(c flags.Commander, _ []string) error {
+		if c != nil {
+			chosen = c.(command)
+		}
+		return nil
+	}
+	_, err := parser.ParseArgs(args)
+	var problem *flags.Error
+	if errors.As(err, &problem) && problem.Type == flags.ErrHelp {
+		fmt.Fprintln(env.Stdout, problem.Message)
+		return ExitDone
+	}
+	if err != nil {
+		return exitCode(fmt.Errorf("%w: %w", ErrUsage, err), env.Stderr)
+	}
+	if env.HTTP == nil {
+		env.HTTP = networker.Client(networker.TCP{}, true)
+	}
+	if err := chosen.validate(); err != nil {
+		return exitCode(err, env.Stderr)
+	}
+	return exitCode(chosen.run(env), env.Stderr)
+}
+
+// deferred makes a struct a command of go-flags whose work starts after all arguments were validated.
+type deferred struct{}
+
+// Execute does nothing.
+func (deferred) Execute([]string) error { return nil }
+
+func (s *Site) validate() error {
+	for _, entry := range s.Entries {
+		u, err := url.Parse(entry)
+		if err != nil || u.Scheme != "http" || u.Host == "" {
+			return fmt.Errorf("%w: --Entry %q: allowed: http://HOST:PORT", ErrUsage, entry)
+		}
+	}
+	if s.Timeout <= 0 {
+		return fmt.Errorf("%w: --Timeout %s: allowed: more than 0", ErrUsage, s.Timeout)
+	}
+	return nil
+}
+
+func (o *Operator) validate() error {
+	data, err := os.ReadFile(o.KeyFile)
+	if err != nil {
+		return fmt.Errorf("%w: --OperatorKeyFile: %w", ErrUsage, err)
+	}
+	o.key = strings.TrimSpace(string(data))
+	if o.key == "" {
+		return fmt.Errorf("%w: --OperatorKeyFile %s is empty", ErrUsage, o.KeyFile)
+	}
+	return nil
+}
+
+func validateAll(checks ...func() error) error {
+	for _, check := range checks {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readFile(flag, path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s: %w", ErrUsage, flag, err)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/commander/serve.go
@@ -0,0 +1,59 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/explainer"
+	"github.com/coltsfootscale/coltsfootscale/internal/networker"
+	"github.com/coltsfootscale/coltsfootscale/internal/parser"
+	"github.com/coltsfootscale/coltsfootscale/internal/runner"
+)
+
+type serveCommand struct {
+	deferred
+	Settings string `long:"Settings" value-name:"FILE" required:"true" description:"settings of the entry instance"`
+	Debug    bool   `long:"Debug" description:"log debug lines too"`
+
+	settings *parser.Settings
+}
+
+func (c *serveCommand) validate() error {
+	data, err := readFile("--Settings", c.Settings)
+	if err != nil {
+		return err
+	}
+	c.settings, err = parser.ParseSettings(c.Settings, data)
+	if err != nil {
+		return fmt.Errorf("%w:\n%w", ErrUsage, err)
+	}
+	return nil
+}
+
+func (c *serveCommand) run(env *Environment) error {
+	out, err := explainer.New(zapcore.Lock(zapcore.AddSync(env.Stdout)))
+	if err != nil {
+		return err
+	}
+	logger := NewLogger(out, c.Debug).With(zap.String("Instance", string(c.settings.Instance)))
+	entry := runner.New(c.settings, networker.TCP{}, logger, out.Lines)
+	if err := entry.Run(env.Stop, context.Background()); err != nil {
+		return fmt.Errorf("%w: %w", ErrUsage, err)
+	}
+	return nil
+}
+
+// NewLogger returns a logger of JSON lines with Pascal-case names.
+func NewLogger(out zapcore.WriteSyncer, debug bool) *zap.Logger {
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.TimeKey, cfg.LevelKey, cfg.MessageKey, cfg.CallerKey, cfg.StacktraceKey = "Time", "Level", "Message", "", ""
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	level := zapcore.InfoLevel
+	if debug {
+		level = zapcore.DebugLevel
+	}
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(cfg), out, level))
+}
--- a/internal/configurator/fold.go
+++ b/internal/configurator/fold.go
@@ -64,14 +64,12 @@
 	case *recorder.Record_KeyWithdraw:
 		err = f.withdraw(b.KeyWithdraw.GetID())
 	case *recorder.Record_Join:
-		f.join(b.Join.GetMember())
-		return
+		err = f.join(offset, b.Join)
 	case *recorder.Record_Leave:
 		f.leave(b.Leave.GetInstance(), b.Leave.GetIncarnation())
 		return
 	case *recorder.Record_Evict:
-		f.evict(b.Evict.GetInstance(), b.Evict.GetIncarnation())
-		return
+		err = f.evict(offset, b.Evict)
 	default:
 		return
 	}
@@ -121,14 +119,30 @@
 	return fmt.Errorf("%w: no key %s", ErrConflict, id)
 }
 
-func (f *Fold) join(m *recorder.Member) {
+// join adds a member. Members change one at a time: the writer has seen a majority acknowledge the
+// membership that it names, so majorities of successive memberships share an instance.
+func (f *Fold) join(offset identifier.Offset, j *recorder.Join) error {
+	m := j.GetMember()
 	if m.GetInstance() == "" {
-		return
+		return fmt.Errorf("%w: member without an id", ErrConflict)
+	}
+	if err := f.changeMembers(offset, j.MembersVersion); err != nil {
+		return err
 	}
 	if f.state.Members == nil {
 		f.state.Members = map[string]*recorder.Member{}
 	}
 	f.state.Members[m.Instance] = m
+	return nil
+}
+
+func (f *Fold) changeMembers(offset identifier.Offset, base uint64) error {
+	if base != f.state.MembersVersion {
+		return fmt.Errorf("%w: based on membership %d, in force is %d", ErrConflict, base, f.state.MembersVersion)
+	}
+	f.state.MembersVersion++
+	f.state.MembersOffset = uint64(offset)
+	return nil
 }
 
 func (f *Fold) leave(instance, incarnation string) {
@@ -141,11 +155,16 @@
 	f.state.Members[instance] = left
 }
 
-func (f *Fold) evict(instance, incarnation string) {
-	m := f.state.Members[instance]
-	if m != nil && m.Incarnation == incarnation {
-		delete(f.state.Members, instance)
+func (f *Fold) evict(offset identifier.Offset, e *recorder.Evict) error {
+	m := f.state.Members[e.GetInstance()]
+	if m == nil || m.Incarnation != e.GetIncarnation() {
+		return fmt.Errorf("%w: no member %s in this incarnation", ErrConflict, e.GetInstance())
 	}
+	if err := f.changeMembers(offset, e.MembersVersion); err != nil {
+		return err
+	}
+	delete(f.state.Members, e.Instance)
+	return nil
 }
 
 func (f *Fold) note(offset identifier.Offset, recordID string, err error) {
@@ -158,3 +177,11 @@
 		f.state.Verdicts = f.state.Verdicts[over:]
 	}
 }
+
+// Membership returns the version of the membership and the offset of the record that made it.
+func (f *Fold) Membership() (version uint64, offset identifier.Offset) {
+	return f.state.MembersVersion, identifier.Offset(f.state.MembersOffset)
+}
+
+// MemberCount returns the number of members.
+func (f *Fold) MemberCount() int { return len(f.state.Members) }
--- /dev/null
+++ b/internal/exchanger/client.go
@@ -0,0 +1,126 @@
+package exchanger
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/messenger"
+)
+
+// ErrUnreachable is returned when a peer gave no reply in time.
+var ErrUnreachable = errors.New("peer unreachable")
+
+const defaultCallTimeout = time.Second
+
+// Client calls peers and keeps one session to each; Dial must be set.
+type Client struct {
+	Dial   func(ctx context.Context, addr string) (net.Conn, error)
+	Logger *zap.Logger
+
+	mu       sync.Mutex
+	sessions map[string]*yamux.Session
+}
+
+// Call sends a request to the peer at addr and returns its reply; errors wrap ErrUnreachable.
+func (c *Client) Call(ctx context.Context, addr string, req *messenger.Request) (*messenger.Reply, error) {
+	session, err := c.session(ctx, addr)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, addr, err)
+	}
+	reply, err := call(ctx, session, req)
+	if err != nil {
+		c.drop(addr, session)
+		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, addr, err)
+	}
+	return reply, nil
+}
+
+// Close ends all sessions.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.sessions {
+		s.Close()
+	}
+	c.sessions = nil
+}
+
+func (c *Client) session(ctx context.Context, addr string) (*yamux.Session, error) {
+	c.mu.Lock()
+	s := c.sessions[addr]
+	c.mu.Unlock()
+	if s != nil && !s.IsClosed() {
+		return s, nil
+	}
+	conn, err := c.Dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	s, err = yamux.Client(conn, config(c.Logger))
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old := c.sessions[addr]; old != nil && !old.IsClosed() {
+		s.Close()
+		return old, nil
+	}
+	if c.sessions == nil {
+		c.sessions = map[string]*yamux.Session{}
+	}
+	c.sessions[addr] = s
+	return s, nil
+}
+
+func (c *Client) drop(addr string, s *yamux.Session) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sessions[addr] == s {
+		delete(c.sessions, addr)
+	}
+	s.Close()
+}
+
+func call(ctx context.Context, session *yamux.Session, req *messenger.Request) (*messenger.Reply, error) {
+	stream, err := session.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(defaultCallTimeout)
+	}
+	if err := stream.SetDeadline(deadline); err != nil {
+		return nil, err
+	}
+	if _, err := protodelim.MarshalTo(stream, req); err != nil {
+		return nil, err
+	}
+	reply := &messenger.Reply{}
+	if err := protodelim.UnmarshalFrom(bufio.NewReader(stream), reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+func config(logger *zap.Logger) *yamux.Config {
+	if logger == nil {
+		logger = zap.NewNop()
+	}
+	cfg := yamux.DefaultConfig()
+	cfg.LogOutput = nil
+	cfg.Logger = zap.NewStdLog(logger)
+	return cfg
+}
--- /dev/null
+++ b/internal/exchanger/server.go
@@ -0,0 +1,70 @@
+package exchanger
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/messenger"
+)
+
+const streamTimeout = 5 * time.Second
+
+// Handler answers a peer's request.
+type Handler interface {
+	Handle(req *messenger.Request) *messenger.Reply
+}
+
+// Server accepts sessions of peers; Handler must be set.
+type Server struct {
+	Handler Handler
+	Logger  *zap.Logger
+}
+
+// Serve accepts sessions until ctx ends.
+func (s *Server) Serve(ctx context.Context, lis net.Listener) {
+	stop := context.AfterFunc(ctx, func() { lis.Close() })
+	defer stop()
+	for {
+		conn, err := lis.Accept()
+		if err != nil {
+			return
+		}
+		go s.serveConn(ctx, conn)
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	session, err := yamux.Server(conn, config(s.Logger))
+	if err != nil {
+		conn.Close()
+		return
+	}
+	defer session.Close()
+	stop := context.AfterFunc(ctx, func() { session.Close() })
+	defer stop()
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		go s.serveStream(stream)
+	}
+}
+
+func (s *Server) serveStream(stream net.Conn) {
+	defer stream.Close()
+	if err := stream.SetDeadline(time.Now().Add(streamTimeout)); err != nil {
+		return
+	}
+	req := &messenger.Request{}
+	if err := protodelim.UnmarshalFrom(bufio.NewReader(stream), req); err != nil {
+		return
+	}
+	protodelim.MarshalTo(stream, s.Handler.Handle(req))
+}
--- /dev/null
+++ b/internal/explainer/doc.go
@@ -0,0 +1,2 @@
+// Package explainer keeps the latest decision lines of each request for the operators' explain query.
+package explainer
--- /dev/null
+++ b/internal/explainer/explainer.go
@@ -0,0 +1,52 @@
+package explainer
+
+import (
+	"encoding/json"
+	"io"
+	"slices"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+const (
+	keptRequests     = 4096
+	keptLinesRequest = 16
+)
+
+// Explainer copies log lines that name a request; use New.
+type Explainer struct {
+	out   io.Writer
+	lines *lru.Cache[identifier.RequestID, []string]
+}
+
+// New returns an explainer that writes on to out.
+func New(out io.Writer) (*Explainer, error) {
+	lines, err := lru.New[identifier.RequestID, []string](keptRequests)
+	if err != nil {
+		return nil, err
+	}
+	return &Explainer{out: out, lines: lines}, nil
+}
+
+// Write keeps one JSON log line under its request and writes it on.
+func (e *Explainer) Write(line []byte) (int, error) {
+	var fields struct{ RequestID identifier.RequestID }
+	if json.Unmarshal(line, &fields) == nil && fields.RequestID != "" {
+		kept, _ := e.lines.Get(fields.RequestID)
+		if len(kept) < keptLinesRequest {
+			e.lines.Add(fields.RequestID, append(slices.Clone(kept), string(line)))
+		}
+	}
+	return e.out.Write(line)
+}
+
+// Sync does nothing, because lines are written at once.
+func (e *Explainer) Sync() error { return nil }
+
+// Lines returns the decision lines of a request, oldest first.
+func (e *Explainer) Lines(id identifier.RequestID) []string {
+	lines, _ := e.lines.Get(id)
+	return lines
+}
--- /dev/null
+++ b/internal/holder/doc.go
@@ -0,0 +1,2 @@
+// Package holder claims and renews a lease through the Control stream.
+package holder
--- a/internal/journaler/fold.go
+++ b/internal/journaler/fold.go
@@ -15,7 +15,7 @@
 // The first dispatch of a key in stream order wins and only its writer may send the request.
 type Fold struct {
 	state recorder.JournalState
-	order []string
+	order []keyAt
 }
 
 // Next returns the offset after the last applied record.
@@ -54,7 +54,7 @@
 	case *recorder.Record_Dispatch:
 		f.dispatch(offset, r, b.Dispatch)
 	case *recorder.Record_Result:
-		f.result(r, b.Result)
+		f.result(b.Result)
 	}
 }
 
@@ -71,12 +71,17 @@
 		Digest:     d.Digest,
 		Offset:     uint64(offset),
 	}
-	f.order = append(f.order, d.Key)
+	f.order = append(f.order, keyAt{key: d.Key, offset: uint64(offset)})
 }
 
-func (f *Fold) result(r *recorder.Record, result *recorder.Result) {
+// result closes a dispatch; a released one was never sent, and its key may be dispatched again.
+func (f *Fold) result(result *recorder.Result) {
 	e := f.state.Entries[result.Key]
-	if e == nil || e.Writer != r.Writer || e.Result != nil {
+	if e == nil || e.DispatchID != result.DispatchID || e.Result != nil {
+		return
+	}
+	if result.Released {
+		delete(f.state.Entries, result.Key)
 		return
 	}
 	e.Result = result
@@ -84,11 +89,14 @@
 
 func (f *Fold) expire(offset identifier.Offset) {
 	for len(f.order) > 0 {
-		e := f.state.Entries[f.order[0]]
-		if e != nil && e.Offset+RetentionOffsets > uint64(offset) {
+		oldest := f.order[0]
+		if oldest.offset+RetentionOffsets > uint64(offset) {
 			return
 		}
-		delete(f.state.Entries, f.order[0])
 		f.order = f.order[1:]
+		e := f.state.Entries[oldest.key]
+		if e != nil && e.Offset == oldest.offset {
+			delete(f.state.Entries, oldest.key)
+		}
 	}
 }
--- /dev/null
+++ b/internal/networker/network.go
@@ -0,0 +1,56 @@
+package networker
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	dialTimeout     = time.Second
+	idleTimeout     = 30 * time.Second
+	idlePerTarget   = 256
+	maximumIdleConn = 4096
+)
+
+// Network opens listeners and connections.
+type Network interface {
+	Listen(addr string) (net.Listener, error)
+	Dial(ctx context.Context, addr string) (net.Conn, error)
+}
+
+// TCP is the network of the machine.
+type TCP struct{}
+
+// Listen opens a TCP listener.
+func (TCP) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+
+// Dial opens a TCP connection.
+func (TCP) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// Client returns an HTTP client on the network; without reuse each request has a connection of its own,
+// which keeps the transport from sending a request a second time.
+func Client(n Network, reuse bool) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+				return n.Dial(ctx, addr)
+			},
+			DisableKeepAlives:   !reuse,
+			DisableCompression:  true,
+			MaxIdleConns:        maximumIdleConn,
+			MaxIdleConnsPerHost: idlePerTarget,
+			IdleConnTimeout:     idleTimeout,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// LimitListener bounds the number of connections open at once.
+func LimitListener(lis net.Listener, limit int) net.Listener {
+	return &limited{Listener: lis, slots: make(chan struct{}, limit), closed: make(chan struct{})}
+}
--- /dev/null
+++ b/internal/orderer/orderer.go
@@ -0,0 +1,223 @@
+package orderer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/authorizer"
+	"github.com/coltsfootscale/coltsfootscale/internal/chatter"
+	"github.com/coltsfootscale/coltsfootscale/internal/provider"
+	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/internal/tailer"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// ErrVoid is returned when the log did not accept an intent, because the lease was lost or the target has an open order.
+var ErrVoid = errors.New("intent is void")
+
+// ErrTarget is returned when a target did not carry out an order.
+var ErrTarget = errors.New("target refused the order")
+
+// Authority runs sends under a lease.
+type Authority interface {
+	Authority() (identifier.Fence, time.Duration, error)
+	Do(ctx context.Context, fence identifier.Fence, timeout time.Duration, send func(ctx context.Context) error) error
+}
+
+// Platform takes target orders.
+type Platform interface {
+	OrderTarget(ctx context.Context, order provider.TargetOrder) error
+}
+
+const (
+	maximumAnswerBytes = 64 << 10
+	statePoll          = 100 * time.Millisecond
+)
+
+// Orderer records the intent of each order, sends it, and records its outcome; all exported fields must be set.
+type Orderer struct {
+	Scope     string
+	Sender    string
+	Authority Authority
+	Control   *tailer.Tailer
+	Fold      *authorizer.Fold
+	Platform  Platform
+	HTTP      *http.Client
+	Timeout   time.Duration
+	Address   func(identifier.TargetID) (string, bool)
+	Logger    *zap.Logger
+}
+
+// Raise tells every target that checks fencing numbers of the current one, so that older orders have no effect.
+func (o *Orderer) Raise(ctx context.Context, fence identifier.Fence, targets []identifier.TargetID) error {
+	var failed error
+	for _, id := range targets {
+		if err := o.send(ctx, fence, &recorder.Order{Target: string(id)}); err != nil {
+			failed = fmt.Errorf("raise fence at %s: %w", id, err)
+		}
+	}
+	return failed
+}
+
+// Settle sends the open orders of earlier holders again, unchanged, and records their outcomes.
+func (o *Orderer) Settle(ctx context.Context, fence identifier.Fence) error {
+	var open []*recorder.Order
+	o.Control.Query(func() {
+		for _, order := range o.Fold.Orders() {
+			if order.Status == recorder.OrderStatus_Open {
+				open = append(open, order)
+			}
+		}
+	})
+	var failed error
+	for _, order := range open {
+		if err := o.finish(ctx, fence, order); err != nil {
+			failed = err
+		}
+	}
+	return failed
+}
+
+// Order records and carries out one order; its ID and fencing number are set here.
+func (o *Orderer) Order(ctx context.Context, order *recorder.Order) error {
+	fence, _, err := o.Authority.Authority()
+	if err != nil {
+		return err
+	}
+	order.ID = uuid.NewString()
+	order.Fence = uint64(fence)
+	r := o.Control.NewRecord()
+	r.Body = &recorder.Record_Intent{Intent: &recorder.Intent{Scope: o.Scope, Order: order}}
+	if err := o.append(ctx, r); err != nil {
+		return err
+	}
+	var accepted *recorder.Order
+	o.Control.Query(func() { accepted = o.Fold.Order(order.ID) })
+	if accepted == nil {
+		return fmt.Errorf("%w: %s to %s", ErrVoid, order.Kind, order.Target)
+	}
+	o.Logger.Info("Order",
+		zap.String("OrderID", order.ID),
+		zap.String("Kind", order.Kind.String()),
+		zap.String("Target", order.Target),
+		zap.String("Role", order.Role.String()),
+		zap.Uint64("Fence", order.Fence))
+	return o.finish(ctx, fence, accepted)
+}
+
+// finish sends an order until its outcome is known from the target itself, and records it.
+func (o *Orderer) finish(ctx context.Context, fence identifier.Fence, order *recorder.Order) error {
+	status := recorder.OrderStatus_Done
+	err := o.send(ctx, fence, order)
+	switch {
+	case err == nil && order.Kind == recorder.OrderKind_Assign:
+		err = o.awaitDone(ctx, fence, order)
+	case errors.Is(err, ErrTarget) || errors.Is(err, provider.ErrRefused):
+		status, err = recorder.OrderStatus_Failed, nil
+	}
+	if err != nil {
+		return err
+	}
+	r := o.Control.NewRecord()
+	r.Body = &recorder.Record_Outcome{Outcome: &recorder.Outcome{Scope: o.Scope, Fence: uint64(fence), OrderID: order.ID, Status: status}}
+	return o.append(ctx, r)
+}
+
+func (o *Orderer) append(ctx context.Context, r *recorder.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, o.Timeout)
+	defer cancel()
+	_, err := o.Control.Append(ctx, r)
+	return err
+}
+
+// send checks the lease directly before the order goes out and ends the call before the lease does.
+func (o *Orderer) send(ctx context.Context, fence identifier.Fence, order *recorder.Order) error {
+	return o.Authority.Do(ctx, fence, o.Timeout, func(ctx context.Context) error {
+		if order.Kind != recorder.OrderKind_Assign {
+			return o.Platform.OrderTarget(ctx, provider.TargetOrder{
+				OrderID: order.ID, Sender: o.Sender, Fence: fence, Kind: order.Kind.String(),
+				Target: order.Target, Zone: order.Zone, Model: order.Model, Cheap: order.Cheap,
+			})
+		}
+		return o.sendEngine(ctx, fence, order)
+	})
+}
+
+func (o *Orderer) sendEngine(ctx context.Context, fence identifier.Fence, order *recorder.Order) error {
+	in := chatter.EngineOrder{OrderID: order.ID, Fence: uint64(fence)}
+	if order.ID != "" {
+		in.Role, in.Model = order.Role.String(), order.Model
+	}
+	var state chatter.EngineState
+	return o.call(ctx, order, http.MethodPost, "/control/order", in, &state)
+}
+
+// awaitDone polls an engine until it has carried out the order.
+func (o *Orderer) awaitDone(ctx context.Context, fence identifier.Fence, order *recorder.Order) error {
+	for {
+		var state chatter.EngineState
+		err := o.Authority.Do(ctx, fence, o.Timeout, func(ctx context.Context) error {
+			return o.call(ctx, order, http.MethodGet, "/control/state", nil, &state)
+		})
+		if err != nil {
+			return err
+		}
+		if state.LastOrder != order.ID {
+			return fmt.Errorf("engine %s lost order %s", order.Target, order.ID)
+		}
+		if !state.Changing {
+			return nil
+		}
+		timer := time.NewTimer(statePoll)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		}
+	}
+}
+
+func (o *Orderer) call(ctx context.Context, order *recorder.Order, method, path string, in, out any) error {
+	address, ok := o.Address(identifier.TargetID(order.Target))
+	if !ok {
+		return fmt.Errorf("%w: %s is not in the inventory", ErrTarget, order.Target)
+	}
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
+	if err != nil {
+		return err
+	}
+	resp, err := o.HTTP.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maximumAnswerBytes))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode == http.StatusConflict {
+		return fmt.Errorf("%w: %s", ErrTarget, bytes.TrimSpace(data))
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("order to %s: status %d", order.Target, resp.StatusCode)
+	}
+	return json.Unmarshal(data, out)
+}
--- /dev/null
+++ b/internal/relayer/body.go
@@ -0,0 +1,33 @@
+package relayer
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/answerer"
+)
+
+// readBody reads a request's body within the limits on size and time.
+func (s *Relayer) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *answerer.Refusal) {
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(s.Limits.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.Limits.BodyBytes))
+	if err == nil {
+		control.SetReadDeadline(time.Time{})
+		return body, nil
+	}
+	refusal := &answerer.Refusal{Status: http.StatusBadRequest, Code: answerer.CodeMalformed, Run: answerer.NotRun, Message: "the body was cut short"}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		refusal.Status, refusal.Code = http.StatusRequestEntityTooLarge, answerer.CodeTooLarge
+		refusal.Message = "the body is larger than BodyBytes allows"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		refusal.Status, refusal.Code = http.StatusRequestTimeout, answerer.CodeTooSlow
+		refusal.Message = "the body took longer than BodyMilliseconds allows"
+	}
+	return nil, refusal
+}
--- /dev/null
+++ b/internal/relayer/relayer.go
@@ -0,0 +1,123 @@
+package relayer
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/accounter"
+	"github.com/coltsfootscale/coltsfootscale/internal/answerer"
+	"github.com/coltsfootscale/coltsfootscale/internal/configurator"
+	"github.com/coltsfootscale/coltsfootscale/internal/limiter"
+	"github.com/coltsfootscale/coltsfootscale/internal/parser"
+	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/internal/retrier"
+	"github.com/coltsfootscale/coltsfootscale/internal/tracker"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// Journal decides who may send a request that must not run twice.
+type Journal interface {
+	// Ready reports whether dispatches can be recorded now.
+	Ready() bool
+	// Entry returns what is known of a key, or nil.
+	Entry(key string) *recorder.JournalEntry
+	// Commit appends a record and returns once it was read back.
+	Commit(ctx context.Context, r *recorder.Record) error
+	// NewRecord returns a record of this writer under a fresh id.
+	NewRecord() *recorder.Record
+}
+
+// Relayer serves callers' requests; all exported fields must be set.
+type Relayer struct {
+	Zone     identifier.ZoneID
+	Limits   parser.Limits
+	Tracker  *tracker.Tracker
+	Ledger   *accounter.Ledger
+	Meter    *limiter.Meter
+	Budget   *retrier.Budget
+	Journal  Journal
+	Logger   *zap.Logger
+	Metrics  tally.Scope
+	HTTP     *http.Client
+	Once     *http.Client
+	View     func() *configurator.View
+	Serving  func() bool
+	Share    func(team identifier.TeamID, model identifier.ModelID) (rate, share float64)
+	inFlight inFlightKeys
+}
+
+// call is one request of a caller.
+type call struct {
+	id     identifier.RequestID
+	team   identifier.TeamID
+	view   *configurator.View
+	ctx    context.Context
+	w      http.ResponseWriter
+	r      *http.Request
+	logger *zap.Logger
+}
+
+// begin identifies the caller, or returns why it is refused; routes open to all need no key.
+func (s *Relayer) begin(w http.ResponseWriter, r *http.Request, open bool) (*call, *answerer.Refusal) {
+	// The view is taken after the check, so that it is at least as new as the check needs.
+	serving := s.Serving()
+	c := &call{id: identifier.RequestID(uuid.NewString()), view: s.View(), w: w, r: r}
+	w.Header().Set("X-Request-Id", string(c.id))
+	c.logger = s.Logger.With(zap.String("RequestID", string(c.id)))
+	if !serving {
+		return c, &answerer.Refusal{
+			Status: http.StatusServiceUnavailable, Code: answerer.CodeNotServing, Run: answerer.NotRun,
+			Message: "this instance cannot tell whether its configuration is current", Return: shortReturn,
+		}
+	}
+	if open {
+		return c, nil
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return c, unauthorized("the Authorization header holds no bearer key")
+	}
+	team, ok := c.view.Team(identifier.HashKey(key))
+	if !ok {
+		return c, unauthorized("the key is not granted")
+	}
+	c.team = team
+	c.logger = c.logger.With(zap.String("Team", string(team)))
+	return c, nil
+}
+
+func unauthorized(message string) *answerer.Refusal {
+	return &answerer.Refusal{Status: http.StatusUnauthorized, Code: answerer.CodeUnauthorized, Run: answerer.NotRun, Message: message}
+}
+
+// refuse writes a final answer and counts it.
+func (s *Relayer) refuse(c *call, refusal *answerer.Refusal) {
+	s.Metrics.Tagged(map[string]string{"Code": string(refusal.Code)}).Counter("Refusals").Inc(1)
+	c.logger.Info("Refuse",
+		zap.String("Code", string(refusal.Code)),
+		zap.String("Run", string(refusal.Run)),
+		zap.Duration("Return", refusal.Return),
+		zap.String("Reason", refusal.Message))
+	if c.team != "" {
+		s.Ledger.Add(&recorder.TeamUsage{Team: string(c.team), Refused: 1})
+	}
+	refusal.Write(c.w)
+}
+
+// settle waits briefly until a peer holds the usage of a finished answer.
+func (s *Relayer) settle(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	if err := s.Ledger.Sync(ctx); err != nil {
+		s.Metrics.Counter("UsageNotMirrored").Inc(1)
+	}
+}
+
+func (s *Relayer) deadline(r *http.Request) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(r.Context(), s.Limits.RequestTimeout)
+}
--- /dev/null
+++ b/internal/relayer/service.go
@@ -0,0 +1,221 @@
+package relayer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"slices"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/answerer"
+	"github.com/coltsfootscale/coltsfootscale/internal/chatter"
+	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/internal/router"
+	"github.com/coltsfootscale/coltsfootscale/internal/tracker"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// ErrNotSent is returned when no connection to the target came about, so that the request cannot have run.
+var ErrNotSent = errors.New("request not sent")
+
+// serviceCall is a call to a plain service under way.
+type serviceCall struct {
+	*call
+	route *recorder.Route
+	body  []byte
+	tried map[identifier.TargetID]bool
+}
+
+// reply is a target's whole answer.
+type reply struct {
+	status      int
+	contentType string
+	body        []byte
+}
+
+// Service serves a call to a plain service.
+func (s *Relayer) Service(w http.ResponseWriter, r *http.Request) {
+	route := s.View().Route(r.URL.Path)
+	c, refusal := s.begin(w, r, route.GetOpen())
+	if refusal == nil {
+		refusal = checkRoute(route, c)
+	}
+	if refusal != nil {
+		s.refuse(c, refusal)
+		return
+	}
+	body, refusal := s.readBody(w, r)
+	if refusal != nil {
+		s.refuse(c, refusal)
+		return
+	}
+	ctx, cancel := s.deadline(r)
+	defer cancel()
+	c.ctx = ctx
+	v := &serviceCall{call: c, route: route, body: body, tried: map[identifier.TargetID]bool{}}
+	if !v.repeatable() && v.key() != "" {
+		s.serveKeyed(v)
+		return
+	}
+	s.serveService(v)
+}
+
+func checkRoute(route *recorder.Route, c *call) *answerer.Refusal {
+	if route == nil {
+		return &answerer.Refusal{Status: http.StatusNotFound, Code: answerer.CodeUnknownRoute, Run: answerer.NotRun, Message: "no route for " + c.r.URL.Path}
+	}
+	if len(route.Teams) > 0 && !route.Open && !slices.Contains(route.Teams, string(c.team)) {
+		return &answerer.Refusal{Status: http.StatusForbidden, Code: answerer.CodeForbidden, Run: answerer.NotRun, Message: "the route is not open to this team"}
+	}
+	return nil
+}
+
+func (v *serviceCall) repeatable() bool {
+	return v.route.Repeatable || v.r.Method == http.MethodGet || v.r.Method == http.MethodHead
+}
+
+func (v *serviceCall) key() string { return v.r.Header.Get(idempotencyKey) }
+
+// serveService sends a call without a record: again only if it may be repeated or did not leave this instance.
+func (s *Relayer) serveService(v *serviceCall) {
+	s.Budget.Note()
+	for attempt := 1; ; attempt++ {
+		answer, refusal, err := s.sendOnce(v, attempt)
+		if refusal != nil {
+			s.refuse(v.call, refusal)
+			return
+		}
+		if err == nil {
+			s.answer(v, answer)
+			return
+		}
+		notSent := errors.Is(err, ErrNotSent)
+		if attempt < maximumAttempts && (notSent || v.repeatable()) && v.ctx.Err() == nil && s.Budget.Take() {
+			continue
+		}
+		run := answerer.Unknown
+		if notSent && attempt == 1 {
+			run = answerer.NotRun
+		}
+		s.refuse(v.call, targetFailed(run))
+		return
+	}
+}
+
+func targetFailed(run answerer.Run) *answerer.Refusal {
+	return &answerer.Refusal{Status: http.StatusBadGateway, Code: answerer.CodeTargetFailed, Run: run, Message: "the target failed", Return: shortReturn}
+}
+
+// sendOnce picks a target and sends the call to it.
+func (s *Relayer) sendOnce(v *serviceCall, attempt int) (*reply, *answerer.Refusal, error) {
+	handle, refusal := s.routeService(v, attempt)
+	if refusal != nil {
+		return nil, refusal, nil
+	}
+	answer, err := s.send(v, handle)
+	s.Tracker.Finish(handle, err != nil && v.r.Context().Err() == nil)
+	if err != nil {
+		v.tried[handle.ID] = true
+		v.logger.Info("Retry", zap.String("Target", string(handle.ID)), zap.Error(err))
+	}
+	return answer, nil, err
+}
+
+func (s *Relayer) routeService(v *serviceCall, attempt int) (tracker.Handle, *answerer.Refusal) {
+	req := &router.Request{
+		Zone:        s.Zone,
+		Draw:        xxhash.Sum64String(string(v.id)) + uint64(attempt),
+		RefuseCheap: !v.repeatable(),
+		Allowed:     func(id identifier.TargetID) bool { return v.view.MayUse(v.team, id) },
+		Excluded:    func(id identifier.TargetID) bool { return v.tried[id] },
+	}
+	handle, _, ok := s.Tracker.Choose(tracker.ServiceGroup(v.route.Service), req, nil)
+	if !ok {
+		run := answerer.NotRun
+		if len(v.tried) > 0 && v.repeatable() {
+			run = answerer.Unknown
+		}
+		return handle, &answerer.Refusal{
+			Status: http.StatusServiceUnavailable, Code: answerer.CodeNoTarget, Run: run,
+			Message: "no target can serve the call now", Return: shortReturn,
+		}
+	}
+	v.logger.Info("Route",
+		zap.String("Service", v.route.Service),
+		zap.Int("Attempt", attempt),
+		zap.String("Chosen", string(handle.ID)),
+		zap.String("Reason", "LeastBusyDrawn"))
+	return handle, nil
+}
+
+// send sends the call on a connection of its own unless it may be repeated; ErrNotSent means that it cannot have run.
+func (s *Relayer) send(v *serviceCall, handle tracker.Handle) (*reply, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	ctx := httptrace.WithClientTrace(v.ctx, trace)
+	req, err := s.outbound(ctx, v, handle)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	client := s.HTTP
+	if !v.repeatable() {
+		client = s.Once
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		if !connected.Load() {
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, s.Limits.BodyBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > s.Limits.BodyBytes {
+		return nil, fmt.Errorf("%w: larger than BodyBytes", ErrWrongAnswer)
+	}
+	return &reply{status: resp.StatusCode, contentType: resp.Header.Get("Content-Type"), body: body}, nil
+}
+
+// outbound copies the call for a target, without the caller's key.
+func (s *Relayer) outbound(ctx context.Context, v *serviceCall, handle tracker.Handle) (*http.Request, error) {
+	target := "http://" + handle.Address + v.r.URL.RequestURI()
+	req, err := http.NewRequestWithContext(ctx, v.r.Method, target, bytes.NewReader(v.body))
+	if err != nil {
+		return nil, err
+	}
+	for _, name := range []string{"Content-Type", "Accept", "Accept-Language", idempotencyKey} {
+		if values := v.r.Header.Values(name); len(values) > 0 {
+			req.Header[http.CanonicalHeaderKey(name)] = slices.Clone(values)
+		}
+	}
+	req.Header.Set(chatter.RequestIDHeader, string(v.id))
+	return req, nil
+}
+
+// answer accounts the call and hands the target's answer to the caller.
+func (s *Relayer) answer(v *serviceCall, a *reply) {
+	if v.team != "" {
+		s.Ledger.Add(&recorder.TeamUsage{Team: string(v.team), Requests: 1})
+		s.settle(v.ctx)
+	}
+	writeReply(v, a)
+	v.logger.Info("Finish", zap.Int("Status", a.status))
+}
+
+func writeReply(v *serviceCall, a *reply) {
+	if a.contentType != "" {
+		v.w.Header().Set("Content-Type", a.contentType)
+	}
+	v.w.WriteHeader(a.status)
+	v.w.Write(a.body)
+}
--- /dev/null
+++ b/internal/reporter/reporter.go
@@ -0,0 +1,92 @@
+package reporter
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/accounter"
+	"github.com/coltsfootscale/coltsfootscale/internal/provider"
+	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/internal/tailer"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// Authority runs sends under a lease.
+type Authority interface {
+	Do(ctx context.Context, fence identifier.Fence, timeout time.Duration, send func(ctx context.Context) error) error
+}
+
+// Platform takes usage reports.
+type Platform interface {
+	SendReport(ctx context.Context, report provider.Report) error
+}
+
+// Reporter closes windows and reports them; all exported fields must be set.
+type Reporter struct {
+	Sender    string
+	Authority Authority
+	Usage     *tailer.Tailer
+	Fold      *accounter.Fold
+	Platform  Platform
+	Timeout   time.Duration
+	Logger    *zap.Logger
+}
+
+// Close fixes the figures of the open window at an offset of the Usage stream.
+func (p *Reporter) Close(ctx context.Context) error {
+	var window uint64
+	p.Usage.Query(func() { window = p.Fold.Window() })
+	r := p.Usage.NewRecord()
+	r.Body = &recorder.Record_WindowClose{WindowClose: &recorder.WindowClose{Window: window}}
+	return p.append(ctx, r)
+}
+
+// Report sends every closed window that is not yet reported, oldest first.
+func (p *Reporter) Report(ctx context.Context, fence identifier.Fence) error {
+	var windows []*recorder.Window
+	p.Usage.Query(func() { windows = p.Fold.Unreported() })
+	for _, w := range windows {
+		if err := p.reportOne(ctx, fence, w); err != nil {
+			return fmt.Errorf("report window %d: %w", w.Number, err)
+		}
+	}
+	return nil
+}
+
+func (p *Reporter) reportOne(ctx context.Context, fence identifier.Fence, w *recorder.Window) error {
+	report := provider.Report{Window: w.Number, Sender: p.Sender, Fence: fence, Teams: figures(w)}
+	err := p.Authority.Do(ctx, fence, p.Timeout, func(ctx context.Context) error {
+		return p.Platform.SendReport(ctx, report)
+	})
+	if err != nil {
+		return err
+	}
+	r := p.Usage.NewRecord()
+	r.Body = &recorder.Record_WindowReported{WindowReported: &recorder.WindowReported{Window: w.Number}}
+	if err := p.append(ctx, r); err != nil {
+		return err
+	}
+	p.Logger.Info("Report", zap.Uint64("Window", w.Number), zap.Int("Teams", len(w.Teams)), zap.Uint64("Fence", uint64(fence)))
+	return nil
+}
+
+func (p *Reporter) append(ctx context.Context, r *recorder.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
+	defer cancel()
+	_, err := p.Usage.Append(ctx, r)
+	return err
+}
+
+func figures(w *recorder.Window) []provider.TeamFigures {
+	list := make([]provider.TeamFigures, len(w.Teams))
+	for i, u := range w.Teams {
+		list[i] = provider.TeamFigures{
+			Team: u.Team, Requests: u.Requests, Refused: u.Refused, Cut: u.Cut,
+			PromptTokens: u.PromptTokens, OutputTokens: u.OutputTokens,
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/retrier/doc.go
@@ -0,0 +1,2 @@
+// Package retrier bounds retries to a share of recent requests.
+package retrier
--- /dev/null
+++ b/internal/runner/doc.go
@@ -0,0 +1,2 @@
+// Package runner is the core of an entry instance: it wires the duties together and runs them until the instance stops.
+package runner
--- /dev/null
+++ b/internal/runner/status.go
@@ -0,0 +1,86 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// Status is what an entry instance says of itself and the fleet.
+type Status struct {
+	Instance     identifier.InstanceID
+	Zone         identifier.ZoneID
+	Serving      bool
+	Leaving      bool
+	Version      identifier.Version
+	ConfigNext   identifier.Offset
+	LogReachable bool
+	FreshAge     string
+	LeaseHolder  string
+	Fence        identifier.Fence
+	Members      map[string]*recorder.Member
+	Roles        map[identifier.TargetID]string
+	Orders       []*recorder.Order
+}
+
+// UsageAnswer is the open window's usage as this instance has folded it, and the windows not yet reported.
+type UsageAnswer struct {
+	Window     uint64
+	Teams      []*recorder.TeamUsage
+	Unreported []*recorder.Window
+}
+
+func (e *Entry) status() any {
+	state := e.view.Load().State
+	s := Status{
+		Instance:     e.settings.Instance,
+		Zone:         e.settings.Zone,
+		Serving:      e.serving(),
+		Leaving:      e.leaving.Load(),
+		Version:      identifier.Version(state.GetVersion()),
+		ConfigNext:   e.config.Next(),
+		LogReachable: e.config.Reachable(),
+		FreshAge:     time.Since(e.config.Fresh()).Round(time.Millisecond).String(),
+		Members:      state.GetMembers(),
+		Roles:        map[identifier.TargetID]string{},
+	}
+	for id, role := range e.roles() {
+		s.Roles[id] = role.String()
+	}
+	e.control.Query(func() {
+		lease := e.controlFold.Lease(scopeFleet)
+		s.LeaseHolder, s.Fence = lease.Holder, identifier.Fence(lease.Fence)
+		s.Orders = e.controlFold.Orders()
+	})
+	return s
+}
+
+func (e *Entry) usageAnswer() any {
+	var a UsageAnswer
+	e.usage.Query(func() {
+		a = UsageAnswer{Window: e.usageFold.Window(), Teams: e.usageFold.Totals(), Unreported: e.usageFold.Unreported()}
+	})
+	return a
+}
+
+// runGauges publishes the state of the instance as metrics.
+func (e *Entry) runGauges(ctx context.Context) {
+	every(ctx, metricsInterval, func(context.Context) {
+		e.metrics.Gauge("ConfigOffset").Update(float64(e.config.Next()))
+		e.metrics.Gauge("Serving").Update(indicator(e.serving()))
+		_, _, err := e.holder.Authority()
+		e.metrics.Gauge("LeaseHeld").Update(indicator(err == nil))
+		appends, records := e.committer.Counts()
+		e.metrics.Gauge("JournalAppends").Update(float64(appends))
+		e.metrics.Gauge("JournalRecords").Update(float64(records))
+	})
+}
+
+func indicator(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/server/commands.go
@@ -0,0 +1,154 @@
+package server
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/answerer"
+	"github.com/coltsfootscale/coltsfootscale/internal/configurator"
+	"github.com/coltsfootscale/coltsfootscale/internal/parser"
+	"github.com/coltsfootscale/coltsfootscale/internal/provider"
+	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+const (
+	changeTimeout       = 8 * time.Second
+	maximumCommandBytes = 16 << 20
+	commandReturn       = 2 * time.Second
+)
+
+// PublishRequest carries an inventory and rules in INI form; BaseVersion is the version that they replace.
+type PublishRequest struct {
+	BaseVersion identifier.Version
+	Inventory   string
+	Rules       string
+}
+
+// GrantRequest grants the key with the given hash to a team.
+type GrantRequest struct {
+	ID   identifier.KeyID
+	Hash identifier.KeyHash
+	Team identifier.TeamID
+}
+
+// ChangeAnswer tells that a change is in force everywhere.
+type ChangeAnswer struct {
+	Offset              identifier.Offset
+	Version             identifier.Version
+	InForceMilliseconds int64
+}
+
+// operator lets only requests with the operators' key pass.
+func (s *Server) operator(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		hash := identifier.HashKey(key)
+		if subtle.ConstantTimeCompare([]byte(hash), []byte(s.OperatorKeyHash)) != 1 {
+			refusal := &answerer.Refusal{Status: http.StatusUnauthorized, Code: answerer.CodeUnauthorized, Run: answerer.NotRun, Message: "not the operators' key"}
+			refusal.Write(w)
+			return
+		}
+		h(w, r)
+	}
+}
+
+func (s *Server) publish(w http.ResponseWriter, r *http.Request) {
+	var in PublishRequest
+	if !decode(w, r, &in) {
+		return
+	}
+	inventory, err := parser.ParseInventory("inventory", []byte(in.Inventory))
+	if err != nil {
+		invalid(w, err)
+		return
+	}
+	rules, err := parser.ParseRules("rules", []byte(in.Rules), inventory)
+	if err != nil {
+		invalid(w, err)
+		return
+	}
+	record := s.Administrator.Config.NewRecord()
+	record.Body = &recorder.Record_Publish{Publish: &recorder.Publish{BaseVersion: uint64(in.BaseVersion), Inventory: inventory, Rules: rules}}
+	s.change(w, r, record)
+}
+
+func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
+	var in GrantRequest
+	if !decode(w, r, &in) {
+		return
+	}
+	if !s.hasTeam(in.Team) {
+		invalid(w, fmt.Errorf("%w: team %q is not in the inventory", parser.ErrInvalid, in.Team))
+		return
+	}
+	record := s.Administrator.Config.NewRecord()
+	record.Body = &recorder.Record_KeyGrant{KeyGrant: &recorder.KeyGrant{Key: &recorder.Key{ID: string(in.ID), Hash: string(in.Hash), Team: string(in.Team)}}}
+	s.change(w, r, record)
+}
+
+func (s *Server) hasTeam(id identifier.TeamID) bool {
+	for _, t := range s.View().State.GetInventory().GetTeams() {
+		if t.ID == string(id) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Server) withdraw(w http.ResponseWriter, r *http.Request) {
+	record := s.Administrator.Config.NewRecord()
+	record.Body = &recorder.Record_KeyWithdraw{KeyWithdraw: &recorder.KeyWithdraw{ID: r.PathValue("id")}}
+	s.change(w, r, record)
+}
+
+// change answers once a record is in force everywhere, or with what is known of it.
+func (s *Server) change(w http.ResponseWriter, r *http.Request, record *recorder.Record) {
+	ctx, cancel := context.WithTimeout(r.Context(), changeTimeout)
+	defer cancel()
+	started := time.Now()
+	offset, err := s.Administrator.Change(ctx, record)
+	refusal := &answerer.Refusal{Status: http.StatusServiceUnavailable, Code: answerer.CodeNotConfirmed, Run: answerer.Unknown, Return: commandReturn}
+	switch {
+	case err == nil:
+		version := identifier.Version(s.View().State.GetVersion())
+		writeJSON(w, ChangeAnswer{Offset: offset, Version: version, InForceMilliseconds: time.Since(started).Milliseconds()})
+		return
+	case errors.Is(err, configurator.ErrConflict):
+		refusal.Status, refusal.Code, refusal.Run, refusal.Return = http.StatusConflict, answerer.CodeConflict, answerer.NotRun, 0
+	case errors.Is(err, provider.ErrRefused):
+		refusal.Run = answerer.NotRun
+	}
+	refusal.Message = err.Error()
+	refusal.Write(w)
+}
+
+func decode(w http.ResponseWriter, r *http.Request, in any) bool {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maximumCommandBytes))
+	if err == nil {
+		err = json.Unmarshal(data, in)
+	}
+	if err != nil {
+		refusal := &answerer.Refusal{Status: http.StatusBadRequest, Code: answerer.CodeMalformed, Run: answerer.NotRun, Message: err.Error()}
+		refusal.Write(w)
+		return false
+	}
+	return true
+}
+
+func invalid(w http.ResponseWriter, err error) {
+	refusal := &answerer.Refusal{Status: http.StatusUnprocessableEntity, Code: answerer.CodeInvalid, Run: answerer.NotRun, Message: err.Error()}
+	refusal.Write(w)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/server/queries.go
@@ -0,0 +1,45 @@
+package server
+
+import (
+	"net/http"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/answerer"
+	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// InventoryAnswer is the configuration in force, without key hashes.
+type InventoryAnswer struct {
+	Version   identifier.Version
+	Inventory *recorder.Inventory
+	Rules     *recorder.Rules
+	Keys      map[identifier.KeyID]identifier.TeamID
+}
+
+func (s *Server) inventory(w http.ResponseWriter, _ *http.Request) {
+	state := s.View().State
+	answer := InventoryAnswer{
+		Version:   identifier.Version(state.GetVersion()),
+		Inventory: state.GetInventory(),
+		Rules:     state.GetRules(),
+		Keys:      map[identifier.KeyID]identifier.TeamID{},
+	}
+	for _, k := range state.GetKeys() {
+		answer.Keys[identifier.KeyID(k.ID)] = identifier.TeamID(k.Team)
+	}
+	writeJSON(w, answer)
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Status()) }
+
+func (s *Server) usage(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Usage()) }
+
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	lines := s.Explain(identifier.RequestID(r.PathValue("id")))
+	if len(lines) == 0 {
+		refusal := &answerer.Refusal{Status: http.StatusNotFound, Code: answerer.CodeUnknownRecord, Run: answerer.NotRun, Message: "this instance keeps no decision for that request"}
+		refusal.Write(w)
+		return
+	}
+	writeJSON(w, struct{ Decisions []string }{lines})
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,61 @@
+package server
+
+import (
+	"net/http"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/administrator"
+	"github.com/coltsfootscale/coltsfootscale/internal/answerer"
+	"github.com/coltsfootscale/coltsfootscale/internal/configurator"
+	"github.com/coltsfootscale/coltsfootscale/internal/relayer"
+	"github.com/coltsfootscale/coltsfootscale/pkg/caller"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// Server answers callers and operators; all fields must be set.
+type Server struct {
+	Relayer         *relayer.Relayer
+	Administrator   *administrator.Administrator
+	Metrics         http.Handler
+	OperatorKeyHash identifier.KeyHash
+	View            func() *configurator.View
+	Serving         func() bool
+	Addresses       func(zone identifier.ZoneID) caller.Addresses
+	Usage           func() any
+	Explain         func(id identifier.RequestID) []string
+	Status          func() any
+}
+
+// Handler returns the HTTP interface.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", s.Relayer.Chat)
+	mux.HandleFunc("GET /addresses", s.addresses)
+	mux.HandleFunc("GET /healthz", s.health)
+	mux.Handle("GET /metrics", s.Metrics)
+	mux.HandleFunc("POST /operator/publish", s.operator(s.publish))
+	mux.HandleFunc("POST /operator/keys", s.operator(s.grant))
+	mux.HandleFunc("DELETE /operator/keys/{id}", s.operator(s.withdraw))
+	mux.HandleFunc("GET /operator/inventory", s.operator(s.inventory))
+	mux.HandleFunc("GET /operator/status", s.operator(s.status))
+	mux.HandleFunc("GET /operator/usage", s.operator(s.usage))
+	mux.HandleFunc("GET /operator/explain/{id}", s.operator(s.explain))
+	mux.HandleFunc("/operator/", s.unknown)
+	mux.HandleFunc("/", s.Relayer.Service)
+	return mux
+}
+
+func (s *Server) unknown(w http.ResponseWriter, r *http.Request) {
+	refusal := &answerer.Refusal{Status: http.StatusNotFound, Code: answerer.CodeUnknownRoute, Run: answerer.NotRun, Message: "no operator call " + r.URL.Path}
+	refusal.Write(w)
+}
+
+func (s *Server) addresses(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, s.Addresses(identifier.ZoneID(r.URL.Query().Get("AvailabilityZone"))))
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	if !s.Serving() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	writeJSON(w, struct{ Serving bool }{s.Serving()})
+}
--- a/internal/tailer/tailer.go
+++ b/internal/tailer/tailer.go
@@ -59,6 +59,7 @@
 	fresh     time.Time
 	reachable bool
 	caughtUp  bool
+	readSelf  bool
 }
 
 type readBack struct {
@@ -108,6 +109,13 @@
 	return t.caughtUp
 }
 
+// ReadSelf reports whether the fold has held the whole stream by this process's own reading.
+func (t *Tailer) ReadSelf() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.readSelf
+}
+
 // Next returns the offset after the last applied record.
 func (t *Tailer) Next() identifier.Offset {
 	t.mu.Lock()
@@ -308,6 +316,7 @@
 		return
 	}
 	t.caughtUp = true
+	t.readSelf = true
 	if started.After(t.fresh) {
 		t.fresh = started
 	}
