Test the whole path on virtual time in one process

A site of entries and stand-ins on an in-memory network with cuts, pauses and kills runs under testing/synctest; the program asserts its invariants while it runs and a violation fails the test.

--- /dev/null
+++ b/internal/asserter/doc.go
@@ -0,0 +1,2 @@
+// Package asserter checks invariants inside the running program.
+package asserter
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/coltsfootscale/coltsfootscale/internal/asserter"
 	"github.com/coltsfootscale/coltsfootscale/internal/authorizer"
 	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
 	"github.com/coltsfootscale/coltsfootscale/internal/tailer"
@@ -177,6 +178,7 @@
 func (h *Holder) hold(fence identifier.Fence, started time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	asserter.That(fence >= h.fence, asserter.FenceRises, "fence %d after %d", fence, h.fence)
 	h.fence = fence
 	h.until = started.Add(h.Lease)
 }
--- a/internal/imitator/platform.go
+++ b/internal/imitator/platform.go
@@ -40,17 +40,18 @@
 	ReportTimeout time.Duration
 	ListLag       time.Duration
 
-	mu        sync.Mutex
-	streams   map[string]*stream
-	faults    PlatformFaults
-	verdict   PlatformVerdict
-	reports   map[uint64]provider.Report
-	orders    map[string]provider.TargetOrder
-	fences    [2]identifier.Fence
-	instances []provider.Instance
-	listedAt  time.Time
-	pendingAt []provider.Instance
-	changed   chan struct{}
+	mu         sync.Mutex
+	streams    map[string]*stream
+	faults     PlatformFaults
+	verdict    PlatformVerdict
+	reports    map[uint64]provider.Report
+	reportedAt time.Time
+	orders     map[string]provider.TargetOrder
+	fences     [2]identifier.Fence
+	instances  []provider.Instance
+	listedAt   time.Time
+	pendingAt  []provider.Instance
+	changed    chan struct{}
 }
 
 type stream struct {
@@ -290,11 +291,21 @@
 		return
 	}
 	if !ok {
+		p.noteLate()
 		p.reports[report.Window] = report
 	}
 	writeJSON(w, struct{}{})
 }
 
+// noteLate counts a new window that came too long after the one before it.
+func (p *Platform) noteLate() {
+	now := time.Now()
+	if p.ReportTimeout > 0 && !p.reportedAt.IsZero() && now.Sub(p.reportedAt) > p.ReportTimeout {
+		p.verdict.LateReports++
+	}
+	p.reportedAt = now
+}
+
 func (p *Platform) setFaults(w http.ResponseWriter, r *http.Request) {
 	var f PlatformFaults
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
+	"github.com/coltsfootscale/coltsfootscale/internal/asserter"
 	"github.com/coltsfootscale/coltsfootscale/internal/authorizer"
 	"github.com/coltsfootscale/coltsfootscale/internal/chatter"
 	"github.com/coltsfootscale/coltsfootscale/internal/provider"
@@ -105,6 +106,7 @@
 	if accepted == nil {
 		return fmt.Errorf("%w: %s to %s", ErrVoid, order.Kind, order.Target)
 	}
+	o.assertOnlyOpen(accepted)
 	o.Logger.Info("Order",
 		zap.String("OrderID", order.ID),
 		zap.String("Kind", order.Kind.String()),
@@ -114,6 +116,16 @@
 	return o.finish(ctx, fence, accepted)
 }
 
+// assertOnlyOpen checks that no other order to the target is open.
+func (o *Orderer) assertOnlyOpen(order *recorder.Order) {
+	o.Control.Query(func() {
+		for _, other := range o.Fold.Orders() {
+			open := other.Status == recorder.OrderStatus_Open && other.Target == order.Target && other.ID != order.ID
+			asserter.That(!open, asserter.OneOpenOrderPerTarget, "%s and %s to %s", order.ID, other.ID, order.Target)
+		}
+	})
+}
+
 // finish sends an order until its outcome is known from the target itself, and records it.
 func (o *Orderer) finish(ctx context.Context, fence identifier.Fence, order *recorder.Order) error {
 	status := recorder.OrderStatus_Done
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/coltsfootscale/coltsfootscale/internal/asserter"
 	"github.com/coltsfootscale/coltsfootscale/internal/chatter"
 	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
 	"github.com/coltsfootscale/coltsfootscale/internal/router"
@@ -41,6 +42,7 @@
 			req.Header.Set(chatter.HandleHeader, transfer)
 		}
 	}
+	assertNoKey(req)
 	resp, err := s.HTTP.Do(req)
 	if err != nil {
 		return err
@@ -89,6 +91,7 @@
 	if event.Number <= h.delivered {
 		return s.relayLast(h, event)
 	}
+	asserter.That(event.Number == h.delivered+1, asserter.TokensInOrder, "token %d after %d", event.Number, h.delivered)
 	h.delivered = event.Number
 	if !h.request.Stream {
 		var chunk chatter.Completion
@@ -175,6 +178,11 @@
 	return transfer, json.NewDecoder(io.LimitReader(resp.Body, replayBytes)).Decode(&transfer)
 }
 
+// assertNoKey checks that the caller's key does not go to a target.
+func assertNoKey(req *http.Request) {
+	asserter.That(req.Header.Get("Authorization") == "", asserter.KeyStaysHere, "request to %s", req.URL.Host)
+}
+
 func writeData(w io.Writer, data []byte) {
 	fmt.Fprintf(w, "data: %s\n\n", data)
 }
--- a/internal/relayer/service.go
+++ b/internal/relayer/service.go
@@ -164,6 +164,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	assertNoKey(req)
 	client := s.HTTP
 	if !v.repeatable() {
 		client = s.Once
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -3,17 +3,21 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/accounter"
+	"github.com/coltsfootscale/coltsfootscale/internal/asserter"
 	"github.com/coltsfootscale/coltsfootscale/internal/provider"
 	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
 	"github.com/coltsfootscale/coltsfootscale/internal/tailer"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
+const keptWindows = 1024
+
 // Authority runs sends under a lease.
 type Authority interface {
 	Do(ctx context.Context, fence identifier.Fence, timeout time.Duration, send func(ctx context.Context) error) error
@@ -33,6 +37,8 @@
 	Platform  Platform
 	Timeout   time.Duration
 	Logger    *zap.Logger
+
+	sent map[uint64]*recorder.Window
 }
 
 // Close fixes the figures of the open window at an offset of the Usage stream.
@@ -57,6 +63,7 @@
 }
 
 func (p *Reporter) reportOne(ctx context.Context, fence identifier.Fence, w *recorder.Window) error {
+	p.assertSame(w)
 	report := provider.Report{Window: w.Number, Sender: p.Sender, Fence: fence, Teams: figures(w)}
 	err := p.Authority.Do(ctx, fence, p.Timeout, func(ctx context.Context) error {
 		return p.Platform.SendReport(ctx, report)
@@ -73,6 +80,17 @@
 	return nil
 }
 
+// assertSame checks that a window is sent with the figures of earlier tries.
+func (p *Reporter) assertSame(w *recorder.Window) {
+	if sent := p.sent[w.Number]; sent != nil {
+		asserter.That(slices.Equal(figures(sent), figures(w)), asserter.SameFiguresPerWindow, "window %d", w.Number)
+	}
+	if p.sent == nil || len(p.sent) > keptWindows {
+		p.sent = map[uint64]*recorder.Window{}
+	}
+	p.sent[w.Number] = w
+}
+
 func (p *Reporter) append(ctx context.Context, r *recorder.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
 	defer cancel()
--- a/internal/runner/core.go
+++ b/internal/runner/core.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
-	"github.com/go-kratos/kratos/v2/log"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/google/uuid"
 	"github.com/uber-go/tally/v4"
@@ -21,6 +20,7 @@
 
 	"github.com/coltsfootscale/coltsfootscale/internal/accounter"
 	"github.com/coltsfootscale/coltsfootscale/internal/administrator"
+	"github.com/coltsfootscale/coltsfootscale/internal/asserter"
 	"github.com/coltsfootscale/coltsfootscale/internal/authorizer"
 	"github.com/coltsfootscale/coltsfootscale/internal/committer"
 	"github.com/coltsfootscale/coltsfootscale/internal/configurator"
@@ -143,6 +143,8 @@
 func (e *Entry) applyConfig() {
 	old := e.view.Load().State
 	state := e.configFold.State()
+	asserter.That(state.Next >= old.Next && state.Version >= old.Version, asserter.ConfigurationNeverReverts,
+		"offset %d version %d after offset %d version %d", state.Next, state.Version, old.Next, old.Version)
 	e.view.Store(configurator.NewView(state))
 	if removedMember(old, state) {
 		e.removed.Store(time.Now().UnixNano())
@@ -229,6 +231,7 @@
 	cancel()
 	group.Wait()
 	e.peers.Close()
+	e.http.CloseIdleConnections()
 	return err
 }
 
@@ -269,7 +272,7 @@
 		kratos.Server(srv),
 		kratos.Signal(syscall.SIGTERM, os.Interrupt),
 		kratos.StopTimeout(e.settings.Timing.Stop),
-		kratos.Logger(log.NewStdLogger(zap.NewStdLog(e.logger).Writer())),
+		kratos.Logger(kratosLogger{e.logger}),
 		kratos.BeforeStop(func(context.Context) error { return e.leave(kill, yield) }),
 	)
 	stopped := context.AfterFunc(stop, func() { app.Stop() })
--- /dev/null
+++ b/internal/runner/path_test.go
@@ -0,0 +1,88 @@
+package runner_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/answerer"
+)
+
+func TestWholePath(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		c := quicktest.New(t)
+		s.up("entry-a", "entry-b", "entry-c")
+		status, body := s.grant("entry-b", "k1", "tabline", "secret")
+		c.Assert(status, quicktest.Equals, http.StatusOK, quicktest.Commentf(body))
+
+		for _, name := range []string{"entry-a", "entry-b", "entry-c"} {
+			for _, stream := range []bool{true, false} {
+				req := prompt("tab of table 7 at "+name, 20, stream)
+				status, text, whole := s.ask(name, "secret", req)
+				c.Assert(status, quicktest.Equals, http.StatusOK, quicktest.Commentf(text))
+				c.Check(whole, quicktest.IsTrue)
+				c.Check(text, quicktest.Equals, expected(req))
+			}
+		}
+
+		status, body = s.withdraw("entry-c", "k1")
+		c.Assert(status, quicktest.Equals, http.StatusOK, quicktest.Commentf(body))
+		for _, name := range []string{"entry-a", "entry-b", "entry-c"} {
+			status, text, _ := s.ask(name, "secret", prompt("again", 1, true))
+			c.Check(status, quicktest.Equals, http.StatusUnauthorized)
+			c.Check(text, quicktest.Contains, `"Run":"NotRun"`)
+		}
+		time.Sleep(25 * time.Second)
+		sum, windows := s.reported()
+		c.Check(windows >= 2, quicktest.IsTrue)
+		c.Check(sum["tabline"].Requests, quicktest.Equals, int64(6))
+		c.Check(sum["tabline"].OutputTokens, quicktest.Equals, int64(120))
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		s.up("entry-a")
+		s.grant("entry-a", "k1", "tabline", "secret")
+		for name, tc := range map[string]struct {
+			method, path, key string
+			body              any
+			status            int
+			code              answerer.Code
+		}{
+			"no key":         {http.MethodPost, "/v1/chat/completions", "", prompt("x", 1, true), http.StatusUnauthorized, answerer.CodeUnauthorized},
+			"wrong key":      {http.MethodPost, "/v1/chat/completions", "other", prompt("x", 1, true), http.StatusUnauthorized, answerer.CodeUnauthorized},
+			"not JSON":       {http.MethodPost, "/v1/chat/completions", "secret", []byte("{"), http.StatusBadRequest, answerer.CodeMalformed},
+			"no messages":    {http.MethodPost, "/v1/chat/completions", "secret", []byte(`{"model":"menu-7b"}`), http.StatusBadRequest, answerer.CodeMalformed},
+			"negative limit": {http.MethodPost, "/v1/chat/completions", "secret", prompt("x", -1, true), http.StatusBadRequest, answerer.CodeMalformed},
+			"unknown model":  {http.MethodPost, "/v1/chat/completions", "secret", []byte(`{"model":"m","messages":[{"role":"user","content":"x"}]}`), http.StatusNotFound, answerer.CodeUnknownModel},
+			"too large":      {http.MethodPost, "/v1/chat/completions", "secret", []byte(strings.Repeat("x", 9<<20)), http.StatusRequestEntityTooLarge, answerer.CodeTooLarge},
+			"unknown route":  {http.MethodPost, "/nowhere", "secret", nil, http.StatusNotFound, answerer.CodeUnknownRoute},
+			"other team":     {http.MethodPost, "/private", "secret", nil, http.StatusForbidden, answerer.CodeForbidden},
+			"no operator":    {http.MethodGet, "/operator/status", "secret", nil, http.StatusUnauthorized, answerer.CodeUnauthorized},
+			"open route":     {http.MethodGet, "/status", "", nil, http.StatusOK, ""},
+		} {
+			status, header, body := s.exchange("entry-a", tc.method, tc.path, tc.key, nil, tc.body)
+			quicktest.Check(t, status, quicktest.Equals, tc.status, quicktest.Commentf("%s: %s", name, body))
+			if tc.code != "" {
+				quicktest.Check(t, body, quicktest.Contains, `"code":"`+string(tc.code)+`"`, quicktest.Commentf(name))
+				quicktest.Check(t, header.Get(answerer.RunHeader), quicktest.Equals, string(answerer.NotRun), quicktest.Commentf(name))
+			}
+		}
+	})
+}
+
+func TestBadPublishIsRefusedWhole(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		c := quicktest.New(t)
+		s.up("entry-a")
+		status, body := s.operate("entry-a", http.MethodPost, "/publish", map[string]any{"BaseVersion": 1, "Inventory": inventoryText + "[Target x]\nKind = Boat\n", "Rules": rulesText})
+		c.Check(status, quicktest.Equals, http.StatusUnprocessableEntity)
+		c.Check(body, quicktest.Contains, "[Target x] Kind")
+		_, inventory := s.operate("entry-a", http.MethodGet, "/inventory", nil)
+		c.Check(inventory, quicktest.Contains, `"Version":1`)
+	})
+}
