Run the whole site under random faults and judge it

Four entries, three engines and a service for two virtual minutes: kills, stops, pauses, cuts, platform outages, slowness and lost answers, engine crashes, racing operators; single and in pairs, drawn from a seed.

Cause of the first failure (seed 1): three of four entries were replaced at once, and the membership could not change any more, because a majority of the old incarnations never acknowledges. Ruled out: the list of gone instances, which lags. A reply of another incarnation at a member's address, asked for after the member was known, shows that the member's process is gone; it now counts as such.

Seeds 26 and 29 hung before that on virtual time alone: the multiplexer holds a mutex while it writes to a paused host. The in-memory pause now cuts the peers' connections and holds back HTTP bytes only.

--- a/internal/imitator/network.go
+++ b/internal/imitator/network.go
@@ -13,7 +13,12 @@
 var errCut = errors.New("connection cut")
 
 // Network is a stand-in for the network between hosts in one process; the zero value is ready.
+//
+// CutOnPause names listeners whose connections a pause cuts instead of holding their bytes back: the
+// multiplexer keeps a mutex while it writes, and virtual time does not pass while one waits for it.
 type Network struct {
+	CutOnPause func(addr string) bool
+
 	mu        sync.Mutex
 	listeners map[string]*memoryListener
 	conns     map[*memoryConn]bool
@@ -70,6 +75,7 @@
 	if n.paused[name] == nil {
 		n.paused[name] = make(chan struct{})
 	}
+	n.drop(func(c *memoryConn) bool { return c.cutOnPause && (c.local == name || c.remote == name) })
 }
 
 // Resume ends a pause.
@@ -140,16 +146,23 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l := n.listeners[addr]
-	return l, l != nil && n.cuts[pairOf(h.name, l.host)]
+	if l == nil {
+		return nil, false
+	}
+	stuck := n.cutsOnPause(addr) && (n.paused[h.name] != nil || n.paused[l.host] != nil)
+	return l, stuck || n.cuts[pairOf(h.name, l.host)]
 }
 
+func (n *Network) cutsOnPause(addr string) bool { return n.CutOnPause != nil && n.CutOnPause(addr) }
+
 func (h *Host) connect(l *memoryListener) (near, far *memoryConn) {
 	a, b := net.Pipe()
 	broken := make(chan struct{})
 	var once sync.Once
 	cut := func() { once.Do(func() { close(broken); a.Close(); b.Close() }) }
-	near = &memoryConn{Conn: a, network: h.network, local: h.name, remote: l.host, broken: broken, cut: cut}
-	far = &memoryConn{Conn: b, network: h.network, local: l.host, remote: h.name, broken: broken, cut: cut}
+	cutOnPause := h.network.cutsOnPause(l.addr)
+	near = &memoryConn{Conn: a, network: h.network, local: h.name, remote: l.host, broken: broken, cut: cut, cutOnPause: cutOnPause}
+	far = &memoryConn{Conn: b, network: h.network, local: l.host, remote: h.name, broken: broken, cut: cut, cutOnPause: cutOnPause}
 	h.network.mu.Lock()
 	defer h.network.mu.Unlock()
 	if h.network.conns == nil {
@@ -219,6 +232,8 @@
 	remote  string
 	broken  chan struct{}
 	cut     func()
+
+	cutOnPause bool
 }
 
 func (c *memoryConn) Read(b []byte) (int, error) {
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -33,6 +33,7 @@
 	mu    sync.Mutex
 	heard map[string]heard
 	gone  map[string]bool
+	since map[string]time.Time
 }
 
 type heard struct {
@@ -131,7 +132,10 @@
 	o.gone = gone
 }
 
-// View returns the members with what each last said; heartbeats of earlier incarnations do not count.
+// View returns the members with what each last said.
+//
+// A reply of another incarnation, asked for after the member was known here, shows that the member's
+// process is gone, because the other one has taken over its address.
 func (o *Observer) View() []freshener.Member {
 	members := o.Members()
 	self := o.Beat()
@@ -143,16 +147,32 @@
 		if id == o.Self.Instance && m.Incarnation == o.Self.Incarnation {
 			v.Self, v.Voting, v.Next, v.SentAt = true, self.Voting, identifier.Offset(self.ConfigNext), time.Now()
 		}
-		if h, ok := o.heard[id]; ok && h.beat.Incarnation == m.Incarnation {
+		known := o.knownSince(m.Incarnation)
+		h, ok := o.heard[id]
+		switch {
+		case ok && h.beat.Incarnation == m.Incarnation:
 			v.SentAt = h.sentAt
 			v.Next = identifier.Offset(h.beat.ConfigNext)
 			v.Voting = h.beat.Voting
+		case ok && h.sentAt.After(known):
+			v.Gone = true
 		}
 		list = append(list, v)
 	}
 	return list
 }
 
+// knownSince returns when an incarnation was first seen as a member.
+func (o *Observer) knownSince(incarnation string) time.Time {
+	if o.since == nil {
+		o.since = map[string]time.Time{}
+	}
+	if o.since[incarnation].IsZero() {
+		o.since[incarnation] = time.Now()
+	}
+	return o.since[incarnation]
+}
+
 // Beats returns copies of the heartbeats heard within the given age.
 func (o *Observer) Beats(age time.Duration) []*messenger.Heartbeat {
 	o.mu.Lock()
--- a/internal/runner/site_test.go
+++ b/internal/runner/site_test.go
@@ -87,6 +87,7 @@
 		s.logger = zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(os.Stderr), zapcore.DebugLevel))
 	}
 	asserter.OnViolation(func(i asserter.Invariant, detail string) { t.Errorf("invariant %s: %s", i, detail) })
+	s.network.CutOnPause = func(addr string) bool { return strings.HasSuffix(addr, ":2") && strings.HasPrefix(addr, "entry") }
 	s.http = networker.Client(s.network.Host("caller"), true)
 	s.platform = &imitator.Platform{}
 	s.serve("platform", platformAddr, s.platform.Handler())
--- /dev/null
+++ b/internal/runner/soak_test.go
@@ -0,0 +1,329 @@
+package runner_test
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/answerer"
+	"github.com/coltsfootscale/coltsfootscale/internal/imitator"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+var (
+	soakSeed = flag.Uint64("soak.seed", 1, "first seed of the randomised runs")
+	soakRuns = flag.Int("soak.runs", 4, "number of randomised runs")
+)
+
+const (
+	soakDuration = 60 * time.Second
+	soakSettling = 60 * time.Second
+)
+
+// TestSoak runs the whole site under a schedule of faults drawn from each seed.
+func TestSoak(t *testing.T) {
+	for seed := *soakSeed; seed < *soakSeed+uint64(*soakRuns); seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			inBubble(t, func(t *testing.T, s *site) { newSoak(t, s, seed).run() })
+		})
+	}
+}
+
+var soakEntries = []string{"entry-a", "entry-b", "entry-c", "entry-d"}
+
+// soak is one randomised run; its judges collect what callers saw.
+type soak struct {
+	*site
+	t      *testing.T
+	r      *rand.Rand
+	faults []string
+
+	mu        sync.Mutex
+	busy      map[string]bool
+	finished  int
+	uncertain int
+	ran       map[string][]answerer.Run
+	oks       map[string]int
+	group     sync.WaitGroup
+}
+
+func newSoak(t *testing.T, s *site, seed uint64) *soak {
+	return &soak{site: s, t: t, r: rand.New(rand.NewPCG(seed, 0)), busy: map[string]bool{}, ran: map[string][]answerer.Run{}, oks: map[string]int{}}
+}
+
+func (k *soak) run() {
+	k.up(soakEntries...)
+	status, body := k.grant("entry-a", "base", "tabline", "base-key")
+	quicktest.Assert(k.t, status, quicktest.Equals, http.StatusOK, quicktest.Commentf(body))
+	end := time.Now().Add(soakDuration)
+	for i := range 5 {
+		k.spawn(func() { k.chat(i, end, k.child(100+i)) })
+	}
+	for i := range 3 {
+		k.spawn(func() { k.settlements(i, end, k.child(200+i)) })
+	}
+	k.spawn(func() { k.operators(end, k.child(300)) })
+	k.spawn(func() { k.publishers(end, k.child(301)) })
+	k.injectFaults(end)
+	k.group.Wait()
+	k.judge()
+}
+
+func (k *soak) child(n int) *rand.Rand { return rand.New(rand.NewPCG(k.r.Uint64(), uint64(n))) }
+
+func (k *soak) spawn(f func()) { k.group.Go(f) }
+
+func (k *soak) chat(worker int, end time.Time, r *rand.Rand) {
+	for n := 0; time.Now().Before(end); n++ {
+		req := prompt(fmt.Sprintf("worker %d request %d", worker, n), 1+r.Int64N(60), r.IntN(2) == 0)
+		status, text, whole := k.ask(soakEntries[r.IntN(len(soakEntries))], "base-key", req)
+		k.mu.Lock()
+		switch {
+		case whole:
+			k.finished++
+			quicktest.Check(k.t, text, quicktest.Equals, expected(req))
+		case status == 0 || status == http.StatusOK:
+			k.uncertain++
+		case status == http.StatusUnauthorized:
+			k.t.Errorf("a granted key was refused: %s", text)
+		}
+		k.mu.Unlock()
+		time.Sleep(time.Duration(r.IntN(300)) * time.Millisecond)
+	}
+}
+
+// settlements sends calls that must not run twice, again under the same key while the answer says NotRun.
+func (k *soak) settlements(worker int, end time.Time, r *rand.Rand) {
+	for n := 0; time.Now().Before(end); n++ {
+		key := fmt.Sprintf("settle-%d-%d", worker, n)
+		for try := 0; try < 3; try++ {
+			status, run, _ := k.settle(soakEntries[r.IntN(len(soakEntries))], "base-key", key)
+			k.mu.Lock()
+			if status == http.StatusOK {
+				k.oks[key]++
+			}
+			k.ran[key] = append(k.ran[key], run)
+			k.mu.Unlock()
+			if status == http.StatusOK && r.IntN(3) > 0 {
+				break
+			}
+			time.Sleep(time.Duration(r.IntN(500)) * time.Millisecond)
+		}
+	}
+}
+
+// operators grants and withdraws keys and checks that an accepted change is in force at every entry.
+func (k *soak) operators(end time.Time, r *rand.Rand) {
+	for n := 0; time.Now().Before(end); n++ {
+		id := fmt.Sprintf("key-%d", n)
+		if status, _ := k.grant(soakEntries[r.IntN(len(soakEntries))], id, "migrat", id); status == http.StatusOK {
+			k.checkEverywhere(id, http.StatusUnauthorized, "a granted key was refused")
+		}
+		if status, _ := k.withdraw(soakEntries[r.IntN(len(soakEntries))], id); status == http.StatusOK {
+			k.checkEverywhere(id, http.StatusOK, "a withdrawn key was accepted")
+		}
+		time.Sleep(time.Duration(r.IntN(1000)) * time.Millisecond)
+	}
+}
+
+func (k *soak) checkEverywhere(key string, forbidden int, complaint string) {
+	var group sync.WaitGroup
+	for _, name := range soakEntries {
+		group.Go(func() {
+			status, text, _ := k.ask(name, key, prompt(key, 1, true))
+			if status == forbidden {
+				k.t.Errorf("%s at %s: %s", complaint, name, text)
+			}
+		})
+	}
+	group.Wait()
+}
+
+// publishers lets two operators race on the same base version; one of them at most may win.
+func (k *soak) publishers(end time.Time, r *rand.Rand) {
+	version := identifier.Version(1)
+	for time.Now().Before(end) {
+		var statuses [2]int
+		var race sync.WaitGroup
+		for i := range statuses {
+			name := soakEntries[r.IntN(len(soakEntries))]
+			race.Go(func() { statuses[i], _ = k.publish(name, version) })
+		}
+		race.Wait()
+		won := 0
+		for _, status := range statuses {
+			if status == http.StatusOK {
+				won++
+			}
+		}
+		if won > 1 {
+			k.t.Errorf("both publishes based on version %d were accepted", version)
+		}
+		if slices.Contains(statuses[:], http.StatusOK) || slices.Contains(statuses[:], http.StatusServiceUnavailable) {
+			version++
+		}
+		time.Sleep(time.Duration(r.IntN(3000)) * time.Millisecond)
+	}
+}
+
+type fault struct {
+	name string
+	on   func() (off func())
+}
+
+func (k *soak) injectFaults(end time.Time) {
+	for time.Now().Before(end) {
+		for range 1 + k.r.IntN(2) {
+			f := k.draw()
+			length := time.Duration(500+k.r.IntN(8000)) * time.Millisecond
+			k.note(f.name, length)
+			off := f.on()
+			if off == nil {
+				continue
+			}
+			k.spawn(func() {
+				time.Sleep(length)
+				off()
+			})
+		}
+		time.Sleep(time.Duration(1000+k.r.IntN(5000)) * time.Millisecond)
+	}
+}
+
+func (k *soak) note(name string, length time.Duration) {
+	k.faults = append(k.faults, fmt.Sprintf("%s %s for %s", time.Since(k.start).Round(time.Millisecond), name, length))
+}
+
+func (k *soak) draw() fault {
+	entry := soakEntries[k.r.IntN(len(soakEntries))]
+	other := soakEntries[k.r.IntN(len(soakEntries))]
+	engine := []string{"engine-a", "engine-b", "engine-c"}[k.r.IntN(3)]
+	delay := int64(50 + k.r.IntN(700))
+	faults := []fault{
+		{"kill " + entry, func() func() { return k.restart(entry, true) }},
+		{"stop " + entry, func() func() { return k.restart(entry, false) }},
+		{"pause " + entry, func() func() {
+			return k.exclusive("pause "+entry, func() { k.network.Pause(entry) }, func() { k.network.Resume(entry) })
+		}},
+		{"cut platform from " + entry, func() func() { return k.cut(entry, "platform") }},
+		{"cut " + entry + " from " + other, func() func() { return k.cut(entry, other) }},
+		{"cut " + entry + " from " + engine, func() func() { return k.cut(entry, engine) }},
+		{"platform down", func() func() { return k.platformFault(imitator.PlatformFaults{Down: true}) }},
+		{"answers lost", func() func() { return k.platformFault(imitator.PlatformFaults{LoseAnswers: 0.4}) }},
+		{"platform slow", func() func() { return k.platformFault(imitator.PlatformFaults{DelayMilliseconds: delay}) }},
+		{"crash " + engine, func() func() {
+			return k.exclusive("crash "+engine, k.engines[engine].Crash, k.engines[engine].Restart)
+		}},
+	}
+	return faults[k.r.IntN(len(faults))]
+}
+
+// exclusive applies a fault unless the same one is in force.
+func (k *soak) exclusive(name string, on, off func()) func() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.busy[name] {
+		return nil
+	}
+	k.busy[name] = true
+	on()
+	return func() {
+		off()
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.busy[name] = false
+	}
+}
+
+func (k *soak) cut(a, b string) func() {
+	return k.exclusive("cut "+a+b, func() { k.network.Cut(a, b) }, func() { k.network.Heal(a, b) })
+}
+
+func (k *soak) platformFault(f imitator.PlatformFaults) func() {
+	return k.exclusive("platform", func() { k.platform.SetFaults(f) }, func() { k.platform.SetFaults(imitator.PlatformFaults{}) })
+}
+
+// restart ends an entry, by kill or gracefully, and starts its next incarnation later.
+func (k *soak) restart(name string, kill bool) func() {
+	var old *instance
+	return k.exclusive("restart "+name, func() { old = k.entries[name] }, func() {
+		if kill {
+			k.network.Kill(name)
+			old.kill()
+		} else {
+			old.stop()
+		}
+		<-old.done
+		k.network.Resume(name)
+		k.enterAgain(name)
+	})
+}
+
+func (k *soak) enterAgain(name string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.enter(name)
+}
+
+// judge checks what must hold once all faults are over.
+func (k *soak) judge() {
+	c := quicktest.New(k.t)
+	time.Sleep(soakSettling)
+	defer func() {
+		if k.t.Failed() {
+			for _, f := range k.faults {
+				k.t.Log(f)
+			}
+		}
+	}()
+	c.Check(k.members(), quicktest.Equals, len(soakEntries), quicktest.Commentf("entries that serve in the end"))
+	k.judgeTargets(c)
+	k.judgePlatform(c)
+	k.judgeUsage(c)
+	k.t.Logf("%d faults, %d answers finished, %d uncertain, %d calls, platform %+v", len(k.faults), k.finished, k.uncertain, len(k.ran), k.platform.Verdict())
+	c.Check(k.finished > 20, quicktest.IsTrue, quicktest.Commentf("%d answers finished", k.finished))
+}
+
+func (k *soak) judgeTargets(c *quicktest.C) {
+	service := k.service.Verdict()
+	for _, key := range slices.Sorted(maps.Keys(k.ran)) {
+		n := service.Executions[key]
+		c.Check(n <= 1, quicktest.IsTrue, quicktest.Commentf("%s ran %d times", key, n))
+		allNotRun := !slices.ContainsFunc(k.ran[key], func(r answerer.Run) bool { return r != answerer.NotRun })
+		c.Check(allNotRun && n > 0, quicktest.IsFalse, quicktest.Commentf("%s was said not to have run", key))
+		c.Check(k.oks[key] > 0 && n == 0, quicktest.IsFalse, quicktest.Commentf("%s was answered and never ran", key))
+	}
+	c.Check(service.KeysSeen, quicktest.Equals, 0)
+	for name, e := range k.engines {
+		v := e.Verdict()
+		c.Check(v.KeysSeen, quicktest.Equals, 0, quicktest.Commentf(name))
+		c.Check(v.ConflictingOrders, quicktest.Equals, 0, quicktest.Commentf(name))
+	}
+}
+
+func (k *soak) judgePlatform(c *quicktest.C) {
+	v := k.platform.Verdict()
+	c.Check(v.WrongReports, quicktest.Equals, 0)
+	c.Check(v.ConflictingOrders, quicktest.Equals, 0)
+}
+
+// judgeUsage compares the reports with what callers saw: an answer that was finished counts once.
+func (k *soak) judgeUsage(c *quicktest.C) {
+	sum, _ := k.reported()
+	settled := 0
+	for _, n := range k.service.Verdict().Executions {
+		settled += n
+	}
+	low := int64(k.finished)
+	high := int64(k.finished + k.uncertain + settled)
+	got := sum["tabline"].Requests
+	c.Check(got >= low && got <= high, quicktest.IsTrue, quicktest.Commentf("%d requests reported, %d to %d expected", got, low, high))
+}
