Place roles and targets by demand, through intents in the log

The lease holder splits engines between prefill and decode by the demand in engines, orders targets per availability zone so that the loss of one leaves the promised share, and gives acquired ones back. Every order is an intent first, which makes all entries stop sending the target work; it goes out when the target is idle, and its outcome is recorded once the target itself shows it.

The soak's fleet is described as slow, so that orders happen.

--- a/internal/authorizer/fold.go
+++ b/internal/authorizer/fold.go
@@ -1,6 +1,9 @@
 package authorizer
 
 import (
+	"slices"
+	"strings"
+
 	"google.golang.org/protobuf/proto"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
@@ -128,6 +131,36 @@
 		return
 	}
 	o.Status = c.Status
+	f.settleFleet(o, c.Target)
+}
+
+// settleFleet adds an acquired target to the fleet or removes a withdrawn one.
+func (f *Fold) settleFleet(o *recorder.Order, t *recorder.Target) {
+	if o.Status != recorder.OrderStatus_Done {
+		return
+	}
+	switch o.Kind {
+	case recorder.OrderKind_Acquire:
+		if t.GetID() == "" {
+			return
+		}
+		if f.state.Acquired == nil {
+			f.state.Acquired = map[string]*recorder.Target{}
+		}
+		f.state.Acquired[t.ID] = t
+	case recorder.OrderKind_Withdraw:
+		delete(f.state.Acquired, o.Target)
+	}
+}
+
+// Acquired returns copies of the targets that orders to the platform brought, sorted by id.
+func (f *Fold) Acquired() []*recorder.Target {
+	list := make([]*recorder.Target, 0, len(f.state.Acquired))
+	for _, t := range f.state.Acquired {
+		list = append(list, proto.Clone(t).(*recorder.Target))
+	}
+	slices.SortFunc(list, func(a, b *recorder.Target) int { return strings.Compare(a.ID, b.ID) })
+	return list
 }
 
 // forgetClosed drops the oldest closed order of a target that checks fencing numbers when too many are kept.
--- a/internal/imitator/control.go
+++ b/internal/imitator/control.go
@@ -61,7 +61,7 @@
 		Model:     e.Model,
 		LastOrder: e.lastOrder.OrderID,
 		Changing:  time.Now().Before(e.changingTill),
-		Running:   int64(e.running),
+		Running:   int64(e.running) + e.waiting,
 	}
 }
 
--- a/internal/imitator/platform.go
+++ b/internal/imitator/platform.go
@@ -39,6 +39,8 @@
 	Retention     int
 	ReportTimeout time.Duration
 	ListLag       time.Duration
+	// Pool holds the targets that can be ordered.
+	Pool []provider.GrantedTarget
 
 	mu         sync.Mutex
 	streams    map[string]*stream
@@ -47,6 +49,7 @@
 	reports    map[uint64]provider.Report
 	reportedAt time.Time
 	orders     map[string]provider.TargetOrder
+	granted    map[string]provider.GrantedTarget
 	fences     [2]identifier.Fence
 	instances  []provider.Instance
 	listedAt   time.Time
@@ -255,7 +258,35 @@
 		return
 	}
 	p.orders[o.OrderID] = o
-	writeJSON(w, struct{}{})
+	if !ok && !p.carryOut(o) {
+		http.Error(w, "no such target is free", http.StatusConflict)
+		return
+	}
+	writeJSON(w, p.granted[o.OrderID])
+}
+
+// carryOut takes a fitting target from the pool for an order, or puts one back.
+func (p *Platform) carryOut(o provider.TargetOrder) bool {
+	if p.granted == nil {
+		p.granted = map[string]provider.GrantedTarget{}
+	}
+	if o.Kind == "Withdraw" {
+		for id, t := range p.granted {
+			if t.ID == o.Target {
+				p.Pool = append(p.Pool, t)
+				delete(p.granted, id)
+			}
+		}
+		return true
+	}
+	for i, t := range p.Pool {
+		if t.Zone == o.Zone && t.Model == o.Model && t.Cheap == o.Cheap {
+			p.Pool = slices.Delete(p.Pool, i, i+1)
+			p.granted[o.OrderID] = t
+			return true
+		}
+	}
+	return false
 }
 
 // raiseFence reports whether no higher fencing number was seen on the interface before.
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -36,7 +36,7 @@
 
 // Platform takes target orders.
 type Platform interface {
-	OrderTarget(ctx context.Context, order provider.TargetOrder) error
+	OrderTarget(ctx context.Context, order provider.TargetOrder) (provider.GrantedTarget, error)
 }
 
 const (
@@ -54,23 +54,25 @@
 	Platform  Platform
 	HTTP      *http.Client
 	Timeout   time.Duration
-	Address   func(identifier.TargetID) (string, bool)
-	Logger    *zap.Logger
+	// DrainNotice is how long to wait until every entry has read an intent.
+	DrainNotice time.Duration
+	Address     func(identifier.TargetID) (string, bool)
+	Logger      *zap.Logger
 }
 
 // Raise tells every target that checks fencing numbers of the current one, so that older orders have no effect.
 func (o *Orderer) Raise(ctx context.Context, fence identifier.Fence, targets []identifier.TargetID) error {
 	var failed error
 	for _, id := range targets {
-		if err := o.send(ctx, fence, &recorder.Order{Target: string(id)}); err != nil {
+		if _, err := o.send(ctx, fence, &recorder.Order{Target: string(id)}); err != nil {
 			failed = fmt.Errorf("raise fence at %s: %w", id, err)
 		}
 	}
 	return failed
 }
 
-// Settle sends the open orders of earlier holders again, unchanged, and records their outcomes.
-func (o *Orderer) Settle(ctx context.Context, fence identifier.Fence) error {
+// Open returns the orders whose outcome is not recorded, those of earlier holders among them.
+func (o *Orderer) Open() []*recorder.Order {
 	var open []*recorder.Order
 	o.Control.Query(func() {
 		for _, order := range o.Fold.Orders() {
@@ -79,13 +81,16 @@
 			}
 		}
 	})
-	var failed error
-	for _, order := range open {
-		if err := o.finish(ctx, fence, order); err != nil {
-			failed = err
-		}
+	return open
+}
+
+// Resume sends an open order again, unchanged, and records its outcome.
+func (o *Orderer) Resume(ctx context.Context, order *recorder.Order) error {
+	fence, _, err := o.Authority.Authority()
+	if err != nil {
+		return err
 	}
-	return failed
+	return o.finish(ctx, fence, order)
 }
 
 // Order records and carries out one order; its ID and fencing number are set here.
@@ -126,22 +131,41 @@
 	})
 }
 
-// finish sends an order until its outcome is known from the target itself, and records it.
+// finish carries out an order until its outcome is known from the target itself, and records it; a refusal is returned too.
 func (o *Orderer) finish(ctx context.Context, fence identifier.Fence, order *recorder.Order) error {
-	status := recorder.OrderStatus_Done
-	err := o.send(ctx, fence, order)
+	outcome := &recorder.Outcome{Scope: o.Scope, Fence: uint64(fence), OrderID: order.ID, Status: recorder.OrderStatus_Done}
+	granted, err := o.carryOut(ctx, fence, order)
 	switch {
-	case err == nil && order.Kind == recorder.OrderKind_Assign:
-		err = o.awaitDone(ctx, fence, order)
 	case errors.Is(err, ErrTarget) || errors.Is(err, provider.ErrRefused):
-		status, err = recorder.OrderStatus_Failed, nil
-	}
-	if err != nil {
+		outcome.Status = recorder.OrderStatus_Failed
+	case err != nil:
 		return err
 	}
+	outcome.Target = granted
 	r := o.Control.NewRecord()
-	r.Body = &recorder.Record_Outcome{Outcome: &recorder.Outcome{Scope: o.Scope, Fence: uint64(fence), OrderID: order.ID, Status: status}}
-	return o.append(ctx, r)
+	r.Body = &recorder.Record_Outcome{Outcome: outcome}
+	if appended := o.append(ctx, r); appended != nil {
+		return appended
+	}
+	return err
+}
+
+// carryOut drains a target, sends the order and waits until it is done; it returns the target that came of it.
+func (o *Orderer) carryOut(ctx context.Context, fence identifier.Fence, order *recorder.Order) (*recorder.Target, error) {
+	if err := o.awaitDrained(ctx, fence, order); err != nil {
+		return nil, err
+	}
+	granted, err := o.send(ctx, fence, order)
+	if err != nil {
+		return nil, err
+	}
+	switch order.Kind {
+	case recorder.OrderKind_Assign:
+		return nil, o.awaitDone(ctx, fence, order)
+	case recorder.OrderKind_Acquire:
+		return granted, nil
+	}
+	return nil, nil
 }
 
 func (o *Orderer) append(ctx context.Context, r *recorder.Record) error {
@@ -152,15 +176,40 @@
 }
 
 // send checks the lease directly before the order goes out and ends the call before the lease does.
-func (o *Orderer) send(ctx context.Context, fence identifier.Fence, order *recorder.Order) error {
-	return o.Authority.Do(ctx, fence, o.Timeout, func(ctx context.Context) error {
-		if order.Kind != recorder.OrderKind_Assign {
-			return o.Platform.OrderTarget(ctx, provider.TargetOrder{
-				OrderID: order.ID, Sender: o.Sender, Fence: fence, Kind: order.Kind.String(),
-				Target: order.Target, Zone: order.Zone, Model: order.Model, Cheap: order.Cheap,
-			})
+func (o *Orderer) send(ctx context.Context, fence identifier.Fence, order *recorder.Order) (*recorder.Target, error) {
+	var granted *recorder.Target
+	err := o.Authority.Do(ctx, fence, o.Timeout, func(ctx context.Context) error {
+		if order.Kind == recorder.OrderKind_Assign {
+			return o.sendEngine(ctx, fence, order)
 		}
-		return o.sendEngine(ctx, fence, order)
+		target, err := o.Platform.OrderTarget(ctx, provider.TargetOrder{
+			OrderID: order.ID, Sender: o.Sender, Fence: fence, Kind: order.Kind.String(),
+			Target: order.Target, Zone: order.Zone, Model: order.Model, Cheap: order.Cheap,
+		})
+		granted = targetOf(target)
+		return err
+	})
+	return granted, err
+}
+
+func targetOf(t provider.GrantedTarget) *recorder.Target {
+	return &recorder.Target{
+		ID: t.ID, Kind: recorder.TargetKind_Engine, Address: t.Address, Zone: t.Zone, Model: t.Model,
+		Cheap: t.Cheap, ChecksFence: t.ChecksFence, PricePerHour: t.PricePerHour,
+		PrefillTokensPerSecond: t.PrefillTokensPerSecond, DecodeTokensPerSecond: t.DecodeTokensPerSecond, Slots: t.Slots,
+	}
+}
+
+// awaitDrained waits until the target of a role order or of one that is given back has no work left.
+// Every entry stops sending it work as soon as it reads the intent.
+func (o *Orderer) awaitDrained(ctx context.Context, fence identifier.Fence, order *recorder.Order) error {
+	if order.Kind == recorder.OrderKind_Acquire {
+		return nil
+	}
+	began := time.Now()
+	return o.poll(ctx, fence, order, func(state chatter.EngineState) (bool, error) {
+		idle := state.Running == 0 && time.Since(began) >= o.DrainNotice
+		return idle || state.LastOrder == order.ID, nil
 	})
 }
 
@@ -173,8 +222,18 @@
 	return o.call(ctx, order, http.MethodPost, "/control/order", in, &state)
 }
 
-// awaitDone polls an engine until it has carried out the order.
+// awaitDone waits until an engine has carried out the order.
 func (o *Orderer) awaitDone(ctx context.Context, fence identifier.Fence, order *recorder.Order) error {
+	return o.poll(ctx, fence, order, func(state chatter.EngineState) (bool, error) {
+		if state.LastOrder != order.ID {
+			return false, fmt.Errorf("engine %s lost order %s", order.Target, order.ID)
+		}
+		return !state.Changing, nil
+	})
+}
+
+// poll asks a target for its state, under the lease, until done says so.
+func (o *Orderer) poll(ctx context.Context, fence identifier.Fence, order *recorder.Order, done func(chatter.EngineState) (bool, error)) error {
 	for {
 		var state chatter.EngineState
 		err := o.Authority.Do(ctx, fence, o.Timeout, func(ctx context.Context) error {
@@ -183,11 +242,9 @@
 		if err != nil {
 			return err
 		}
-		if state.LastOrder != order.ID {
-			return fmt.Errorf("engine %s lost order %s", order.Target, order.ID)
-		}
-		if !state.Changing {
-			return nil
+		finished, err := done(state)
+		if finished || err != nil {
+			return err
 		}
 		timer := time.NewTimer(statePoll)
 		select {
--- a/internal/parser/constants.go
+++ b/internal/parser/constants.go
@@ -32,4 +32,6 @@
 	defaultDecodePerSecond   = 40
 	defaultSlots             = 32
 	minimumLeaseMilliseconds = 100
+	defaultSurvivingShare    = 1
+	defaultCheapShare        = 0.5
 )
--- a/internal/parser/rules.go
+++ b/internal/parser/rules.go
@@ -24,7 +24,10 @@
 	for _, s := range d.named("Route") {
 		rules.Routes = append(rules.Routes, parseRoute(s, names))
 	}
-	if err := d.finish("Promise, Team ID, Route PATH"); err != nil {
+	for _, s := range d.named("Scaling") {
+		rules.Scalings = append(rules.Scalings, parseScaling(s, names))
+	}
+	if err := d.finish("Promise, Team ID, Route PATH, Scaling MODEL"); err != nil {
 		return nil, err
 	}
 	return rules, nil
@@ -34,15 +37,19 @@
 	teams    map[string]bool
 	targets  map[string]bool
 	services map[string]bool
+	models   map[string]bool
 }
 
 func namesOf(inv *recorder.Inventory) inventoryNames {
-	n := inventoryNames{teams: map[string]bool{}, targets: map[string]bool{}, services: map[string]bool{}}
+	n := inventoryNames{teams: map[string]bool{}, targets: map[string]bool{}, services: map[string]bool{}, models: map[string]bool{}}
 	for _, t := range inv.GetTeams() {
 		n.teams[t.ID] = true
 	}
 	for _, t := range inv.GetTargets() {
 		n.targets[t.ID] = true
+		if t.Model != "" {
+			n.models[t.Model] = true
+		}
 		if t.Service != "" {
 			n.services[t.Service] = true
 		}
@@ -62,6 +69,18 @@
 	}
 }
 
+func parseScaling(s *section, names inventoryNames) *recorder.Scaling {
+	if !names.models[s.ID] {
+		s.fault("", s.ID, "a model of the inventory")
+	}
+	return &recorder.Scaling{
+		Model:          s.ID,
+		Maximum:        s.integer("Maximum", 0, 0, maximumSlots),
+		SurvivingShare: s.number("SurvivingShare", defaultSurvivingShare, 0, 1),
+		CheapShare:     s.number("CheapShare", defaultCheapShare, 0, 1),
+	}
+}
+
 func parseRoute(s *section, names inventoryNames) *recorder.Route {
 	if !strings.HasPrefix(s.ID, "/") {
 		s.fault("", s.ID, "a path that starts with /")
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -61,6 +61,20 @@
 	Cheap   bool
 }
 
+// GrantedTarget is the target that an order brought; it is empty for one that was given back.
+type GrantedTarget struct {
+	ID                     string
+	Address                string
+	Zone                   string
+	Model                  string
+	Cheap                  bool
+	ChecksFence            bool
+	PricePerHour           float64
+	PrefillTokensPerSecond float64
+	DecodeTokensPerSecond  float64
+	Slots                  int64
+}
+
 // TeamFigures is one team's usage in a window.
 type TeamFigures struct {
 	Team         string
@@ -109,9 +123,11 @@
 	return list, err
 }
 
-// OrderTarget places a target order; repeating an OrderID has no further effect.
-func (p *Provider) OrderTarget(ctx context.Context, order TargetOrder) error {
-	return p.call(ctx, http.MethodPost, "/targets", order, nil)
+// OrderTarget places a target order; repeating an OrderID has no further effect and gets the same answer.
+func (p *Provider) OrderTarget(ctx context.Context, order TargetOrder) (GrantedTarget, error) {
+	var granted GrantedTarget
+	err := p.call(ctx, http.MethodPost, "/targets", order, &granted)
+	return granted, err
 }
 
 // SendReport hands in one usage window; repeating it with the same figures has no further effect.
--- a/internal/runner/core.go
+++ b/internal/runner/core.go
@@ -95,6 +95,7 @@
 	orderer     *orderer.Orderer
 	reporter    *reporter.Reporter
 	relayer     *relayer.Relayer
+	placement   placement
 }
 
 // New prepares an entry instance; explain returns kept decision lines and may be nil.
@@ -194,7 +195,7 @@
 	}
 	e.orderer = &orderer.Orderer{
 		Scope: scopeFleet, Sender: e.origin(), Authority: e.holder, Control: e.control, Fold: &e.controlFold,
-		Platform: e.platform, HTTP: e.http, Timeout: t.OrderTimeout, Address: e.addressOf, Logger: e.logger,
+		Platform: e.platform, HTTP: e.http, Timeout: t.OrderTimeout, DrainNotice: drainNotice, Address: e.addressOf, Logger: e.logger,
 	}
 	e.reporter = &reporter.Reporter{
 		Sender: e.origin(), Authority: e.holder, Usage: e.usage, Fold: &e.usageFold,
@@ -333,10 +334,11 @@
 		if err != nil {
 			return
 		}
-		if _, ok := events[eventConfig]; ok {
-			e.tracker.SetTargets(e.view.Load().State.GetInventory().GetTargets())
-		}
-		e.tracker.SetRoles(e.roles())
+		e.logger.Debug("fleet changed", zap.Int("Events", len(events)))
+		e.tracker.SetTargets(e.fleet())
+		roles, draining := e.roles()
+		e.tracker.SetRoles(roles)
+		e.tracker.SetDraining(draining)
 	}
 }
 
--- a/internal/runner/duties.go
+++ b/internal/runner/duties.go
@@ -12,36 +12,30 @@
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
-// runOrders settles what earlier holders left open and then orders what the placement wants.
+// runOrders raises the fence when the lease is new, finishes open orders and orders what the placement wants.
 func (e *Entry) runOrders(ctx context.Context) {
-	var settled identifier.Fence
+	var raised identifier.Fence
 	every(ctx, dutyInterval, func(ctx context.Context) {
 		fence, _, err := e.holder.Authority()
 		if err != nil {
 			return
 		}
-		if settled != fence {
-			if err := e.takeOver(ctx, fence); err != nil {
-				e.logger.Info("taking over orders failed", zap.Error(err))
-				return
+		if raised != fence {
+			if err := e.orderer.Raise(ctx, fence, e.checkingTargets()); err != nil {
+				e.logger.Info("fence not raised everywhere", zap.Error(err))
 			}
-			settled = fence
+			raised = fence
+		}
+		for _, order := range e.orderer.Open() {
+			e.startOrder(order, func() error { return e.orderer.Resume(ctx, order) })
 		}
 		e.place(ctx)
 	})
 }
 
-// takeOver raises the fence on all targets that check it and settles inherited orders.
-func (e *Entry) takeOver(ctx context.Context, fence identifier.Fence) error {
-	if err := e.orderer.Raise(ctx, fence, e.checkingTargets()); err != nil {
-		e.logger.Info("fence not raised everywhere", zap.Error(err))
-	}
-	return e.orderer.Settle(ctx, fence)
-}
-
 func (e *Entry) checkingTargets() []identifier.TargetID {
 	var list []identifier.TargetID
-	for _, t := range e.view.Load().State.GetInventory().GetTargets() {
+	for _, t := range e.fleet() {
 		if t.Kind == recorder.TargetKind_Engine && t.ChecksFence {
 			list = append(list, identifier.TargetID(t.ID))
 		}
@@ -107,9 +101,16 @@
 	return err == nil
 }
 
+// fleet returns the targets of the inventory and those that orders to the platform brought.
+func (e *Entry) fleet() []*recorder.Target {
+	var acquired []*recorder.Target
+	e.control.Query(func() { acquired = e.controlFold.Acquired() })
+	return slices.Concat(e.view.Load().State.GetInventory().GetTargets(), acquired)
+}
+
 // addressOf returns the address of a target in force.
 func (e *Entry) addressOf(id identifier.TargetID) (string, bool) {
-	targets := e.view.Load().State.GetInventory().GetTargets()
+	targets := e.fleet()
 	i := slices.IndexFunc(targets, func(t *recorder.Target) bool { return t.ID == string(id) })
 	if i < 0 {
 		return "", false
@@ -117,19 +118,23 @@
 	return targets[i].Address, true
 }
 
-// roles returns the role of each engine whose last order was carried out.
-func (e *Entry) roles() map[identifier.TargetID]recorder.Role {
-	roles := map[identifier.TargetID]recorder.Role{}
+// roles returns the role of each engine whose last order was carried out, and the targets that an open order drains.
+func (e *Entry) roles() (roles map[identifier.TargetID]recorder.Role, draining map[identifier.TargetID]bool) {
+	roles = map[identifier.TargetID]recorder.Role{}
+	draining = map[identifier.TargetID]bool{}
 	newest := map[identifier.TargetID]uint64{}
 	e.control.Query(func() {
 		for _, o := range e.controlFold.Orders() {
 			id := identifier.TargetID(o.Target)
-			if o.Kind != recorder.OrderKind_Assign || o.Status != recorder.OrderStatus_Done || o.Sequence < newest[id] {
-				continue
+			switch {
+			case o.Kind == recorder.OrderKind_Acquire:
+			case o.Status == recorder.OrderStatus_Open:
+				draining[id] = true
+			case o.Kind == recorder.OrderKind_Assign && o.Status == recorder.OrderStatus_Done && o.Sequence >= newest[id]:
+				roles[id] = o.Role
+				newest[id] = o.Sequence
 			}
-			roles[id] = o.Role
-			newest[id] = o.Sequence
 		}
 	})
-	return roles
+	return roles, draining
 }
--- a/internal/runner/site_test.go
+++ b/internal/runner/site_test.go
@@ -58,6 +58,9 @@
 	http     *http.Client
 	start    time.Time
 	logger   *zap.Logger
+
+	inventory string
+	rules     string
 }
 
 // instance is one incarnation of an entry.
@@ -75,14 +78,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		before := asserter.Violations()
 		s := newSite(t)
+		defer s.close()
 		f(t, s)
-		s.close()
 		quicktest.Check(t, asserter.Violations()-before, quicktest.Equals, int64(0), quicktest.Commentf("invariants asserted in the program"))
 	})
 }
 
 func newSite(t testing.TB) *site {
-	s := &site{t: t, engines: map[string]*imitator.Engine{}, entries: map[string]*instance{}, start: time.Now(), logger: zap.NewNop()}
+	s := &site{t: t, engines: map[string]*imitator.Engine{}, entries: map[string]*instance{}, start: time.Now(), logger: zap.NewNop(), inventory: inventoryText, rules: rulesText}
 	if os.Getenv("SITE_LOG") != "" {
 		s.logger = zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(os.Stderr), zapcore.DebugLevel))
 	}
@@ -93,17 +96,27 @@
 	s.serve("platform", platformAddr, s.platform.Handler())
 	s.service = &imitator.Service{Latency: 5 * time.Millisecond}
 	s.serve("service", "127.0.0.1:4", s.service.Handler())
-	for i, name := range []string{"engine-a", "engine-b", "engine-c"} {
+	for i, name := range []string{"engine-a", "engine-b", "engine-c", "engine-d", "engine-e"} {
 		e := &imitator.Engine{
 			Model: model, PrefillPerSecond: 20000, DecodePerSecond: 40, Slots: 32, CachePieces: 64,
-			LoadLag: 300 * time.Millisecond, ChangeTime: 3 * time.Second, ChecksFence: i < 2,
+			LoadLag: 300 * time.Millisecond, ChangeTime: 3 * time.Second, ChecksFence: i != 2,
 		}
 		s.engines[name] = e
-		s.serve(name, fmt.Sprintf("127.0.0.1:%d", i+1), e.Handler())
+		s.serve(name, engineAddr(i), e.Handler())
 	}
 	return s
 }
 
+func engineAddr(i int) string { return fmt.Sprintf("127.0.0.1:%d", 10+i) }
+
+// pool returns the two targets that can be ordered from the platform.
+func pool() []provider.GrantedTarget {
+	target := provider.GrantedTarget{ID: "engine-d", Address: engineAddr(3), Zone: "zone-a", Model: model, ChecksFence: true, PrefillTokensPerSecond: 20, DecodeTokensPerSecond: 1, Slots: 32}
+	other := target
+	other.ID, other.Address, other.Zone, other.Cheap = "engine-e", engineAddr(4), "zone-b", true
+	return []provider.GrantedTarget{target, other}
+}
+
 func (s *site) serve(host, addr string, h http.Handler) {
 	lis, err := s.network.Host(host).Listen(addr)
 	quicktest.Assert(s.t, err, quicktest.IsNil)
@@ -218,7 +231,7 @@
 }
 
 func (s *site) publish(name string, base identifier.Version) (int, string) {
-	return s.operate(name, http.MethodPost, "/publish", server.PublishRequest{BaseVersion: base, Inventory: inventoryText, Rules: rulesText})
+	return s.operate(name, http.MethodPost, "/publish", server.PublishRequest{BaseVersion: base, Inventory: s.inventory, Rules: s.rules})
 }
 
 func (s *site) grant(name, id, team, key string) (int, string) {
@@ -307,17 +320,17 @@
 [Team tabline]
 [Team migrat]
 [Target engine-a]
-Address = 127.0.0.1:1
+Address = 127.0.0.1:10
 AvailabilityZone = zone-a
 Model = menu-7b
 ChecksFence = true
 [Target engine-b]
-Address = 127.0.0.1:2
+Address = 127.0.0.1:11
 AvailabilityZone = zone-b
 Model = menu-7b
 ChecksFence = true
 [Target engine-c]
-Address = 127.0.0.1:3
+Address = 127.0.0.1:12
 AvailabilityZone = zone-c
 Model = menu-7b
 Cheap = true
--- a/internal/runner/soak_test.go
+++ b/internal/runner/soak_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -39,6 +40,15 @@
 
 var soakEntries = []string{"entry-a", "entry-b", "entry-c", "entry-d"}
 
+// soakRules promise little, so that placement under load is seen without refusals.
+const soakRules = `
+[Promise]
+FirstTokenMilliseconds = 600000
+[Scaling menu-7b]
+Maximum = 5
+CheapShare = 0.5
+`
+
 // soak is one randomised run; its judges collect what callers saw.
 type soak struct {
 	*site
@@ -60,6 +70,9 @@
 }
 
 func (k *soak) run() {
+	k.inventory = strings.ReplaceAll(inventoryText, "Model = menu-7b\n", "Model = menu-7b\nPrefillTokensPerSecond = 20\nDecodeTokensPerSecond = 1\n")
+	k.rules = rulesText + soakRules
+	k.platform.Pool = pool()
 	k.up(soakEntries...)
 	status, body := k.grant("entry-a", "base", "tabline", "base-key")
 	quicktest.Assert(k.t, status, quicktest.Equals, http.StatusOK, quicktest.Commentf(body))
@@ -205,7 +218,7 @@
 func (k *soak) draw() fault {
 	entry := soakEntries[k.r.IntN(len(soakEntries))]
 	other := soakEntries[k.r.IntN(len(soakEntries))]
-	engine := []string{"engine-a", "engine-b", "engine-c"}[k.r.IntN(3)]
+	engine := []string{"engine-a", "engine-b", "engine-c", "engine-d", "engine-e"}[k.r.IntN(5)]
 	delay := int64(50 + k.r.IntN(700))
 	faults := []fault{
 		{"kill " + entry, func() func() { return k.restart(entry, true) }},
@@ -288,7 +301,11 @@
 	k.judgeTargets(c)
 	k.judgePlatform(c)
 	k.judgeUsage(c)
-	k.t.Logf("%d faults, %d answers finished, %d uncertain, %d calls, platform %+v", len(k.faults), k.finished, k.uncertain, len(k.ran), k.platform.Verdict())
+	orders := 0
+	for _, e := range k.engines {
+		orders += e.Verdict().Orders
+	}
+	k.t.Logf("%d engine orders, %d faults, %d answers finished, %d uncertain, %d calls, platform %+v", orders, len(k.faults), k.finished, k.uncertain, len(k.ran), k.platform.Verdict())
 	c.Check(k.finished > 20, quicktest.IsTrue, quicktest.Commentf("%d answers finished", k.finished))
 }
 
--- a/internal/runner/status.go
+++ b/internal/runner/status.go
@@ -46,7 +46,8 @@
 		Members:      state.GetMembers(),
 		Roles:        map[identifier.TargetID]string{},
 	}
-	for id, role := range e.roles() {
+	roles, _ := e.roles()
+	for id, role := range roles {
 		s.Roles[id] = role.String()
 	}
 	e.control.Query(func() {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -29,10 +29,11 @@
 	HTTP   *http.Client
 	Logger *zap.Logger
 
-	mu      sync.Mutex
-	targets map[identifier.TargetID]*target
-	groups  map[string]*group
-	leaving map[identifier.TargetID]bool
+	mu       sync.Mutex
+	targets  map[identifier.TargetID]*target
+	groups   map[string]*group
+	leaving  map[identifier.TargetID]bool
+	draining map[identifier.TargetID]bool
 }
 
 // group is the candidates for one model or service, kept in place so that a decision allocates nothing.
@@ -117,6 +118,13 @@
 	}
 }
 
+// SetDraining replaces the set of targets that an order under way wants to be free of work.
+func (t *Tracker) SetDraining(draining map[identifier.TargetID]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.draining = draining
+}
+
 // SetLeaving replaces the set of targets that the platform lists as leaving.
 func (t *Tracker) SetLeaving(leaving map[identifier.TargetID]bool) {
 	t.mu.Lock()
@@ -159,7 +167,7 @@
 	for i, tg := range g.targets {
 		c := &g.candidates[i]
 		c.Role = tg.role
-		c.Usable = tg.usable(now) && !t.leaving[c.ID]
+		c.Usable = tg.usable(now) && !t.leaving[c.ID] && !t.draining[c.ID]
 		c.Since = tg.since
 		c.Busy = tg.busy()
 		c.FreeAt = tg.freeAt
@@ -273,3 +281,11 @@
 	defer t.mu.Unlock()
 	h.target.unsend(h.cost)
 }
+
+// Leaving reports whether a target is listed as leaving or says so itself.
+func (t *Tracker) Leaving(id identifier.TargetID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tg := t.targets[id]
+	return t.leaving[id] || tg != nil && tg.reported.Leaving
+}
