Prove the promises one by one, each against a run without its mechanism

The stop with a short timeout cut nothing at first in one process, because open connections outlive the server there; the entry now closes them when its stop timeout has passed, as the end of the process would.

--- /dev/null
+++ b/internal/runner/configuration_test.go
@@ -0,0 +1,126 @@
+package runner_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/imitator"
+)
+
+// isolate cuts an entry off from the platform and from its peers.
+func (s *site) isolate(name string, others ...string) {
+	s.network.Cut(name, "platform")
+	for _, other := range others {
+		s.network.Cut(name, other)
+	}
+}
+
+// withdrawnKeyAccepted withdraws a key at entry-a while entry-c is cut off, and reports whether entry-c takes it afterwards.
+func withdrawnKeyAccepted(t *testing.T, freshness time.Duration) (accepted bool) {
+	inBubble(t, func(t *testing.T, s *site) {
+		s.freshness = map[string]time.Duration{"entry-c": freshness}
+		s.up("entry-a", "entry-b", "entry-c")
+		s.grant("entry-a", "k", "tabline", "secret")
+		s.isolate("entry-c", "entry-a", "entry-b")
+		began := time.Now()
+		status, body := s.withdraw("entry-a", "k")
+		quicktest.Assert(t, status, quicktest.Equals, http.StatusOK, quicktest.Commentf(body))
+		quicktest.Check(t, time.Since(began) <= 4*time.Second, quicktest.IsTrue, quicktest.Commentf("in force after %s", time.Since(began)))
+		status, _, _ = s.ask("entry-c", "secret", prompt("x", 1, true))
+		accepted = status == http.StatusOK
+	})
+	return accepted
+}
+
+func TestWithdrawnKeyStopsAtAnEntryThatIsCutOff(t *testing.T) {
+	unbounded := withdrawnKeyAccepted(t, time.Hour)
+	quicktest.Check(t, unbounded, quicktest.IsTrue, quicktest.Commentf("without the freshness bound the entry goes on"))
+	bounded := withdrawnKeyAccepted(t, 0)
+	quicktest.Check(t, bounded, quicktest.IsFalse)
+}
+
+func TestServingGoesOnThroughALogOutage(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		c := quicktest.New(t)
+		s.up("entry-a", "entry-b", "entry-c")
+		s.grant("entry-a", "k", "tabline", "secret")
+		s.platform.SetFaults(imitator.PlatformFaults{Down: true})
+		time.Sleep(30 * time.Second)
+		for _, name := range []string{"entry-a", "entry-b", "entry-c"} {
+			req := prompt("during the outage", 5, true)
+			status, text, _ := s.ask(name, "secret", req)
+			c.Check(status, quicktest.Equals, http.StatusOK, quicktest.Commentf("%s: %s", name, text))
+			c.Check(text, quicktest.Equals, expected(req))
+		}
+		status, run, _ := s.settle("entry-a", "secret", "tab-1")
+		c.Check(status, quicktest.Equals, http.StatusServiceUnavailable)
+		c.Check(string(run), quicktest.Equals, "NotRun")
+		status, _ = s.withdraw("entry-a", "k")
+		c.Check(status, quicktest.Equals, http.StatusServiceUnavailable, quicktest.Commentf("a change cannot be accepted without the log"))
+
+		s.network.Cut("entry-c", "entry-a")
+		s.network.Cut("entry-c", "entry-b")
+		time.Sleep(4 * time.Second)
+		status, _, _ = s.ask("entry-c", "secret", prompt("alone", 1, true))
+		c.Check(status, quicktest.Equals, http.StatusServiceUnavailable, quicktest.Commentf("without a majority an entry stops"))
+		status, _, _ = s.ask("entry-a", "secret", prompt("two of three", 1, true))
+		c.Check(status, quicktest.Equals, http.StatusOK)
+	})
+}
+
+func TestRestartDuringALogOutageWaitsForTheLog(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		c := quicktest.New(t)
+		s.up("entry-a", "entry-b", "entry-c")
+		s.grant("entry-a", "k", "tabline", "secret")
+		s.platform.SetFaults(imitator.PlatformFaults{Down: true})
+		s.kill("entry-c")
+		s.enter("entry-c")
+		time.Sleep(5 * time.Second)
+		status, _, _ := s.ask("entry-c", "secret", prompt("x", 1, true))
+		c.Check(status, quicktest.Equals, http.StatusServiceUnavailable)
+		s.platform.SetFaults(imitator.PlatformFaults{})
+		s.until(10*time.Second, func() bool { return s.members() == 3 })
+		status, _, _ = s.ask("entry-c", "secret", prompt("x", 1, true))
+		c.Check(status, quicktest.Equals, http.StatusOK)
+	})
+}
+
+func TestTruncatedLogStartsFromACheckpoint(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		c := quicktest.New(t)
+		s.up("entry-a", "entry-b")
+		s.grant("entry-a", "k", "tabline", "secret")
+		s.settle("entry-a", "secret", "tab-1")
+		time.Sleep(15 * time.Second)
+		s.platform.Truncate(3)
+		s.enter("entry-c")
+		s.until(10*time.Second, func() bool { return s.members() == 3 })
+		status, _, _ := s.ask("entry-c", "secret", prompt("x", 1, true))
+		c.Check(status, quicktest.Equals, http.StatusOK)
+		status, _, _ = s.settle("entry-c", "secret", "tab-1")
+		c.Check(status, quicktest.Equals, http.StatusOK)
+		c.Check(s.service.Verdict().Executions["tab-1"], quicktest.Equals, 1)
+	})
+}
+
+func TestRacingPublishersGetOneWinner(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		s.up("entry-a", "entry-b", "entry-c")
+		results := make(chan int, 3)
+		for _, name := range []string{"entry-a", "entry-b", "entry-c"} {
+			go func() {
+				status, _ := s.publish(name, 1)
+				results <- status
+			}()
+		}
+		counts := map[int]int{}
+		for range 3 {
+			counts[<-results]++
+		}
+		quicktest.Check(t, counts, quicktest.DeepEquals, map[int]int{http.StatusOK: 1, http.StatusConflict: 2})
+	})
+}
--- a/internal/runner/core.go
+++ b/internal/runner/core.go
@@ -281,6 +281,7 @@
 	killed := context.AfterFunc(kill, func() { srv.Close() })
 	defer killed()
 	err := app.Run()
+	srv.Close()
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
--- /dev/null
+++ b/internal/runner/once_test.go
@@ -0,0 +1,98 @@
+package runner_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/answerer"
+	"github.com/coltsfootscale/coltsfootscale/internal/imitator"
+)
+
+// sweep kills the serving entry at every point between acceptance and answer, sends the call again
+// at another entry, and returns the greatest number of executions of one call.
+func sweep(t *testing.T, rules string) int {
+	worst := 0
+	inBubble(t, func(t *testing.T, s *site) {
+		s.rules = rules
+		s.service.Latency = 100 * time.Millisecond
+		s.up("entry-a", "entry-b", "entry-c")
+		s.grant("entry-a", "k", "tabline", "secret")
+		s.platform.SetFaults(imitator.PlatformFaults{DelayMilliseconds: 20})
+		for after := time.Duration(0); after < 240*time.Millisecond; after += 15 * time.Millisecond {
+			key := fmt.Sprintf("tab-%d", after.Milliseconds())
+			first := make(chan answerer.Run, 1)
+			go func() {
+				_, run, _ := s.settle("entry-b", "secret", key)
+				first <- run
+			}()
+			time.Sleep(after)
+			s.kill("entry-b")
+			before := <-first
+			_, again, _ := s.settle("entry-c", "secret", key)
+			n := s.service.Verdict().Executions[key]
+			worst = max(worst, n)
+			said := before == answerer.NotRun && again == answerer.NotRun
+			quicktest.Check(t, said && n > 0, quicktest.IsFalse, quicktest.Commentf("killed after %s: ran %d times and was said not to have run", after, n))
+			s.enter("entry-b")
+			s.until(20*time.Second, func() bool { return s.members() == 3 })
+		}
+	})
+	return worst
+}
+
+func TestCallRunsAtMostOnceWhenEntriesDie(t *testing.T) {
+	plain := sweep(t, strings.Replace(rulesText, "[Route /settlements]\n", "[Route /settlements]\nRepeatable = true\n", 1))
+	quicktest.Check(t, plain > 1, quicktest.IsTrue, quicktest.Commentf("without the journal a call runs again: %d", plain))
+	quicktest.Check(t, sweep(t, rulesText), quicktest.Equals, 1)
+}
+
+func TestDuplicatesAtSeveralEntries(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		c := quicktest.New(t)
+		s.service.Latency = 50 * time.Millisecond
+		s.up("entry-a", "entry-b", "entry-c")
+		s.grant("entry-a", "k", "tabline", "secret")
+		results := make(chan int, 9)
+		for i := range 9 {
+			go func() {
+				status, _, _ := s.settle([]string{"entry-a", "entry-b", "entry-c"}[i%3], "secret", "tab-7")
+				results <- status
+			}()
+		}
+		ok := 0
+		for range 9 {
+			if <-results == http.StatusOK {
+				ok++
+			}
+		}
+		c.Check(ok >= 1, quicktest.IsTrue)
+		c.Check(s.service.Verdict().Executions["tab-7"], quicktest.Equals, 1)
+		time.Sleep(time.Second)
+		status, _, body := s.settle("entry-b", "secret", "tab-7")
+		c.Check(status, quicktest.Equals, http.StatusOK)
+		c.Check(body, quicktest.Contains, `"Execution":1`)
+		status, _ = s.call("entry-b", http.MethodPost, "/settlements", "secret", map[string]string{"Idempotency-Key": "tab-7"}, []byte("other"))
+		c.Check(status, quicktest.Equals, http.StatusUnprocessableEntity)
+	})
+}
+
+func TestCallThatNeverLeftMayBeSentAgain(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		c := quicktest.New(t)
+		s.up("entry-a", "entry-b")
+		s.grant("entry-a", "k", "tabline", "secret")
+		s.network.Kill("service")
+		status, run, _ := s.settle("entry-a", "secret", "tab-1")
+		c.Check(status, quicktest.Equals, http.StatusBadGateway)
+		c.Check(run, quicktest.Equals, answerer.NotRun)
+		s.serve("service", serviceAddr, s.service.Handler())
+		time.Sleep(3 * time.Second)
+		status, _, body := s.settle("entry-b", "secret", "tab-1")
+		c.Check(status, quicktest.Equals, http.StatusOK, quicktest.Commentf(body))
+	})
+}
--- a/internal/runner/site_test.go
+++ b/internal/runner/site_test.go
@@ -36,6 +36,7 @@
 const (
 	operatorKey  = "operators"
 	platformAddr = "platform:1"
+	serviceAddr  = "127.0.0.1:4"
 	model        = "menu-7b"
 )
 
@@ -61,6 +62,8 @@
 
 	inventory string
 	rules     string
+	stop      time.Duration
+	freshness map[string]time.Duration
 }
 
 // instance is one incarnation of an entry.
@@ -95,7 +98,7 @@
 	s.platform = &imitator.Platform{}
 	s.serve("platform", platformAddr, s.platform.Handler())
 	s.service = &imitator.Service{Latency: 5 * time.Millisecond}
-	s.serve("service", "127.0.0.1:4", s.service.Handler())
+	s.serve("service", serviceAddr, s.service.Handler())
 	for i, name := range []string{"engine-a", "engine-b", "engine-c", "engine-d", "engine-e"} {
 		e := &imitator.Engine{
 			Model: model, PrefillPerSecond: 20000, DecodePerSecond: 40, Slots: 32, CachePieces: 64,
@@ -132,6 +135,13 @@
 	settings, err := parser.ParseSettings(name, []byte(ini))
 	quicktest.Assert(s.t, err, quicktest.IsNil)
 	settings.Listen, settings.PeerListen = name+":1", name+":2"
+	settings.Timing.Stop = max(s.stop, 0)
+	if s.stop == 0 {
+		settings.Timing.Stop = time.Hour
+	}
+	if d := s.freshness[name]; d > 0 {
+		settings.Timing.Freshness = d
+	}
 	stop, cancelStop := context.WithCancel(context.Background())
 	kill, cancelKill := context.WithCancel(context.Background())
 	i := &instance{addr: settings.Listen, stop: cancelStop, kill: cancelKill, done: make(chan error, 1)}
--- /dev/null
+++ b/internal/runner/usage_test.go
@@ -0,0 +1,85 @@
+package runner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/imitator"
+)
+
+// reportedAfterKill finishes answers at an entry, kills it at once, and returns how many are reported in the end.
+func reportedAfterKill(t *testing.T, mirrored bool) (requests int64) {
+	inBubble(t, func(t *testing.T, s *site) {
+		s.up("entry-a", "entry-b", "entry-c")
+		s.grant("entry-a", "k", "tabline", "secret")
+		if !mirrored {
+			s.network.Cut("entry-b", "entry-a")
+			s.network.Cut("entry-b", "entry-c")
+		}
+		s.platform.SetFaults(imitator.PlatformFaults{DelayMilliseconds: 300})
+		answers := s.stream("entry-b", 8, 10)
+		for range 8 {
+			quicktest.Check(t, (<-answers).whole, quicktest.IsTrue)
+		}
+		s.kill("entry-b")
+		s.platform.SetFaults(imitator.PlatformFaults{})
+		time.Sleep(40 * time.Second)
+		sum, _ := s.reported()
+		requests = sum["tabline"].Requests
+	})
+	return requests
+}
+
+func TestUsageOfAKilledEntryIsReported(t *testing.T) {
+	alone := reportedAfterKill(t, false)
+	quicktest.Check(t, alone < 8, quicktest.IsTrue, quicktest.Commentf("without a peer's copy usage is lost: %d of 8", alone))
+	quicktest.Check(t, reportedAfterKill(t, true), quicktest.Equals, int64(8))
+}
+
+func TestReportsAreTheSameOnEachTry(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		c := quicktest.New(t)
+		s.up("entry-a", "entry-b", "entry-c")
+		s.grant("entry-a", "k", "tabline", "secret")
+		finished := int64(0)
+		for range 6 {
+			s.platform.SetFaults(imitator.PlatformFaults{LoseAnswers: 0.5})
+			for _, name := range []string{"entry-a", "entry-b", "entry-c"} {
+				s.network.Pause(name)
+				time.Sleep(5 * time.Second)
+				s.network.Resume(name)
+				time.Sleep(2 * time.Second)
+				if _, _, whole := s.ask(name, "secret", prompt("x", 5, true)); whole {
+					finished++
+				}
+			}
+		}
+		s.platform.SetFaults(imitator.PlatformFaults{})
+		time.Sleep(30 * time.Second)
+		v := s.platform.Verdict()
+		c.Check(v.WrongReports, quicktest.Equals, 0)
+		sum, windows := s.reported()
+		c.Check(windows > 5, quicktest.IsTrue)
+		c.Check(sum["tabline"].Requests, quicktest.Equals, finished)
+		c.Check(sum["tabline"].OutputTokens, quicktest.Equals, 5*finished)
+		c.Check(finished >= 12, quicktest.IsTrue, quicktest.Commentf("%d answers finished", finished))
+	})
+}
+
+func TestRefusedAndCutRequestsAreCounted(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		s.up("entry-a", "entry-b")
+		s.grant("entry-a", "k", "tabline", "secret")
+		s.call("entry-a", "POST", "/private", "secret", nil, nil)
+		for _, e := range s.engines {
+			e.Crash()
+		}
+		s.ask("entry-a", "secret", prompt("x", 5, true))
+		time.Sleep(25 * time.Second)
+		sum, _ := s.reported()
+		quicktest.Check(t, sum["tabline"].Refused, quicktest.Equals, int64(2))
+		quicktest.Check(t, sum["tabline"].Requests, quicktest.Equals, int64(0))
+	})
+}
