Count usage by totals since the start of each origin

Cause, found by a property test that ran for ever: one delta at a time was frozen under a sequence number. When a peer had appended that number and the next one for an origin that was only cut off, the origin could never settle its own any more, and all its later usage was stuck. Ruled out: a wait for the peer's copies, which needs the very peer that was cut off.

A delta now carries what its origin has counted since its start, and the fold adds only the excess over what it has counted for that origin. Copies that come twice, late, older or from a peer add nothing, and nothing has to be settled in order.

--- a/internal/accounter/fold.go
+++ b/internal/accounter/fold.go
@@ -16,7 +16,8 @@
 
 // Fold is the state of the Usage stream; the zero value is the state before the first record.
 //
-// A delta counts only if it is the next of its origin, so a repeated append adds nothing. A close
+// A delta carries what its origin has counted since its start. Only what exceeds the figures already
+// counted for that origin is added, so copies that come twice, late or from a peer add nothing. A close
 // record fixes the open window's figures at its offset, the same at every reader.
 type Fold struct {
 	state recorder.UsageState
@@ -36,8 +37,14 @@
 	return proto.Unmarshal(state, &f.state)
 }
 
-// Last returns the last delta that counted for an origin, or nil.
-func (f *Fold) Last(origin string) *recorder.UsageDelta { return f.state.Last[origin] }
+// Counted returns a copy of what has been counted for an origin, by team.
+func (f *Fold) Counted(origin string) map[string]*recorder.TeamUsage {
+	counted := map[string]*recorder.TeamUsage{}
+	for team, u := range f.state.Counted[origin].GetTeams() {
+		counted[team] = proto.Clone(u).(*recorder.TeamUsage)
+	}
+	return counted
+}
 
 // Window returns the number of the open window.
 func (f *Fold) Window() uint64 { return f.state.Window }
@@ -80,18 +87,26 @@
 }
 
 func (f *Fold) add(d *recorder.UsageDelta) {
-	if d.Origin == "" || d.Sequence != f.state.Last[d.Origin].GetSequence()+1 {
+	if d.Origin == "" {
 		return
 	}
-	if f.state.Last == nil {
-		f.state.Last = map[string]*recorder.UsageDelta{}
+	if f.state.Counted == nil {
+		f.state.Counted = map[string]*recorder.OriginUsage{}
 	}
 	if f.state.Totals == nil {
 		f.state.Totals = map[string]*recorder.TeamUsage{}
 	}
-	f.state.Last[d.Origin] = d
+	origin := f.state.Counted[d.Origin]
+	if origin == nil {
+		origin = &recorder.OriginUsage{Teams: map[string]*recorder.TeamUsage{}}
+		f.state.Counted[d.Origin] = origin
+	}
 	for _, u := range d.Teams {
-		Add(f.state.Totals, u)
+		excess := Excess(u, origin.Teams[u.Team])
+		if excess != nil {
+			Add(origin.Teams, excess)
+			Add(f.state.Totals, excess)
+		}
 	}
 }
 
@@ -134,6 +149,22 @@
 	t.OutputTokens += u.OutputTokens
 }
 
+// Excess returns by how much the usage exceeds what was counted, or nil where it does not.
+func Excess(u, counted *recorder.TeamUsage) *recorder.TeamUsage {
+	excess := &recorder.TeamUsage{
+		Team:         u.Team,
+		Requests:     max(0, u.Requests-counted.GetRequests()),
+		Refused:      max(0, u.Refused-counted.GetRefused()),
+		Cut:          max(0, u.Cut-counted.GetCut()),
+		PromptTokens: max(0, u.PromptTokens-counted.GetPromptTokens()),
+		OutputTokens: max(0, u.OutputTokens-counted.GetOutputTokens()),
+	}
+	if excess.Requests == 0 && excess.Refused == 0 && excess.Cut == 0 && excess.PromptTokens == 0 && excess.OutputTokens == 0 {
+		return nil
+	}
+	return excess
+}
+
 func sortedUsage(totals map[string]*recorder.TeamUsage) []*recorder.TeamUsage {
 	list := make([]*recorder.TeamUsage, 0, len(totals))
 	for _, u := range totals {
--- a/internal/accounter/ledger.go
+++ b/internal/accounter/ledger.go
@@ -4,22 +4,19 @@
 	"context"
 	"sync"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
 )
 
 // Ledger keeps this instance's usage until the log has it; Origin must be set.
 //
-// One delta at a time is frozen and appended under its sequence number while the next one grows. If
-// a peer appended an older copy in this instance's stead, the difference moves on to the next delta.
+// It only ever grows: what the log lacks is the excess over what the log has counted, whoever
+// appended that.
 type Ledger struct {
 	Origin string
 
 	mu       sync.Mutex
-	sequence uint64
-	frozen   *recorder.UsageDelta
-	open     map[string]*recorder.TeamUsage
+	totals   map[string]*recorder.TeamUsage
+	counted  map[string]*recorder.TeamUsage
 	version  uint64
 	acked    uint64
 	mirrored bool
@@ -31,10 +28,10 @@
 func (l *Ledger) Add(u *recorder.TeamUsage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.open == nil {
-		l.open = map[string]*recorder.TeamUsage{}
+	if l.totals == nil {
+		l.totals = map[string]*recorder.TeamUsage{}
 	}
-	Add(l.open, u)
+	Add(l.totals, u)
 	l.version++
 	select {
 	case l.dirtyChan() <- struct{}{}:
@@ -78,82 +75,40 @@
 	l.signal()
 }
 
-// Held returns copies of the deltas that the log does not have yet, with their version.
-func (l *Ledger) Held() ([]*recorder.UsageDelta, uint64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var deltas []*recorder.UsageDelta
-	next := l.sequence + 1
-	if l.frozen != nil {
-		deltas = append(deltas, proto.Clone(l.frozen).(*recorder.UsageDelta))
-		next++
-	}
-	if len(l.open) > 0 {
-		deltas = append(deltas, &recorder.UsageDelta{Origin: l.Origin, Sequence: next, Teams: sortedUsage(l.open)})
-	}
-	return deltas, l.version
-}
-
-// Acked records that a peer holds the copies of a version.
-func (l *Ledger) Acked(version uint64) {
+// Unlogged returns what the log lacks, as totals since the start, with the version of the ledger; nil where nothing is lacking.
+func (l *Ledger) Unlogged() (*recorder.UsageDelta, uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.acked = max(l.acked, version)
-	l.signal()
+	return Lacking(l.Origin, l.totals, l.counted), l.version
 }
 
-// Freeze returns the delta to append next, or nil where there is no usage.
-func (l *Ledger) Freeze() *recorder.UsageDelta {
+// Settle takes note of what the log has counted for this instance.
+func (l *Ledger) Settle(counted map[string]*recorder.TeamUsage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.frozen == nil && len(l.open) > 0 {
-		l.frozen = &recorder.UsageDelta{Origin: l.Origin, Sequence: l.sequence + 1, Teams: sortedUsage(l.open)}
-		l.open = nil
-	}
-	return l.frozen
+	l.counted = counted
 }
 
-// Settle ends the frozen delta once the log counted one under its sequence, and carries over what that one lacked.
-func (l *Ledger) Settle(counted *recorder.UsageDelta) {
+// Acked records that a peer holds the copies of a version.
+func (l *Ledger) Acked(version uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.frozen == nil || counted.GetSequence() != l.frozen.Sequence {
-		return
-	}
-	rest := Difference(l.frozen, counted)
-	l.sequence = l.frozen.Sequence
-	l.frozen = nil
-	if len(rest) == 0 {
-		return
-	}
-	if l.open == nil {
-		l.open = map[string]*recorder.TeamUsage{}
-	}
-	for _, u := range rest {
-		Add(l.open, u)
-	}
-	l.version++
+	l.acked = max(l.acked, version)
+	l.signal()
 }
 
-// Difference returns the usage in want that got lacks.
-func Difference(want, got *recorder.UsageDelta) []*recorder.TeamUsage {
-	rest := map[string]*recorder.TeamUsage{}
-	for _, u := range want.GetTeams() {
-		Add(rest, u)
-	}
-	for _, u := range got.GetTeams() {
-		Add(rest, &recorder.TeamUsage{
-			Team: u.Team, Requests: -u.Requests, Refused: -u.Refused, Cut: -u.Cut,
-			PromptTokens: -u.PromptTokens, OutputTokens: -u.OutputTokens,
-		})
-	}
-	var list []*recorder.TeamUsage
-	for _, u := range sortedUsage(rest) {
-		if u.Requests != 0 || u.Refused != 0 || u.Cut != 0 || u.PromptTokens != 0 || u.OutputTokens != 0 {
-			list = append(list, u)
+// Lacking returns the totals that exceed what was counted, or nil.
+func Lacking(origin string, totals, counted map[string]*recorder.TeamUsage) *recorder.UsageDelta {
+	d := &recorder.UsageDelta{Origin: origin}
+	for _, u := range sortedUsage(totals) {
+		if Excess(u, counted[u.Team]) != nil {
+			d.Teams = append(d.Teams, u)
 		}
 	}
-	return list
+	if len(d.Teams) == 0 {
+		return nil
+	}
+	return d
 }
 
 func (l *Ledger) dirtyChan() chan struct{} {
--- a/internal/accounter/mirror.go
+++ b/internal/accounter/mirror.go
@@ -4,81 +4,58 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
 )
 
 // Mirror keeps copies of other instances' usage and returns those of instances that fell silent; the zero value is empty.
 type Mirror struct {
 	mu      sync.Mutex
-	origins map[string]*mirrored
+	origins map[string]*copies
 }
 
-type mirrored struct {
-	deltas []*recorder.UsageDelta
+// copies is the newest totals of one origin.
+type copies struct {
+	totals map[string]*recorder.TeamUsage
 	heard  time.Time
 }
 
-// Hold replaces the copies of an origin.
-func (m *Mirror) Hold(origin string, deltas []*recorder.UsageDelta) {
+// Hold takes over an origin's totals; a delta without teams only shows that the origin lives.
+func (m *Mirror) Hold(d *recorder.UsageDelta) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.origins == nil {
-		m.origins = map[string]*mirrored{}
+		m.origins = map[string]*copies{}
+	}
+	o := m.origins[d.GetOrigin()]
+	if o == nil {
+		o = &copies{totals: map[string]*recorder.TeamUsage{}}
+		m.origins[d.GetOrigin()] = o
+	}
+	o.heard = time.Now()
+	for _, u := range d.GetTeams() {
+		if excess := Excess(u, o.totals[u.Team]); excess != nil {
+			Add(o.totals, excess)
+		}
 	}
-	m.origins[origin] = &mirrored{deltas: deltas, heard: time.Now()}
 }
 
-// Overdue returns the next delta to append for each origin that has been silent for at least silence.
+// Overdue returns what the log lacks of each origin that has been silent for at least silence.
 //
-// last returns the delta that the log counted last for an origin. A counted delta that lacks some of
-// the copy's usage passes the difference on to the next sequence.
-func (m *Mirror) Overdue(silence time.Duration, last func(origin string) *recorder.UsageDelta) []*recorder.UsageDelta {
+// counted returns what the log has counted for an origin.
+func (m *Mirror) Overdue(silence time.Duration, counted func(origin string) map[string]*recorder.TeamUsage) []*recorder.UsageDelta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var due []*recorder.UsageDelta
 	for origin, o := range m.origins {
-		o.deltas = settleCopies(o.deltas, last(origin))
 		if time.Since(o.heard) < silence {
 			continue
 		}
-		if len(o.deltas) == 0 {
+		d := Lacking(origin, o.totals, counted(origin))
+		if d == nil {
 			delete(m.origins, origin)
 			continue
 		}
-		due = append(due, proto.Clone(o.deltas[0]).(*recorder.UsageDelta))
+		due = append(due, d)
 	}
 	return due
 }
-
-// settleCopies drops the copies that the log has counted and carries over what it lacks of the newest of them.
-func settleCopies(deltas []*recorder.UsageDelta, last *recorder.UsageDelta) []*recorder.UsageDelta {
-	for len(deltas) > 0 && deltas[0].Sequence <= last.GetSequence() {
-		settled := deltas[0]
-		deltas = deltas[1:]
-		if settled.Sequence < last.GetSequence() {
-			continue
-		}
-		rest := Difference(settled, last)
-		if len(rest) == 0 {
-			continue
-		}
-		deltas = carryOver(deltas, settled, rest)
-	}
-	return deltas
-}
-
-func carryOver(deltas []*recorder.UsageDelta, settled *recorder.UsageDelta, rest []*recorder.TeamUsage) []*recorder.UsageDelta {
-	next := &recorder.UsageDelta{Origin: settled.Origin, Sequence: settled.Sequence + 1}
-	if len(deltas) > 0 && deltas[0].Sequence == next.Sequence {
-		rest = append(rest, deltas[0].Teams...)
-		deltas = deltas[1:]
-	}
-	totals := map[string]*recorder.TeamUsage{}
-	for _, u := range rest {
-		Add(totals, u)
-	}
-	next.Teams = sortedUsage(totals)
-	return append([]*recorder.UsageDelta{next}, deltas...)
-}
--- a/internal/imitator/network.go
+++ b/internal/imitator/network.go
@@ -7,8 +7,11 @@
 	"net"
 	"os"
 	"sync"
+	"time"
 )
 
+const dialTimeout = time.Second
+
 // errCut is what a connection returns whose host was cut off or killed.
 var errCut = errors.New("connection cut")
 
@@ -119,8 +122,10 @@
 	return l, nil
 }
 
-// Dial connects to an address; a cut makes it wait for the end of ctx.
+// Dial connects to an address; a cut makes it wait for the dial timeout.
 func (h *Host) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
 	l, cut := h.find(addr)
 	if cut {
 		<-ctx.Done()
--- a/internal/relayer/chat.go
+++ b/internal/relayer/chat.go
@@ -154,6 +154,11 @@
 	}
 	name := tracker.ModelGroup(identifier.ModelID(h.request.Model))
 	handle, score, ok := s.Tracker.Choose(name, req, note)
+	if !ok && len(h.tried) > 0 {
+		// All usable targets failed once; one that failed may resume its own stream.
+		clear(h.tried)
+		handle, score, ok = s.Tracker.Choose(name, req, note)
+	}
 	if !ok {
 		return handle, &answerer.Refusal{
 			Status: http.StatusServiceUnavailable, Code: answerer.CodeNoTarget, Run: ranSoFar(attempt),
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -13,7 +13,7 @@
 	reply := &messenger.Reply{Heartbeat: h.e.beat()}
 	switch b := req.Body.(type) {
 	case *messenger.Request_Hold:
-		h.e.mirror.Hold(b.Hold.Incarnation, b.Hold.Deltas)
+		h.e.mirror.Hold(b.Hold.GetDelta())
 	case *messenger.Request_Fetch:
 		reply = h.fetch()
 	}
--- a/internal/runner/usage.go
+++ b/internal/runner/usage.go
@@ -37,8 +37,11 @@
 	if len(peers) == 0 {
 		return true
 	}
-	deltas, version := e.ledger.Held()
-	req := &messenger.Request{Body: &messenger.Request_Hold{Hold: &messenger.Hold{Incarnation: e.origin(), Deltas: deltas}}}
+	delta, version := e.ledger.Unlogged()
+	if delta == nil {
+		delta = &recorder.UsageDelta{Origin: e.origin()}
+	}
+	req := &messenger.Request{Body: &messenger.Request_Hold{Hold: &messenger.Hold{Delta: delta}}}
 	for _, m := range peers {
 		if e.hold(ctx, m, req) {
 			e.ledger.Acked(version)
@@ -84,19 +87,25 @@
 	every(ctx, e.settings.Timing.UsageInterval, func(ctx context.Context) { e.appendUsage(ctx) })
 }
 
-// appendUsage appends the next delta and reports whether one was counted.
+// appendUsage appends what the log lacks and reports whether it lacks nothing any more.
 func (e *Entry) appendUsage(ctx context.Context) bool {
-	d := e.ledger.Freeze()
+	d, _ := e.ledger.Unlogged()
 	if d == nil {
-		return false
+		return true
 	}
 	if err := e.appendDelta(ctx, d); err != nil {
 		e.logger.Debug("usage not appended", zap.Error(err))
 	}
-	var counted *recorder.UsageDelta
-	e.usage.Query(func() { counted = e.usageFold.Last(e.origin()) })
-	e.ledger.Settle(counted)
-	return counted.GetSequence() == d.Sequence
+	e.ledger.Settle(e.counted(e.origin()))
+	d, _ = e.ledger.Unlogged()
+	return d == nil
+}
+
+// counted returns what the log has counted for an origin.
+func (e *Entry) counted(origin string) map[string]*recorder.TeamUsage {
+	var counted map[string]*recorder.TeamUsage
+	e.usage.Query(func() { counted = e.usageFold.Counted(origin) })
+	return counted
 }
 
 func (e *Entry) appendDelta(ctx context.Context, d *recorder.UsageDelta) error {
@@ -112,13 +121,8 @@
 func (e *Entry) flushUsage(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, finalFlushTimeout)
 	defer cancel()
-	for ctx.Err() == nil {
-		if e.ledger.Freeze() == nil {
-			return
-		}
-		if !e.appendUsage(ctx) {
-			sleep(ctx, mirrorRetry)
-		}
+	for ctx.Err() == nil && !e.appendUsage(ctx) {
+		sleep(ctx, mirrorRetry)
 	}
 }
 
@@ -128,14 +132,9 @@
 		if !e.usage.CaughtUp() {
 			return
 		}
-		last := func(origin string) *recorder.UsageDelta {
-			var d *recorder.UsageDelta
-			e.usage.Query(func() { d = e.usageFold.Last(origin) })
-			return d
-		}
-		for _, d := range e.mirror.Overdue(mirrorSilence, last) {
+		for _, d := range e.mirror.Overdue(mirrorSilence, e.counted) {
 			err := e.appendDelta(ctx, d)
-			e.logger.Info("usage taken over", zap.String("Origin", d.Origin), zap.Uint64("Sequence", d.Sequence), zap.Error(err))
+			e.logger.Info("usage taken over", zap.String("Origin", d.Origin), zap.Int("Teams", len(d.Teams)), zap.Error(err))
 		}
 	})
 }
