Run the failures with real processes; prove lease and orders apart

A late order of a deposed holder conflicts only at an engine that is wrongly declared to check fencing numbers.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PROTOS = internal/recorder/recorder.proto internal/messenger/messenger.proto
 OWN = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build test lint demo proto
+.PHONY: build test lint demo soak failures bench capacity proto
 
 build:
 	go build -o bin/ ./cmd/...
@@ -19,6 +19,14 @@
 demo: build
 	bash scripts/demo.sh
 
+failures: build
+	bash scripts/failures.sh
+
+SEED ?= 1
+RUNS ?= 20
+soak:
+	go test ./internal/runner -run TestSoak -timeout 0 -soak.seed $(SEED) -soak.runs $(RUNS)
+
 proto:
 	go build -modfile=tools/go.mod -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
 	protoc --plugin=bin/protoc-gen-go --go_out=. --go_opt=module=github.com/coltsfootscale/coltsfootscale $(PROTOS)
--- /dev/null
+++ b/internal/orderer/orderer_test.go
@@ -0,0 +1,167 @@
+package orderer_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/authorizer"
+	"github.com/coltsfootscale/coltsfootscale/internal/imitator"
+	"github.com/coltsfootscale/coltsfootscale/internal/orderer"
+	"github.com/coltsfootscale/coltsfootscale/internal/provider"
+	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/internal/tailer"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// memoryLog is a log that two holders share.
+type memoryLog struct {
+	mu      sync.Mutex
+	records [][]byte
+}
+
+func (l *memoryLog) Append(_ context.Context, _ identifier.StreamID, records [][]byte) (identifier.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = append(l.records, records...)
+	return identifier.Offset(len(l.records) - len(records)), nil
+}
+
+func (l *memoryLog) Read(_ context.Context, _ identifier.StreamID, from identifier.Offset, _ time.Duration) (provider.Page, error) {
+	time.Sleep(time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if from == provider.Oldest {
+		from = 0
+	}
+	return provider.Page{Offset: from, End: identifier.Offset(len(l.records)), Records: l.records[from:]}, nil
+}
+
+// authority passes its check and then holds each send back until the gate opens, as a paused process would.
+type authority struct {
+	fence identifier.Fence
+	gate  chan struct{}
+}
+
+func (a *authority) Authority() (identifier.Fence, time.Duration, error) {
+	return a.fence, time.Hour, nil
+}
+
+func (a *authority) Do(ctx context.Context, _ identifier.Fence, _ time.Duration, send func(context.Context) error) error {
+	if a.gate != nil {
+		<-a.gate
+	}
+	return send(ctx)
+}
+
+// fixture is an engine and a log with the leases of two holders, of which the first was deposed.
+type fixture struct {
+	engine *imitator.Engine
+	log    memoryLog
+	addr   string
+}
+
+func newFixture(t *testing.T, checks bool) *fixture {
+	f := &fixture{engine: &imitator.Engine{Model: "m", PrefillPerSecond: 1000, DecodePerSecond: 100, Slots: 4, ChecksFence: checks}}
+	srv := httptest.NewServer(f.engine.Handler())
+	t.Cleanup(srv.Close)
+	f.addr = srv.Listener.Addr().String()
+	return f
+}
+
+func (f *fixture) claim(t *testing.T, holder string, seen uint64) {
+	r := &recorder.Record{Body: &recorder.Record_Claim{Claim: &recorder.Claim{Scope: "Fleet", Holder: holder, SeenOffset: seen}}}
+	data, err := proto.Marshal(r)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	f.log.Append(context.Background(), "Control", [][]byte{data})
+}
+
+func (f *fixture) orderer(t *testing.T, a *authority) *orderer.Orderer {
+	fold := &authorizer.Fold{}
+	control := &tailer.Tailer{Stream: "Control", Log: &f.log, Fold: fold}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go control.Run(ctx)
+	quicktest.Assert(t, control.WaitFor(ctx, func() bool { return fold.Next() > 0 }), quicktest.IsNil)
+	return &orderer.Orderer{
+		Scope: "Fleet", Authority: a, Control: control, Fold: fold, HTTP: http.DefaultClient, Timeout: 2 * time.Second, Logger: zap.NewNop(),
+		Address: func(identifier.TargetID) (string, bool) { return f.addr, true },
+	}
+}
+
+func assign(role recorder.Role, checks bool) *recorder.Order {
+	return &recorder.Order{Kind: recorder.OrderKind_Assign, Target: "t", Role: role, ChecksFence: checks}
+}
+
+// lateOrder lets a first holder record an order and pause before it is sent, a second one take over and
+// finish what it inherited, and the first one then send after all. It returns what the engine saw.
+func lateOrder(t *testing.T, engineChecks, declaredChecks, inherit bool) imitator.EngineVerdict {
+	f := newFixture(t, engineChecks)
+	f.claim(t, "first", 0)
+	paused := &authority{fence: 1, gate: make(chan struct{})}
+	first := f.orderer(t, paused)
+	done := make(chan error, 1)
+	go func() { done <- first.Order(context.Background(), assign(recorder.Role_Prefill, declaredChecks)) }()
+	err := first.Control.WaitFor(context.Background(), func() bool { return len(first.Fold.Orders()) == 1 })
+	quicktest.Assert(t, err, quicktest.IsNil)
+
+	f.claim(t, "second", 1)
+	second := f.orderer(t, &authority{fence: 3})
+	err = second.Control.WaitFor(context.Background(), func() bool { return second.Fold.Lease("Fleet").Fence == 3 })
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, second.Raise(context.Background(), 3, []identifier.TargetID{"t"}), quicktest.IsNil)
+	if inherit {
+		for _, order := range second.Open() {
+			quicktest.Check(t, second.Resume(context.Background(), order), quicktest.IsNil)
+		}
+	}
+	err = second.Order(context.Background(), assign(recorder.Role_Decode, declaredChecks))
+	quicktest.Check(t, err == nil || errors.Is(err, orderer.ErrVoid), quicktest.IsTrue, quicktest.Commentf("%v", err))
+	close(paused.gate)
+	<-done
+	return f.engine.Verdict()
+}
+
+func TestLateOrderOfADeposedHolder(t *testing.T) {
+	for name, tc := range map[string]struct {
+		engineChecks, declaredChecks, inherit bool
+		conflicts                             int
+	}{
+		"engine that checks":                            {true, true, true, 0},
+		"engine that checks, open order not inherited":  {true, true, false, 0},
+		"engine that does not check, one order in life": {false, false, true, 0},
+		"engine that does not check, taken for one":     {false, true, true, 1},
+	} {
+		v := lateOrder(t, tc.engineChecks, tc.declaredChecks, tc.inherit)
+		quicktest.Check(t, v.ConflictingOrders > 0, quicktest.Equals, tc.conflicts > 0, quicktest.Commentf("%s: %+v", name, v))
+	}
+}
+
+func TestOrderWaitsUntilTheEngineIsIdle(t *testing.T) {
+	f := newFixture(t, true)
+	f.claim(t, "first", 0)
+	o := f.orderer(t, &authority{fence: 1})
+	body := `{"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":40,"stream":true}`
+	req := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(body))
+	finished := make(chan time.Time, 1)
+	go func() {
+		f.engine.Handler().ServeHTTP(httptest.NewRecorder(), req)
+		finished <- time.Now()
+	}()
+	for f.engine.Verdict().Started == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	quicktest.Check(t, o.Order(context.Background(), assign(recorder.Role_Decode, true)), quicktest.IsNil)
+	quicktest.Check(t, time.Now().After(<-finished), quicktest.IsTrue)
+	quicktest.Check(t, f.engine.Verdict().Cut, quicktest.Equals, 0)
+	quicktest.Check(t, o.Open(), quicktest.HasLen, 0)
+}
