Choose between a mixed engine and a split over two by the predicted first token

The route was picked on one target and the prompt then computed elsewhere as an afterthought, so that a prefill engine's queue was not part of the prediction. A plan now compares the best mixed engine with the best pair of a prefill and a decode engine, and counts on both. Shares and placement see the uncached part of prompts, and placement sees what was refused.

A stopped committer answers all waiters at once, and a planned stop waits for the results before it departs.

--- a/internal/committer/committer.go
+++ b/internal/committer/committer.go
@@ -30,6 +30,7 @@
 	appender Appender
 	batch    int
 	queue    chan *commit
+	stopped  chan struct{}
 	appends  atomic.Int64
 	records  atomic.Int64
 }
@@ -45,7 +46,7 @@
 	if batch == 0 {
 		batch = defaultBatch
 	}
-	return &Committer{appender: appender, batch: batch, queue: make(chan *commit, queueLength)}
+	return &Committer{appender: appender, batch: batch, queue: make(chan *commit, queueLength), stopped: make(chan struct{})}
 }
 
 // Commit appends one record with others and returns once it was read back; ErrFull means that it was not appended.
@@ -59,9 +60,10 @@
 	select {
 	case err := <-w.done:
 		return err
+	case <-c.stopped:
 	case <-ctx.Done():
-		return ErrUnconfirmed
 	}
+	return ErrUnconfirmed
 }
 
 // Counts returns the number of appends and of records appended so far.
@@ -69,8 +71,9 @@
 	return c.appends.Load(), c.records.Load()
 }
 
-// Run appends what waits until ctx ends.
+// Run appends what waits until ctx ends; it is called once.
 func (c *Committer) Run(ctx context.Context) {
+	defer close(c.stopped)
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/limiter/meter.go
+++ b/internal/limiter/meter.go
@@ -8,7 +8,10 @@
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
-const meterWindow = 5 * time.Second
+const (
+	meterWindow  = 5 * time.Second
+	answerMemory = 32
+)
 
 // Subject is whose use of what a rate describes.
 type Subject struct {
@@ -24,8 +27,9 @@
 
 // Meter keeps exponentially decaying token rates; the zero value is ready.
 type Meter struct {
-	mu    sync.Mutex
-	rates map[Subject]*decaying
+	mu      sync.Mutex
+	rates   map[Subject]*decaying
+	answers map[identifier.ModelID]float64
 }
 
 type decaying struct {
@@ -50,6 +54,24 @@
 	d.rate.Output += float64(output) / meterWindow.Seconds()
 }
 
+// Finish notes the length of an answer.
+func (m *Meter) Finish(model identifier.ModelID, output identifier.Tokens) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.answers == nil {
+		m.answers = map[identifier.ModelID]float64{}
+	}
+	m.answers[model] += (float64(output) - m.answers[model]) / answerMemory
+}
+
+// Refuse counts the work of a refused request, with an answer of the usual length, under no team.
+func (m *Meter) Refuse(model identifier.ModelID, prompt identifier.Tokens) {
+	m.mu.Lock()
+	output := identifier.Tokens(m.answers[model])
+	m.mu.Unlock()
+	m.Add(Subject{Model: model}, prompt, output)
+}
+
 // Rates returns the current rates of all subjects that are not idle.
 func (m *Meter) Rates() map[Subject]Rate {
 	m.mu.Lock()
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -12,10 +12,7 @@
 
 	"github.com/coltsfootscale/coltsfootscale/internal/asserter"
 	"github.com/coltsfootscale/coltsfootscale/internal/chatter"
-	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
-	"github.com/coltsfootscale/coltsfootscale/internal/router"
 	"github.com/coltsfootscale/coltsfootscale/internal/tracker"
-	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
 // ErrWrongAnswer is returned when a target's answer belongs to another request or lacks tokens.
@@ -25,10 +22,10 @@
 var ErrTargetStatus = errors.New("target refused the request")
 
 // attempt sends the request to one target and relays its answer from the token offset reached so far.
-func (s *Relayer) attempt(h *chat, handle tracker.Handle) error {
+func (s *Relayer) attempt(h *chat, plan tracker.Plan) error {
 	ctx, alive, stop := withStall(h.ctx, firstTokenStall)
 	defer stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+handle.Address+"/v1/chat/completions", bytes.NewReader(h.body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+plan.Answer.Address+"/v1/chat/completions", bytes.NewReader(h.body))
 	if err != nil {
 		return err
 	}
@@ -37,9 +34,11 @@
 	if h.delivered > 0 {
 		req.Header.Set(chatter.ResumeHeader, strconv.FormatInt(h.delivered, 10))
 	}
-	if handle.Role == recorder.Role_Decode {
-		if transfer := s.prefillElsewhere(h); transfer != "" {
-			req.Header.Set(chatter.HandleHeader, transfer)
+	if plan.Split {
+		transfer, err := s.prefill(h, plan.Prefill)
+		s.Tracker.Finish(plan.Prefill, err != nil)
+		if err == nil {
+			req.Header.Set(chatter.HandleHeader, transfer.Handle)
 		}
 	}
 	assertNoKey(req)
@@ -139,27 +138,7 @@
 	return nil
 }
 
-// prefillElsewhere computes a long prompt on a prefill engine and returns the handle of its KV cache, or nothing.
-func (s *Relayer) prefillElsewhere(h *chat) string {
-	if h.prompt < splitTokens {
-		return ""
-	}
-	req := &router.Request{
-		Zone: s.Zone, Role: recorder.Role_Prefill, PromptTokens: h.prompt, Pieces: h.pieces, Draw: uint64(len(h.tried)),
-		Allowed: func(id identifier.TargetID) bool { return h.view.MayUse(h.team, id) },
-	}
-	handle, _, ok := s.Tracker.Choose(tracker.ModelGroup(identifier.ModelID(h.request.Model)), req, nil)
-	if !ok {
-		return ""
-	}
-	transfer, err := s.prefill(h, handle)
-	s.Tracker.Finish(handle, err != nil)
-	if err != nil {
-		return ""
-	}
-	return transfer.Handle
-}
-
+// prefill computes the prompt on a prefill engine and returns the handle of its KV cache.
 func (s *Relayer) prefill(h *chat, handle tracker.Handle) (chatter.Transfer, error) {
 	var transfer chatter.Transfer
 	req, err := http.NewRequestWithContext(h.ctx, http.MethodPost, "http://"+handle.Address+"/kv/prefill", bytes.NewReader(h.body))
--- a/internal/relayer/chat.go
+++ b/internal/relayer/chat.go
@@ -27,6 +27,7 @@
 	body      []byte
 	pieces    []uint64
 	prompt    identifier.Tokens
+	uncached  identifier.Tokens
 	delivered int64
 	text      strings.Builder
 	usage     *chatter.Usage
@@ -97,24 +98,24 @@
 func (s *Relayer) serveChat(h *chat) {
 	s.Budget.Note()
 	for attempt := 1; ; attempt++ {
-		handle, refusal := s.route(h, attempt)
+		plan, refusal := s.route(h, attempt)
 		if refusal != nil {
 			s.giveUp(h, refusal)
 			return
 		}
-		err := s.attempt(h, handle)
+		err := s.attempt(h, plan)
 		if h.r.Context().Err() != nil {
-			s.Tracker.Finish(handle, false)
+			s.Tracker.Finish(plan.Answer, false)
 			s.cut(h)
 			return
 		}
-		s.Tracker.Finish(handle, err != nil)
+		s.Tracker.Finish(plan.Answer, err != nil)
 		if err == nil {
 			s.finish(h)
 			return
 		}
-		h.tried[handle.ID] = true
-		h.logger.Info("Retry", zap.String("Target", string(handle.ID)), zap.Int64("Delivered", h.delivered), zap.Error(err))
+		h.tried[plan.Answer.ID] = true
+		h.logger.Info("Retry", zap.String("Target", string(plan.Answer.ID)), zap.Int64("Delivered", h.delivered), zap.Error(err))
 		if refusal := s.mayRetry(h, attempt); refusal != nil {
 			s.giveUp(h, refusal)
 			return
@@ -139,8 +140,8 @@
 }
 
 // route admits the request on its first attempt and picks a target for it.
-func (s *Relayer) route(h *chat, attempt int) (tracker.Handle, *answerer.Refusal) {
-	req := &router.Request{
+func (s *Relayer) route(h *chat, attempt int) (tracker.Plan, *answerer.Refusal) {
+	req := router.Request{
 		Zone:         s.Zone,
 		PromptTokens: h.prompt + identifier.Tokens(h.delivered),
 		Pieces:       h.pieces,
@@ -153,22 +154,23 @@
 		compared = append(compared, candidateLog{ID: id, PredictedMilliseconds: score.Predicted.Milliseconds(), CachedTokens: score.Cached})
 	}
 	name := tracker.ModelGroup(identifier.ModelID(h.request.Model))
-	handle, score, ok := s.Tracker.Choose(name, req, note)
+	plan, ok := s.Tracker.Plan(name, req, note)
 	if !ok && len(h.tried) > 0 {
 		// All usable targets failed once; one that failed may resume its own stream.
 		clear(h.tried)
-		handle, score, ok = s.Tracker.Choose(name, req, note)
+		plan, ok = s.Tracker.Plan(name, req, note)
 	}
 	if !ok {
-		return handle, &answerer.Refusal{
+		return plan, &answerer.Refusal{
 			Status: http.StatusServiceUnavailable, Code: answerer.CodeNoTarget, Run: ranSoFar(attempt),
 			Message: "no target can serve the request now", Return: shortReturn,
 		}
 	}
 	if attempt == 1 {
-		if refusal := s.admit(h, score.Predicted); refusal != nil {
-			s.Tracker.Release(handle)
-			return handle, refusal
+		h.uncached = h.prompt - plan.Cached
+		if refusal := s.admit(h, plan.Predicted); refusal != nil {
+			s.Tracker.Release(plan)
+			return plan, refusal
 		}
 	}
 	h.logger.Info("Route",
@@ -177,9 +179,10 @@
 		zap.Int64("PromptTokens", int64(h.prompt)),
 		zap.Int64("ResumeAt", h.delivered),
 		zap.Any("Candidates", compared),
-		zap.String("Chosen", string(handle.ID)),
+		zap.String("Chosen", string(plan.Answer.ID)),
+		zap.String("PrefillAt", string(plan.Prefill.ID)),
 		zap.String("Reason", "LowestPredictedFirstToken"))
-	return handle, nil
+	return plan, nil
 }
 
 type candidateLog struct {
@@ -206,6 +209,7 @@
 	if verdict.Admitted {
 		return nil
 	}
+	s.Meter.Refuse(identifier.ModelID(h.request.Model), h.uncached)
 	code := answerer.CodeOverloaded
 	if verdict.Reason == "OverShare" {
 		code = answerer.CodeOverShare
@@ -244,6 +248,7 @@
 // finish accounts the answer before its last bytes go out, so that no finished answer can be lost from the usage.
 func (s *Relayer) finish(h *chat) {
 	s.account(h, 1)
+	s.Meter.Finish(identifier.ModelID(h.request.Model), identifier.Tokens(h.delivered))
 	s.settle(h.ctx)
 	if h.request.Stream {
 		chatter.WriteDone(h.w)
@@ -263,7 +268,11 @@
 		u.PromptTokens = int64(h.prompt)
 	}
 	subject := limiter.Subject{Team: h.team, Model: identifier.ModelID(h.request.Model)}
-	s.Meter.Add(subject, identifier.Tokens(u.PromptTokens), identifier.Tokens(u.OutputTokens))
+	computed := identifier.Tokens(0)
+	if u.PromptTokens > 0 {
+		computed = h.uncached
+	}
+	s.Meter.Add(subject, computed, identifier.Tokens(u.OutputTokens))
 	s.Ledger.Add(u)
 	h.accounted = h.delivered
 	h.countedAt = time.Now()
--- a/internal/relayer/constants.go
+++ b/internal/relayer/constants.go
@@ -13,7 +13,6 @@
 	usageInterval      = 200 * time.Millisecond
 	maximumAttempts    = 4
 	replayBytes        = 4 << 10
-	splitTokens        = 4000
 	idempotencyKey     = "Idempotency-Key"
 	replayedHeader     = "X-Replayed"
 )
--- a/internal/relayer/keyed.go
+++ b/internal/relayer/keyed.go
@@ -13,6 +13,7 @@
 
 	"github.com/coltsfootscale/coltsfootscale/internal/answerer"
 	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/internal/tracker"
 )
 
 // A call with an idempotency key leaves two records in the journal: the dispatch before the first
@@ -67,7 +68,7 @@
 	}
 	dispatchID, refusal := s.dispatch(v, key, digest)
 	if dispatchID == "" {
-		s.Tracker.Release(handle)
+		s.Tracker.Release(tracker.Plan{Answer: handle})
 		if refusal != nil {
 			s.refuse(v.call, refusal)
 		}
@@ -79,7 +80,7 @@
 		s.failKeyed(v, key, dispatchID, err)
 		return
 	}
-	go s.recordResult(key, dispatchID, answer)
+	s.records.Go(func() { s.recordResult(key, dispatchID, answer) })
 	s.answer(v, answer)
 }
 
@@ -91,7 +92,7 @@
 	defer cancel()
 	if err := s.Journal.Commit(ctx, record); err != nil {
 		// The call was not sent and will not be, whether or not the dispatch takes effect.
-		go s.release(key, record.ID)
+		s.records.Go(func() { s.release(key, record.ID) })
 		return "", journalDown()
 	}
 	entry := s.Journal.Entry(key)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync"
 
 	"github.com/google/uuid"
 	"github.com/uber-go/tally/v4"
@@ -49,6 +50,7 @@
 	Serving  func() bool
 	Share    func(team identifier.TeamID, model identifier.ModelID) (rate, share float64)
 	inFlight inFlightKeys
+	records  sync.WaitGroup
 }
 
 // call is one request of a caller.
@@ -109,6 +111,9 @@
 	refusal.Write(c.w)
 }
 
+// Drain waits until the results of all calls are recorded or given up.
+func (s *Relayer) Drain() { s.records.Wait() }
+
 // settle waits briefly until a peer holds the usage of a finished answer.
 func (s *Relayer) settle(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -27,7 +27,7 @@
 	zoneHop       = 2 * time.Millisecond
 	slowStart     = 10 * time.Second
 	slowStartCost = 400 * time.Millisecond
-	roleCost      = 150 * time.Millisecond
+	stallWeight   = 1.0
 )
 
 // Cache answers how many leading pieces of a prompt a target holds.
@@ -59,9 +59,11 @@
 	PromptTokens identifier.Tokens
 	Pieces       []uint64
 	Draw         uint64
-	RefuseCheap  bool
-	Allowed      func(identifier.TargetID) bool
-	Excluded     func(identifier.TargetID) bool
+	// Computed tells that the prompt's KV cache is imported from another target.
+	Computed    bool
+	RefuseCheap bool
+	Allowed     func(identifier.TargetID) bool
+	Excluded    func(identifier.TargetID) bool
 }
 
 // Score is one candidate's prediction.
@@ -147,9 +149,7 @@
 	switch {
 	case !c.Usable, req.RefuseCheap && c.Cheap:
 		return false
-	case req.Role == recorder.Role_Prefill && c.Role != recorder.Role_Prefill:
-		return false
-	case req.Role != recorder.Role_Prefill && c.Role == recorder.Role_Prefill:
+	case c.Role != req.Role:
 		return false
 	case req.Allowed != nil && !req.Allowed(c.ID):
 		return false
@@ -166,15 +166,15 @@
 		cached = min(req.PromptTokens, identifier.Tokens(c.Cache.Hit(req.Pieces)*pieceTokens))
 	}
 	wait := max(0, c.FreeAt.Sub(now))
-	if req.Role != recorder.Role_Decode && c.PrefillPerSecond > 0 {
+	if !req.Computed && c.PrefillPerSecond > 0 {
 		wait += time.Duration(float64(req.PromptTokens-cached) / c.PrefillPerSecond * float64(time.Second))
 	}
 	wait += slotWait(c)
 	if c.Zone != req.Zone {
 		wait += zoneHop
 	}
-	if req.Role == recorder.Role_Mixed && c.Role == recorder.Role_Decode {
-		wait += roleCost
+	if req.Role == recorder.Role_Mixed {
+		wait += stall(c, req.PromptTokens-cached)
 	}
 	if age := now.Sub(c.Since); age < slowStart {
 		wait += time.Duration(float64(slowStartCost) * (1 - float64(age)/float64(slowStart)))
@@ -182,6 +182,15 @@
 	return Score{Index: i, Predicted: wait, Cached: cached}
 }
 
+// stall counts the prompt's computation against the answers that run beside it on a mixed engine.
+func stall(c *Candidate, uncached identifier.Tokens) time.Duration {
+	if c.Slots <= 0 || c.PrefillPerSecond <= 0 {
+		return 0
+	}
+	used := min(1, float64(c.Busy)/float64(c.Slots))
+	return time.Duration(stallWeight * used * float64(uncached) / c.PrefillPerSecond * float64(time.Second))
+}
+
 // slotWait predicts the wait for a batch slot; below the limit it grows gently to spread the load.
 func slotWait(c *Candidate) time.Duration {
 	if c.Slots <= 0 {
--- a/internal/runner/core.go
+++ b/internal/runner/core.go
@@ -226,6 +226,7 @@
 	e.start(background, authority, peerLis, &group)
 	err = e.serve(stop, kill, lis, yield)
 	if kill.Err() == nil {
+		e.relayer.Drain()
 		e.flushUsage(kill)
 		e.depart(kill)
 	}
--- a/internal/runner/shares.go
+++ b/internal/runner/shares.go
@@ -35,6 +35,9 @@
 func (e *Entry) computeShares() map[limiter.Subject]limiter.Demand {
 	byModel := map[identifier.ModelID]map[identifier.TeamID]limiter.Rate{}
 	for subject, rate := range e.allRates() {
+		if subject.Team == "" {
+			continue
+		}
 		if byModel[subject.Model] == nil {
 			byModel[subject.Model] = map[identifier.TeamID]limiter.Rate{}
 		}
--- /dev/null
+++ b/internal/tracker/plan.go
@@ -0,0 +1,65 @@
+package tracker
+
+import (
+	"time"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/internal/router"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+const transferTime = 20 * time.Millisecond
+
+// Plan says where a chat completion runs: on one target, or computed on one and answered by another.
+type Plan struct {
+	Answer    Handle
+	Prefill   Handle
+	Split     bool
+	Predicted time.Duration
+	Cached    identifier.Tokens
+}
+
+// Plan picks the way with the lowest predicted time to first token: a mixed engine, or a prefill and a
+// decode engine. Where there is neither, a decode engine computes the prompt itself.
+func (t *Tracker) Plan(name string, req router.Request, note func(identifier.TargetID, router.Score)) (Plan, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := t.groups[name]
+	if g == nil {
+		return Plan{}, false
+	}
+	now := time.Now()
+	t.refresh(g, now)
+	mixed, prefill, decode := req, req, req
+	mixed.Role = recorder.Role_Mixed
+	prefill.Role = recorder.Role_Prefill
+	decode.Role, decode.Computed = recorder.Role_Decode, true
+	onMixed, hasMixed := choose(now, g, &mixed, note)
+	onPrefill, hasPrefill := choose(now, g, &prefill, note)
+	onDecode, hasDecode := choose(now, g, &decode, note)
+	split := onPrefill.Predicted + transferTime + onDecode.Predicted
+	switch {
+	case hasPrefill && hasDecode && (!hasMixed || split < onMixed.Predicted):
+		return Plan{
+			Prefill: g.take(now, &prefill, onPrefill), Answer: g.take(now, &decode, onDecode),
+			Split: true, Predicted: split, Cached: onPrefill.Cached,
+		}, true
+	case hasMixed:
+		return Plan{Answer: g.take(now, &mixed, onMixed), Predicted: onMixed.Predicted, Cached: onMixed.Cached}, true
+	case hasDecode:
+		decode.Computed = false
+		onDecode, _ = choose(now, g, &decode, nil)
+		return Plan{Answer: g.take(now, &decode, onDecode), Predicted: onDecode.Predicted, Cached: onDecode.Cached}, true
+	}
+	return Plan{}, false
+}
+
+// Release takes back a plan that was not carried out.
+func (t *Tracker) Release(p Plan) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p.Answer.target.unsend(p.Answer.cost)
+	if p.Split {
+		p.Prefill.target.unsend(p.Prefill.cost)
+	}
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -142,24 +142,34 @@
 	}
 	now := time.Now()
 	t.refresh(g, now)
-	choice, ok := router.Choose(now, req, g.candidates)
+	best, ok := choose(now, g, req, note)
 	if !ok {
 		return Handle{}, router.Score{}, false
 	}
+	return g.take(now, req, best), best, true
+}
+
+// choose compares the candidates of a group and reports each comparison to note.
+func choose(now time.Time, g *group, req *router.Request, note func(identifier.TargetID, router.Score)) (router.Score, bool) {
+	choice, ok := router.Choose(now, req, g.candidates)
 	if note != nil {
 		for _, s := range choice.Scores[:choice.Drawn] {
 			note(g.candidates[s.Index].ID, s)
 		}
 	}
-	best := choice.Best
+	return choice.Best, ok
+}
+
+// take counts a request as sent to the chosen candidate.
+func (g *group) take(now time.Time, req *router.Request, best router.Score) Handle {
 	tg := g.targets[best.Index]
 	c := &g.candidates[best.Index]
 	h := Handle{ID: c.ID, Address: tg.spec.Address, Zone: c.Zone, Role: c.Role, target: tg}
-	if req.Role != recorder.Role_Decode {
+	if !req.Computed {
 		h.cost = time.Duration(float64(req.PromptTokens-best.Cached) / max(1, c.PrefillPerSecond) * float64(time.Second))
 	}
 	tg.sent(now, h.cost, req.Pieces)
-	return h, best, true
+	return h
 }
 
 // refresh copies what changes with time into the candidates.
@@ -275,13 +285,6 @@
 	return json.NewDecoder(io.LimitReader(resp.Body, maximumPollBytes)).Decode(out)
 }
 
-// Release takes back a request that Choose counted and that was not sent.
-func (t *Tracker) Release(h Handle) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	h.target.unsend(h.cost)
-}
-
 // Leaving reports whether a target is listed as leaving or says so itself.
 func (t *Tracker) Leaving(id identifier.TargetID) bool {
 	t.mu.Lock()
