--- /dev/null
+++ b/internal/evaluator/doc.go
@@ -0,0 +1,2 @@
+// Package evaluator holds the scenario benchmarks of the policy, which run the decision code on virtual time.
+package evaluator
