Learn how much longer prompts take than the prefill rate says

Each target's stretch is learned from the first tokens that this entry saw, and crowding of the batch weighs 150 ms at a full batch, 20 ms before.

--- a/internal/evaluator/policy_test.go
+++ b/internal/evaluator/policy_test.go
@@ -23,6 +23,7 @@
 func policies() []policy {
 	return []policy{
 		{name: "coltsfootscale", route: routeOwn, admit: admitOwn, place: placeOwn},
+		{name: "no role changes", route: routeOwn, admit: admitOwn},
 		{name: "fixed roles", route: routeOwn, admit: admitOwn, place: placeFixed},
 		{name: "least reported load", route: routeLeastLoad},
 		{name: "round robin", route: routeRoundRobin},
--- a/internal/evaluator/scenario_test.go
+++ b/internal/evaluator/scenario_test.go
@@ -27,6 +27,9 @@
 	harmed  []float64
 	spend   []float64
 	cheap   []float64
+	first   []float64
+	gaps    []float64
+	cached  []float64
 }
 
 func TestScenarios(t *testing.T) {
@@ -65,6 +68,9 @@
 	r.refused = append(r.refused, float64(o.refused)/n)
 	r.failed = append(r.failed, float64(o.failed)/n)
 	r.harmed = append(r.harmed, float64(o.harmed)/n)
+	r.first = append(r.first, float64(o.lateFirst)/n)
+	r.gaps = append(r.gaps, float64(o.lateGaps)/n)
+	r.cached = append(r.cached, 1-float64(o.computed)/float64(max(1, o.prompt)))
 	r.spend = append(r.spend, o.spend)
 	r.cheap = append(r.cheap, o.cheapWork)
 }
@@ -75,8 +81,8 @@
 	for i := range ratio {
 		ratio[i] = r.goodput[i] / r.bound[i]
 	}
-	return fmt.Sprintf("goodput %.3f, of bound %.3f (worst seed %.3f), worst team %.3f, changes %.0f, refused %.3f, failed %.4f, harmed %.4f",
-		median(r.goodput), median(ratio), slices.Min(ratio), median(r.worst), median(r.changes), median(r.refused), median(r.failed), median(r.harmed))
+	return fmt.Sprintf("goodput %.3f, of bound %.3f (worst seed %.3f), worst team %.3f, changes %.0f, refused %.3f, late first %.3f, late gaps %.3f, cached %.2f, failed %.4f, harmed %.4f",
+		median(r.goodput), median(ratio), slices.Min(ratio), median(r.worst), median(r.changes), median(r.refused), median(r.first), median(r.gaps), median(r.cached), median(r.failed), median(r.harmed))
 }
 
 func median(list []float64) float64 {
--- a/internal/evaluator/simulation_test.go
+++ b/internal/evaluator/simulation_test.go
@@ -65,6 +65,10 @@
 	cheapWork float64
 	honest    int
 	told      int
+	lateFirst int
+	lateGaps  int
+	prompt    int64
+	computed  int64
 }
 
 func newSimulation(tr *traffic, p policy, seed uint64) *simulation {
@@ -159,6 +163,7 @@
 	cancel()
 	background.Wait()
 	for _, e := range s.engines {
+		s.outcome.computed += e.prefills
 		s.outcome.spend += e.price * elapsed.Hours()
 		if e.cheap {
 			s.outcome.cheapWork += float64(e.prefills)
@@ -235,7 +240,12 @@
 	j.prompt = a.prompt + j.emitted
 	uncached := identifier.Tokens(a.prompt) - plan.Cached
 	first := j.emitted == 0
+	observed := false
 	j.onToken = func() {
+		if !observed {
+			observed = true
+			e.tracker.FirstToken(plan.Answer)
+		}
 		if first {
 			e.meter.Add(limiter.Subject{Team: a.team, Model: model}, uncached, 0)
 			first = false
@@ -262,10 +272,19 @@
 
 // judge counts an answer as good if its first token and 95 of 100 of its other tokens came within the promise.
 func (s *simulation) judge(a arrival, j *job, began time.Time) {
-	inTime := j.first.Sub(began) <= promisedWait && float64(j.late) <= 0.05*float64(j.output)
-	if inTime {
-		s.count(func(o *outcome) { o.good[a.team]++ })
-	}
+	first := j.first.Sub(began) <= promisedWait
+	gaps := float64(j.late) <= 0.05*float64(j.output)
+	s.count(func(o *outcome) {
+		o.prompt += a.prompt
+		switch {
+		case first && gaps:
+			o.good[a.team]++
+		case !first:
+			o.lateFirst++
+		default:
+			o.lateGaps++
+		}
+	})
 }
 
 func (s *simulation) count(f func(o *outcome)) {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -53,6 +53,7 @@
 	if id := resp.Header.Get(chatter.RequestIDHeader); id != string(h.id) {
 		return fmt.Errorf("%w: it is for request %q", ErrWrongAnswer, id)
 	}
+	h.firstToken = func() { s.Tracker.FirstToken(plan.Answer) }
 	return s.relay(h, chatter.NewEventReader(resp.Body), alive)
 }
 
@@ -92,6 +93,10 @@
 	}
 	asserter.That(event.Number == h.delivered+1, asserter.TokensInOrder, "token %d after %d", event.Number, h.delivered)
 	h.delivered = event.Number
+	if h.firstToken != nil {
+		h.firstToken()
+		h.firstToken = nil
+	}
 	if !h.request.Stream {
 		var chunk chatter.Completion
 		if err := json.Unmarshal(event.Data, &chunk); err != nil || len(chunk.Choices) == 0 || chunk.Choices[0].Delta == nil {
--- a/internal/relayer/chat.go
+++ b/internal/relayer/chat.go
@@ -36,6 +36,8 @@
 	countedAt time.Time
 	tried     map[identifier.TargetID]bool
 	began     time.Time
+	// firstToken is called with the first token of an attempt.
+	firstToken func()
 }
 
 // Chat serves a chat-completions request.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,6 +28,7 @@
 	slowStart     = 10 * time.Second
 	slowStartCost = 400 * time.Millisecond
 	stallWeight   = 1.0
+	crowding      = 150 * time.Millisecond
 )
 
 // Cache answers how many leading pieces of a prompt a target holds.
@@ -49,7 +50,9 @@
 	Slots            int64
 	Busy             int64
 	FreeAt           time.Time
-	Cache            Cache
+	// Stretch is how much longer prompts take than the prefill rate says, as observed; zero means 1.
+	Stretch float64
+	Cache   Cache
 }
 
 // Request is what the choice depends on.
@@ -165,10 +168,11 @@
 	if c.Cache != nil {
 		cached = min(req.PromptTokens, identifier.Tokens(c.Cache.Hit(req.Pieces)*pieceTokens))
 	}
-	wait := max(0, c.FreeAt.Sub(now))
+	wait := time.Duration(0)
 	if !req.Computed && c.PrefillPerSecond > 0 {
-		wait += time.Duration(float64(req.PromptTokens-cached) / c.PrefillPerSecond * float64(time.Second))
+		wait = max(0, c.FreeAt.Sub(now)) + time.Duration(float64(req.PromptTokens-cached)/c.PrefillPerSecond*float64(time.Second))
 	}
+	wait = time.Duration(float64(wait) * max(1, c.Stretch))
 	wait += slotWait(c)
 	if c.Zone != req.Zone {
 		wait += zoneHop
@@ -198,7 +202,7 @@
 	}
 	if c.Busy < c.Slots {
 		used := float64(c.Busy) / float64(c.Slots)
-		return time.Duration(used * used * float64(20*time.Millisecond))
+		return time.Duration(used * used * float64(crowding))
 	}
 	over := float64(c.Busy-c.Slots+1) / float64(c.Slots)
 	return time.Duration(math.Min(60, 1+2*over) * float64(time.Second))
--- a/internal/tracker/target.go
+++ b/internal/tracker/target.go
@@ -13,6 +13,9 @@
 	ejectionMaximum  = 30 * time.Second
 	maximumOwnEvents = 4096
 	maximumPieces    = 1 << 16
+	observedLeast    = 50 * time.Millisecond
+	stretchMaximum   = 5.0
+	stretchShare     = 0.1
 )
 
 // target is what is known of one target. The predicted end of its prefill queue and its occupied
@@ -32,6 +35,7 @@
 	ends       []time.Time
 	freeAt     time.Time
 	inFlight   int64
+	stretch    float64
 
 	failures     int
 	ejections    int
@@ -97,6 +101,18 @@
 	tg.ends = bounded(append(tg.ends, now))
 }
 
+// observe learns how much longer prompts take here than the prefill rate says.
+func (tg *target) observe(took, queued time.Duration) {
+	if queued < observedLeast {
+		return
+	}
+	ratio := min(stretchMaximum, max(1, float64(took)/float64(queued)))
+	if tg.stretch == 0 {
+		tg.stretch = 1
+	}
+	tg.stretch += (ratio - tg.stretch) * stretchShare
+}
+
 func (tg *target) report(received time.Time, load chatter.Load) {
 	tg.reported = load
 	tg.reportedAt = received.Add(-time.Duration(load.AgeMilliseconds) * time.Millisecond)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -50,6 +50,8 @@
 	Role    recorder.Role
 	target  *target
 	cost    time.Duration
+	sentAt  time.Time
+	queued  time.Duration
 }
 
 // GroupOf returns the group name under which a target of the inventory is a candidate.
@@ -168,6 +170,8 @@
 	if !req.Computed {
 		h.cost = time.Duration(float64(req.PromptTokens-best.Cached) / max(1, c.PrefillPerSecond) * float64(time.Second))
 	}
+	h.sentAt = now
+	h.queued = max(0, tg.freeAt.Sub(now)) + h.cost
 	tg.sent(now, h.cost, req.Pieces)
 	return h
 }
@@ -181,9 +185,17 @@
 		c.Since = tg.since
 		c.Busy = tg.busy()
 		c.FreeAt = tg.freeAt
+		c.Stretch = tg.stretch
 	}
 }
 
+// FirstToken compares the time to an answer's first token with what the prefill rate alone would give.
+func (t *Tracker) FirstToken(h Handle) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h.target.observe(time.Since(h.sentAt), h.queued)
+}
+
 // Finish ends a request that Choose counted; failed tells that the target did not serve it.
 func (t *Tracker) Finish(h Handle, failed bool) {
 	t.mu.Lock()
