--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,7 +28,7 @@
 	slowStart     = 10 * time.Second
 	slowStartCost = 400 * time.Millisecond
 	stallWeight   = 1.0
-	crowding      = 150 * time.Millisecond
+	crowding      = 800 * time.Millisecond
 )
 
 // Cache answers how many leading pieces of a prompt a target holds.
