Follow the share of late tokens at each target and admit by it

Each entry now follows the share of late tokens of its own answers at each target; it adds to the cost and to admission, which refuses above shares from 0.05 on and everybody from 0.25 on. Crowding no longer counts as waiting time.

--- a/internal/evaluator/policy_test.go
+++ b/internal/evaluator/policy_test.go
@@ -55,7 +55,7 @@
 // admitOwn decides as the relayer does, with shares from the rates that the entries exchanged.
 func admitOwn(s *simulation, e *entry, a arrival, plan tracker.Plan) bool {
 	rate, share := s.share(e, a.team)
-	v := limiter.Admit(limiter.Load{Predicted: plan.Predicted, Promised: promisedWait, TeamRate: rate, TeamShare: share})
+	v := limiter.Admit(limiter.Load{Predicted: plan.Predicted, Late: plan.Late, Promised: promisedWait, TeamRate: rate, TeamShare: share})
 	if !v.Admitted {
 		e.meter.Refuse(model, identifier.Tokens(a.prompt)-plan.Cached)
 	}
--- a/internal/evaluator/scenario_test.go
+++ b/internal/evaluator/scenario_test.go
@@ -11,8 +11,8 @@
 )
 
 var (
-	seeds    = flag.Int("scenario.seeds", 2, "seeds for each scenario and policy")
-	only     = flag.String("scenario.only", "", "run just the scenario of this name")
+	seeds  = flag.Int("scenario.seeds", 2, "seeds for each scenario and policy")
+	only   = flag.String("scenario.only", "", "run just the scenario of this name")
 	chosen = flag.String("scenario.policy", "coltsfootscale", "policy to run, or all")
 )
 
--- a/internal/evaluator/simulation_test.go
+++ b/internal/evaluator/simulation_test.go
@@ -242,10 +242,22 @@
 	uncached := identifier.Tokens(a.prompt) - plan.Cached
 	first := j.emitted == 0
 	observed := false
+	last := time.Time{}
+	late, total := int64(0), int64(0)
 	j.onToken = func() {
 		if !observed {
 			observed = true
 			e.tracker.FirstToken(plan.Answer)
+		} else {
+			total++
+			if time.Since(last) > promisedGap {
+				late++
+			}
+		}
+		last = time.Now()
+		if total == 8 {
+			e.tracker.Tokens(plan.Answer, late, total)
+			late, total = 0, 0
 		}
 		if first {
 			e.meter.Add(limiter.Subject{Team: a.team, Model: model}, uncached, 0)
--- a/internal/limiter/admission.go
+++ b/internal/limiter/admission.go
@@ -8,6 +8,8 @@
 	maximumReturn = 30 * time.Second
 	fairSlack     = 1.05
 	hopeless      = 1.0
+	lateOverload  = 0.05
+	lateHopeless  = 0.25
 )
 
 // Load is what an admission decision depends on.
@@ -16,6 +18,8 @@
 	Predicted time.Duration
 	// Promised is the promised time to first token.
 	Promised time.Duration
+	// Late is the share of recent tokens at that target that came later than promised.
+	Late float64
 	// TeamRate and TeamShare are the team's recent cost and its fair share of the capacity in use.
 	TeamRate  float64
 	TeamShare float64
@@ -31,10 +35,10 @@
 // Admit refuses what cannot be served within the promise, and under overload what exceeds the team's share.
 func Admit(l Load) Verdict {
 	pressure := float64(l.Predicted) / float64(max(l.Promised, time.Millisecond))
-	if pressure > hopeless {
+	if pressure > hopeless || l.Late > lateHopeless {
 		return Verdict{Reason: "PromiseOutOfReach", Return: comeBack(l.Predicted - l.Promised)}
 	}
-	if pressure > overload && l.TeamRate > l.TeamShare*fairSlack {
+	if (pressure > overload || l.Late > lateOverload) && l.TeamRate > l.TeamShare*fairSlack {
 		return Verdict{Reason: "OverShare", Return: comeBack(l.Predicted)}
 	}
 	return Verdict{Admitted: true, Reason: "Admitted"}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -54,6 +54,8 @@
 		return fmt.Errorf("%w: it is for request %q", ErrWrongAnswer, id)
 	}
 	h.firstToken = func() { s.Tracker.FirstToken(plan.Answer) }
+	h.plan = plan
+	h.lastToken = time.Time{}
 	return s.relay(h, chatter.NewEventReader(resp.Body), alive)
 }
 
@@ -93,6 +95,7 @@
 	}
 	asserter.That(event.Number == h.delivered+1, asserter.TokensInOrder, "token %d after %d", event.Number, h.delivered)
 	h.delivered = event.Number
+	h.countToken(time.Now())
 	if h.firstToken != nil {
 		h.firstToken()
 		h.firstToken = nil
@@ -110,6 +113,18 @@
 	return forward(h, event)
 }
 
+// countToken notes whether a token came later after the one before than promised.
+func (h *chat) countToken(now time.Time) {
+	promised := time.Duration(h.view.Promise().GetBetweenTokensMilliseconds()) * time.Millisecond
+	if !h.lastToken.IsZero() {
+		h.tokens++
+		if promised > 0 && now.Sub(h.lastToken) > promised {
+			h.late++
+		}
+	}
+	h.lastToken = now
+}
+
 // relayLast handles an event that carries no new token: the last chunk, or a doubled one.
 func (s *Relayer) relayLast(h *chat, event chatter.Event) error {
 	var chunk chatter.Completion
--- a/internal/relayer/chat.go
+++ b/internal/relayer/chat.go
@@ -38,6 +38,10 @@
 	began     time.Time
 	// firstToken is called with the first token of an attempt.
 	firstToken func()
+	plan       tracker.Plan
+	late       int64
+	tokens     int64
+	lastToken  time.Time
 }
 
 // Chat serves a chat-completions request.
@@ -170,7 +174,7 @@
 	}
 	if attempt == 1 {
 		h.uncached = h.prompt - plan.Cached
-		if refusal := s.admit(h, plan.Predicted); refusal != nil {
+		if refusal := s.admit(h, plan); refusal != nil {
 			s.Tracker.Release(plan)
 			return plan, refusal
 		}
@@ -200,10 +204,11 @@
 	return answerer.Unknown
 }
 
-func (s *Relayer) admit(h *chat, predicted time.Duration) *answerer.Refusal {
+func (s *Relayer) admit(h *chat, plan tracker.Plan) *answerer.Refusal {
 	rate, share := s.Share(h.team, identifier.ModelID(h.request.Model))
 	verdict := limiter.Admit(limiter.Load{
-		Predicted: predicted,
+		Predicted: plan.Predicted,
+		Late:      plan.Late,
 		Promised:  time.Duration(h.view.Promise().GetFirstTokenMilliseconds()) * time.Millisecond,
 		TeamRate:  rate,
 		TeamShare: share,
@@ -278,6 +283,10 @@
 	s.Ledger.Add(u)
 	h.accounted = h.delivered
 	h.countedAt = time.Now()
+	if h.plan.Answer.ID != "" {
+		s.Tracker.Tokens(h.plan.Answer, h.late, h.tokens)
+		h.late, h.tokens = 0, 0
+	}
 }
 
 // withStall returns a context that is cancelled when the returned function was not called for long enough.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,10 +14,12 @@
 // that all instances send the same prefix to the same targets without talking to each other, and some
 // at random, so that instances that saw the same late load report do not all pick the same target.
 //
-// Of these the one with the lowest predicted time to first token wins. The prediction adds up the
-// queue of the last report, what this instance sent since, the uncached part of the prompt over the
-// target's prefill rate, the wait for a batch slot, the hop to another availability zone, and a
-// penalty while a target is new.
+// Of these the one with the lowest cost wins. The cost starts from the predicted time to first token:
+// the queue of the last report, what this instance sent since, the uncached part of the prompt over
+// the target's prefill rate, stretched as observed, the wait for a batch slot and the hop to another
+// availability zone. What a request does to the answers beside it is added: the crowding of the
+// batch, the share of late tokens there, and on a mixed engine the time that its prompt takes. A
+// target that is new costs more for a while.
 
 const (
 	affinityDraws = 2
@@ -28,6 +30,7 @@
 	slowStart     = 10 * time.Second
 	slowStartCost = 400 * time.Millisecond
 	stallWeight   = 1.0
+	lateCost      = 500 * time.Millisecond
 	crowding      = 800 * time.Millisecond
 )
 
@@ -52,7 +55,9 @@
 	FreeAt           time.Time
 	// Stretch is how much longer prompts take than the prefill rate says, as observed; zero means 1.
 	Stretch float64
-	Cache   Cache
+	// Late is the share of recent tokens that came later than promised after the one before.
+	Late  float64
+	Cache Cache
 }
 
 // Request is what the choice depends on.
@@ -73,6 +78,8 @@
 type Score struct {
 	Index     int
 	Predicted time.Duration
+	Cost      time.Duration
+	Late      float64
 	Cached    identifier.Tokens
 }
 
@@ -107,7 +114,7 @@
 func (c *Choice) add(s Score) {
 	c.Scores[c.Drawn] = s
 	c.Drawn++
-	if c.Drawn == 1 || s.Predicted < c.Best.Predicted {
+	if c.Drawn == 1 || s.Cost < c.Best.Cost {
 		c.Best = s
 	}
 }
@@ -177,13 +184,14 @@
 	if c.Zone != req.Zone {
 		wait += zoneHop
 	}
+	cost := wait + crowd(c) + time.Duration(c.Late*float64(lateCost))
 	if req.Role == recorder.Role_Mixed {
-		wait += stall(c, req.PromptTokens-cached)
+		cost += stall(c, req.PromptTokens-cached)
 	}
 	if age := now.Sub(c.Since); age < slowStart {
-		wait += time.Duration(float64(slowStartCost) * (1 - float64(age)/float64(slowStart)))
+		cost += time.Duration(float64(slowStartCost) * (1 - float64(age)/float64(slowStart)))
 	}
-	return Score{Index: i, Predicted: wait, Cached: cached}
+	return Score{Index: i, Predicted: wait, Cost: cost, Late: c.Late, Cached: cached}
 }
 
 // stall counts the prompt's computation against the answers that run beside it on a mixed engine.
@@ -195,14 +203,19 @@
 	return time.Duration(stallWeight * used * float64(uncached) / c.PrefillPerSecond * float64(time.Second))
 }
 
-// slotWait predicts the wait for a batch slot; below the limit it grows gently to spread the load.
-func slotWait(c *Candidate) time.Duration {
+// crowd grows with the square of the used share of the batch, because each answer slows the others.
+func crowd(c *Candidate) time.Duration {
 	if c.Slots <= 0 {
 		return 0
 	}
-	if c.Busy < c.Slots {
-		used := float64(c.Busy) / float64(c.Slots)
-		return time.Duration(used * used * float64(crowding))
+	used := min(1, float64(c.Busy)/float64(c.Slots))
+	return time.Duration(used * used * float64(crowding))
+}
+
+// slotWait predicts the wait for a batch slot.
+func slotWait(c *Candidate) time.Duration {
+	if c.Slots <= 0 || c.Busy < c.Slots {
+		return 0
 	}
 	over := float64(c.Busy-c.Slots+1) / float64(c.Slots)
 	return time.Duration(math.Min(60, 1+2*over) * float64(time.Second))
--- a/internal/tracker/plan.go
+++ b/internal/tracker/plan.go
@@ -16,6 +16,7 @@
 	Prefill   Handle
 	Split     bool
 	Predicted time.Duration
+	Late      float64
 	Cached    identifier.Tokens
 }
 
@@ -37,19 +38,19 @@
 	onMixed, hasMixed := choose(now, g, &mixed, note)
 	onPrefill, hasPrefill := choose(now, g, &prefill, note)
 	onDecode, hasDecode := choose(now, g, &decode, note)
-	split := onPrefill.Predicted + transferTime + onDecode.Predicted
+	split := onPrefill.Cost + transferTime + onDecode.Cost
 	switch {
-	case hasPrefill && hasDecode && (!hasMixed || split < onMixed.Predicted):
+	case hasPrefill && hasDecode && (!hasMixed || split < onMixed.Cost):
 		return Plan{
 			Prefill: g.take(now, &prefill, onPrefill), Answer: g.take(now, &decode, onDecode),
-			Split: true, Predicted: split, Cached: onPrefill.Cached,
+			Split: true, Predicted: onPrefill.Predicted + transferTime + onDecode.Predicted, Late: onDecode.Late, Cached: onPrefill.Cached,
 		}, true
 	case hasMixed:
-		return Plan{Answer: g.take(now, &mixed, onMixed), Predicted: onMixed.Predicted, Cached: onMixed.Cached}, true
+		return Plan{Answer: g.take(now, &mixed, onMixed), Predicted: onMixed.Predicted, Late: onMixed.Late, Cached: onMixed.Cached}, true
 	case hasDecode:
 		decode.Computed = false
 		onDecode, _ = choose(now, g, &decode, nil)
-		return Plan{Answer: g.take(now, &decode, onDecode), Predicted: onDecode.Predicted, Cached: onDecode.Cached}, true
+		return Plan{Answer: g.take(now, &decode, onDecode), Predicted: onDecode.Predicted, Late: onDecode.Late, Cached: onDecode.Cached}, true
 	}
 	return Plan{}, false
 }
--- a/internal/tracker/target.go
+++ b/internal/tracker/target.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"math"
 	"time"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/chatter"
@@ -16,6 +17,8 @@
 	observedLeast    = 50 * time.Millisecond
 	stretchMaximum   = 5.0
 	stretchShare     = 0.1
+	lateMemory       = 100.0
+	lateFading       = 2 * time.Second
 )
 
 // target is what is known of one target. The predicted end of its prefill queue and its occupied
@@ -37,6 +40,8 @@
 	inFlight   int64
 	stretch    float64
 	crowd      float64
+	late       float64
+	lateAt     time.Time
 
 	failures     int
 	ejections    int
@@ -115,6 +120,25 @@
 	tg.stretch += (ratio - tg.stretch) * stretchShare
 }
 
+// tokens follows the share of late tokens.
+func (tg *target) tokens(now time.Time, late, total int64) {
+	if total == 0 {
+		return
+	}
+	share := tg.lateShare(now)
+	weight := 1 - math.Exp(-float64(total)/lateMemory)
+	tg.late = share + (float64(late)/float64(total)-share)*weight
+	tg.lateAt = now
+}
+
+// lateShare is the share of late tokens, which fades while nothing is observed.
+func (tg *target) lateShare(now time.Time) float64 {
+	if tg.lateAt.IsZero() {
+		return 0
+	}
+	return tg.late * math.Exp(-now.Sub(tg.lateAt).Seconds()/lateFading.Seconds())
+}
+
 func (tg *target) report(received time.Time, load chatter.Load) {
 	tg.reported = load
 	tg.reportedAt = received.Add(-time.Duration(load.AgeMilliseconds) * time.Millisecond)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -200,6 +200,7 @@
 		c.Busy = tg.busy()
 		c.FreeAt = tg.freeAt
 		c.Stretch = tg.stretch
+		c.Late = tg.lateShare(now)
 	}
 }
 
@@ -210,6 +211,13 @@
 	h.target.observe(time.Since(h.sentAt), h.queued)
 }
 
+// Tokens counts tokens of an answer, and how many of them came later after the one before than promised.
+func (t *Tracker) Tokens(h Handle, late, total int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h.target.tokens(time.Now(), late, total)
+}
+
 // Finish ends a request that Choose counted; failed tells that the target did not serve it.
 func (t *Tracker) Finish(h Handle, failed bool) {
 	t.mu.Lock()
