--- a/internal/limiter/admission.go
+++ b/internal/limiter/admission.go
@@ -3,13 +3,13 @@
 import "time"
 
 const (
-	overload      = 0.75
+	overload      = 0.5
 	minimumReturn = time.Second
 	maximumReturn = 30 * time.Second
 	fairSlack     = 1.05
-	hopeless      = 1.0
-	lateOverload  = 0.05
-	lateHopeless  = 0.25
+	hopeless      = 0.8
+	lateOverload  = 0.03
+	lateHopeless  = 0.10
 )
 
 // Load is what an admission decision depends on.
