Learn the batch at which tokens still come in time

Each entry now shrinks a target's batch below what runs there while more than 0.05 of its tokens are late, and grows it slowly; what exceeds it counts as waiting.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -51,8 +51,10 @@
 	PrefillPerSecond float64
 	DecodePerSecond  float64
 	Slots            int64
-	Busy             int64
-	FreeAt           time.Time
+	// Batch is the number of answers at which tokens still come in time, as observed.
+	Batch  int64
+	Busy   int64
+	FreeAt time.Time
 	// Stretch is how much longer prompts take than the prefill rate says, as observed; zero means 1.
 	Stretch float64
 	// Late is the share of recent tokens that came later than promised after the one before.
@@ -214,10 +216,10 @@
 
 // slotWait predicts the wait for a batch slot.
 func slotWait(c *Candidate) time.Duration {
-	if c.Slots <= 0 || c.Busy < c.Slots {
+	if c.Batch <= 0 || c.Busy < c.Batch {
 		return 0
 	}
-	over := float64(c.Busy-c.Slots+1) / float64(c.Slots)
+	over := float64(c.Busy-c.Batch+1) / float64(c.Batch)
 	return time.Duration(math.Min(60, 1+2*over) * float64(time.Second))
 }
 
--- a/internal/tracker/target.go
+++ b/internal/tracker/target.go
@@ -19,6 +19,11 @@
 	stretchShare     = 0.1
 	lateMemory       = 100.0
 	lateFading       = 2 * time.Second
+	lateTolerated    = 0.05
+	batchInterval    = 500 * time.Millisecond
+	batchShrink      = 0.9
+	batchGrowth      = 0.02
+	batchLeast       = 0.25
 )
 
 // target is what is known of one target. The predicted end of its prefill queue and its occupied
@@ -42,6 +47,8 @@
 	crowd      float64
 	late       float64
 	lateAt     time.Time
+	batch      float64
+	batchAt    time.Time
 
 	failures     int
 	ejections    int
@@ -129,6 +136,33 @@
 	weight := 1 - math.Exp(-float64(total)/lateMemory)
 	tg.late = share + (float64(late)/float64(total)-share)*weight
 	tg.lateAt = now
+	tg.followBatch(now)
+}
+
+// followBatch learns the batch at which tokens still come in time: it shrinks below what is running
+// while many come late, and grows slowly otherwise.
+func (tg *target) followBatch(now time.Time) {
+	if now.Sub(tg.batchAt) < batchInterval {
+		return
+	}
+	tg.batchAt = now
+	limit := float64(tg.spec.Slots)
+	if tg.batch == 0 {
+		tg.batch = limit
+	}
+	if tg.late > lateTolerated {
+		tg.batch = max(limit*batchLeast, min(tg.batch, float64(tg.busy()))*batchShrink)
+		return
+	}
+	tg.batch = min(limit, tg.batch+limit*batchGrowth)
+}
+
+// slots is the number of answers that the target should run at once.
+func (tg *target) slots() int64 {
+	if tg.batch == 0 {
+		return tg.spec.Slots
+	}
+	return max(1, int64(tg.batch))
 }
 
 // lateShare is the share of late tokens, which fades while nothing is observed.
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -201,6 +201,7 @@
 		c.FreeAt = tg.freeAt
 		c.Stretch = tg.stretch
 		c.Late = tg.lateShare(now)
+		c.Batch = tg.slots()
 	}
 }
 
