Set engines apart for prompts only, as few as needed

Mixed engines now import a KV cache as well, so only the number of prefill engines is decided, and only when prompts take up more than mixed engines can give.

--- a/internal/evaluator/policy_test.go
+++ b/internal/evaluator/policy_test.go
@@ -82,7 +82,6 @@
 // placeOwn follows the demand as the lease holder does.
 func placeOwn(s *simulation) {
 	var long placer.Demand
-	var split bool
 	var changedAt time.Time
 	for s.tick(time.Second) {
 		short := s.demand()
@@ -90,11 +89,10 @@
 		long.Prompt += f * (short.Prompt - long.Prompt)
 		long.Output += f * (short.Output - long.Output)
 		situation := placer.Situation{
-			Engines: s.roleEngines(), Short: short, Long: long, Split: split, SinceChange: time.Since(changedAt), ChangeTime: changeTime,
+			Engines: s.roleEngines(), Short: short, Long: long, SinceChange: time.Since(changedAt),
 		}
 		for _, c := range placer.Roles(situation) {
 			changedAt = time.Now()
-			split = c.Role != recorder.Role_Mixed
 			s.group.Go(func() { s.change(c) })
 		}
 	}
--- a/internal/placer/roles.go
+++ b/internal/placer/roles.go
@@ -10,25 +10,29 @@
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
-// The split between prefill and decode follows the demand in engines: prompt tokens per second over
-// an engine's prefill rate, and output tokens per second over its decode rate.
+// The decision is how many engines compute prompts only; all others are mixed and answer, whether they
+// computed the prompt themselves or import its KV cache.
 //
-// While the fleet is lightly used all engines are mixed, because a mixed engine serves either kind and
-// a change costs seconds. Beyond that, prompts that are computed beside running answers would stretch
-// the time between tokens, so engines are given roles in proportion to the two demands, and one engine
-// stays mixed for the fraction. A change is made only where the longer window agrees with the shorter
-// one and what it wins over the expected length of a swing is more than it costs.
+// Demand is measured in engines: uncached prompt tokens per second over an engine's prefill rate, and
+// output tokens per second over its decode rate. A mixed engine computes prompts in chunks beside its
+// running answers, so only a part of it can go to prompts while tokens still come in time. As long as
+// the prompts fit into that part of all engines, nothing is changed, because a change costs seconds.
+// Beyond that, so many engines are set apart for prompts that the rest fits again. The number follows
+// the demand only when it is off by most of an engine, in the shorter and in the longer window.
 
 const (
-	mixedBelow     = 0.45
-	splitAbove     = 0.55
-	mixedLoss      = 0.35
-	swingLength    = 60 * time.Second
-	settleTime     = 10 * time.Second
-	minimumSplit   = 2
-	changesAtOnce  = 2
-	minimumGain    = 1.0
-	idleEngineLoad = 0.01
+	// mixedPart is the part of a mixed engine that prompts may take up.
+	mixedPart = 0.25
+	// prefillPart is the part of a prefill engine that may be in use.
+	prefillPart = 0.75
+	// answerPart is the part of an answering engine that may be in use.
+	answerPart = 0.80
+	// splitAbove and joinBelow are the parts of all engines that prompts take up.
+	splitAbove    = 0.33
+	joinBelow     = 0.22
+	tolerance     = 0.8
+	settleTime    = 8 * time.Second
+	changesAtOnce = 2
 )
 
 // Engine is what a role decision depends on for one engine.
@@ -53,9 +57,7 @@
 	Engines     []Engine
 	Short       Demand
 	Long        Demand
-	Split       bool
 	SinceChange time.Duration
-	ChangeTime  time.Duration
 }
 
 // Change is a role to order.
@@ -64,33 +66,43 @@
 	Role recorder.Role
 }
 
-// split is a number of engines for each role.
-type split struct {
-	prefill int
-	decode  int
-	mixed   int
-}
-
 // Roles returns the role changes to order now.
 func Roles(s Situation) []Change {
 	if len(s.Engines) == 0 || s.SinceChange < settleTime || changing(s.Engines) {
 		return nil
 	}
-	wanted := wantedSplit(s, s.Short)
-	if wantedSplit(s, s.Long).direction(countRoles(s.Engines)) != wanted.direction(countRoles(s.Engines)) {
+	have := countPrefill(s.Engines)
+	short := wantedPrefill(s.Engines, s.Short, have) - float64(have)
+	long := wantedPrefill(s.Engines, s.Long, have) - float64(have)
+	if math.Abs(short) < tolerance || math.Abs(long) < tolerance || short*long < 0 {
 		return nil
 	}
-	changes := towards(s.Engines, wanted)
-	if len(changes) == 0 || !worthwhile(s, wanted, changes) {
-		return nil
+	return changes(s.Engines, int(math.Round(short)))
+}
+
+// Needed returns the demand in engines.
+func Needed(engines []Engine, d Demand) float64 {
+	if len(engines) == 0 {
+		return 0
 	}
-	return changes[:min(len(changes), changesAtOnce)]
+	prefill, decode := need(engines, d)
+	return prefill + decode
 }
 
 func changing(engines []Engine) bool {
 	return slices.ContainsFunc(engines, func(e Engine) bool { return e.Changing })
 }
 
+func countPrefill(engines []Engine) int {
+	n := 0
+	for _, e := range engines {
+		if e.Role == recorder.Role_Prefill {
+			n++
+		}
+	}
+	return n
+}
+
 // need returns the engines that each kind of demand would fill on its own.
 func need(engines []Engine, d Demand) (prefill, decode float64) {
 	var prefillRate, decodeRate float64
@@ -102,124 +114,48 @@
 	return d.Prompt / (prefillRate / n), d.Output / (decodeRate / n)
 }
 
-func wantedSplit(s Situation, d Demand) split {
-	n := len(s.Engines)
-	prefill, decode := need(s.Engines, d)
-	used := (prefill + decode) / float64(n)
+// wantedPrefill returns how many engines should compute prompts only, with a fraction.
+func wantedPrefill(engines []Engine, d Demand, have int) float64 {
+	n := float64(len(engines))
+	prefill, decode := need(engines, d)
 	threshold := splitAbove
-	if s.Split {
-		threshold = mixedBelow
+	if have > 0 {
+		threshold = joinBelow
 	}
-	if n < minimumSplit || used < threshold || prefill < idleEngineLoad || decode < idleEngineLoad {
-		return split{mixed: n}
-	}
-	share := float64(n) * prefill / (prefill + decode)
-	p := int(math.Floor(share))
-	d2 := int(math.Floor(float64(n) - share))
-	return split{prefill: p, decode: d2, mixed: n - p - d2}
-}
-
-// direction tells towards which role a split moves from the present one.
-func (w split) direction(now split) [2]int {
-	return [2]int{cmp.Compare(w.prefill, now.prefill), cmp.Compare(w.decode, now.decode)}
-}
-
-func countRoles(engines []Engine) split {
-	var c split
-	for _, e := range engines {
-		switch e.Role {
-		case recorder.Role_Prefill:
-			c.prefill++
-		case recorder.Role_Decode:
-			c.decode++
-		default:
-			c.mixed++
-		}
+	if prefill/n <= threshold {
+		return 0
 	}
-	return c
+	wanted := (prefill - mixedPart*n) / (prefillPart - mixedPart)
+	most := n - math.Ceil(decode/answerPart)
+	return max(0, min(max(1, wanted), most, n-1))
 }
 
-// towards returns the changes that lead to a split, with engines of all zones taking each role in turn.
-func towards(engines []Engine, wanted split) []Change {
-	now := countRoles(engines)
-	surplus := map[recorder.Role]int{
-		recorder.Role_Prefill: now.prefill - wanted.prefill,
-		recorder.Role_Decode:  now.decode - wanted.decode,
-		recorder.Role_Mixed:   now.mixed - wanted.mixed,
-	}
-	var changes []Change
-	for _, e := range spread(engines) {
-		if !e.Orderable || surplus[e.Role] <= 0 {
-			continue
-		}
-		role, ok := lacking(surplus)
-		if !ok {
-			break
-		}
-		surplus[e.Role]--
-		surplus[role]++
-		changes = append(changes, Change{ID: e.ID, Role: role})
+// changes sets so many more engines apart for prompts, or fewer, in all zones in turn.
+func changes(engines []Engine, more int) []Change {
+	from, to := recorder.Role_Mixed, recorder.Role_Prefill
+	if more < 0 {
+		from, to, more = to, from, -more
 	}
-	return changes
-}
-
-func lacking(surplus map[recorder.Role]int) (recorder.Role, bool) {
-	for _, role := range []recorder.Role{recorder.Role_Prefill, recorder.Role_Decode, recorder.Role_Mixed} {
-		if surplus[role] < 0 {
-			return role, true
+	var list []Change
+	for _, e := range spread(engines, to) {
+		if e.Orderable && e.Role == from && len(list) < min(more, changesAtOnce) {
+			list = append(list, Change{ID: e.ID, Role: to})
 		}
 	}
-	return 0, false
+	return list
 }
 
-// spread orders engines so that neighbours in the list are in different zones.
-func spread(engines []Engine) []Engine {
-	byZone := map[identifier.ZoneID][]Engine{}
+// spread orders engines so that those in zones with the fewest engines of a role come first.
+func spread(engines []Engine, role recorder.Role) []Engine {
+	of := map[identifier.ZoneID]int{}
 	for _, e := range engines {
-		byZone[e.Zone] = append(byZone[e.Zone], e)
-	}
-	zones := make([]identifier.ZoneID, 0, len(byZone))
-	for zone, list := range byZone {
-		slices.SortFunc(list, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
-		zones = append(zones, zone)
-	}
-	slices.Sort(zones)
-	var ordered []Engine
-	for i := 0; len(ordered) < len(engines); i++ {
-		for _, zone := range zones {
-			if i < len(byZone[zone]) {
-				ordered = append(ordered, byZone[zone][i])
-			}
+		if e.Role == role {
+			of[e.Zone]++
 		}
 	}
+	ordered := slices.Clone(engines)
+	slices.SortFunc(ordered, func(a, b Engine) int {
+		return cmp.Or(cmp.Compare(of[a.Zone], of[b.Zone]), cmp.Compare(a.ID, b.ID))
+	})
 	return ordered
 }
-
-// worthwhile compares what a split wins over the length of a swing with what its changes cost, in engine-seconds.
-func worthwhile(s Situation, wanted split, changes []Change) bool {
-	before := shortfall(s.Engines, countRoles(s.Engines), s.Short)
-	after := shortfall(s.Engines, wanted, s.Short)
-	gain := (before - after) * swingLength.Seconds()
-	cost := float64(len(changes)) * s.ChangeTime.Seconds()
-	return gain > cost*minimumGain
-}
-
-// shortfall returns how many engines the demand lacks under a split; mixed engines lose some capacity to
-// the interference of the two kinds of work.
-func shortfall(engines []Engine, have split, d Demand) float64 {
-	prefill, decode := need(engines, d)
-	lackPrefill := max(0, prefill-float64(have.prefill))
-	lackDecode := max(0, decode-float64(have.decode))
-	mixed := float64(have.mixed)
-	interference := mixedLoss * min(lackPrefill, lackDecode)
-	return max(0, lackPrefill+lackDecode-mixed) + min(mixed, interference)
-}
-
-// Needed returns the demand in engines.
-func Needed(engines []Engine, d Demand) float64 {
-	if len(engines) == 0 {
-		return 0
-	}
-	prefill, decode := need(engines, d)
-	return prefill + decode
-}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -187,7 +187,7 @@
 		wait += zoneHop
 	}
 	cost := wait + crowd(c) + time.Duration(c.Late*float64(lateCost))
-	if req.Role == recorder.Role_Mixed {
+	if req.Role == recorder.Role_Mixed && !req.Computed {
 		cost += stall(c, req.PromptTokens-cached)
 	}
 	if age := now.Sub(c.Since); age < slowStart {
--- a/internal/runner/constants.go
+++ b/internal/runner/constants.go
@@ -52,7 +52,6 @@
 	addressSilence     = 2 * time.Second
 	placementInterval  = time.Second
 	drainNotice        = 1500 * time.Millisecond
-	changeTime         = 3 * time.Second
 	longWindow         = 20 * time.Second
 	ordersUnderWay     = 4
 	failureRest        = 30 * time.Second
--- a/internal/runner/placement.go
+++ b/internal/runner/placement.go
@@ -28,7 +28,6 @@
 // modelPlacement follows the demand for one model.
 type modelPlacement struct {
 	long      placer.Demand
-	split     bool
 	changedAt time.Time
 }
 
@@ -92,12 +91,10 @@
 
 func (e *Entry) placeRoles(ctx context.Context, model identifier.ModelID, m *modelPlacement, engines []*recorder.Target, short placer.Demand) {
 	situation := placer.Situation{
-		Engines: e.roleEngines(engines), Short: short, Long: m.long, Split: m.split,
-		SinceChange: time.Since(m.changedAt), ChangeTime: changeTime,
+		Engines: e.roleEngines(engines), Short: short, Long: m.long, SinceChange: time.Since(m.changedAt),
 	}
 	for _, change := range placer.Roles(situation) {
 		m.changedAt = time.Now()
-		m.split = change.Role != recorder.Role_Mixed
 		e.logger.Info("Place",
 			zap.String("Target", string(change.ID)), zap.String("Role", change.Role.String()),
 			zap.Float64("PromptPerSecond", short.Prompt), zap.Float64("OutputPerSecond", short.Output))
--- a/internal/tracker/plan.go
+++ b/internal/tracker/plan.go
@@ -20,8 +20,8 @@
 	Cached    identifier.Tokens
 }
 
-// Plan picks the way with the lowest predicted time to first token: a mixed engine, or a prefill and a
-// decode engine. Where there is neither, a decode engine computes the prompt itself.
+// Plan picks the way with the lowest cost: a mixed engine, or a prefill engine and one that answers.
+// Where there is neither, a decode engine computes the prompt itself.
 func (t *Tracker) Plan(name string, req router.Request, note func(identifier.TargetID, router.Score)) (Plan, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -31,19 +31,24 @@
 	}
 	now := time.Now()
 	t.refresh(g, now)
-	mixed, prefill, decode := req, req, req
+	mixed, prefill, decode, imported := req, req, req, req
 	mixed.Role = recorder.Role_Mixed
 	prefill.Role = recorder.Role_Prefill
 	decode.Role, decode.Computed = recorder.Role_Decode, true
+	imported.Role, imported.Computed = recorder.Role_Mixed, true
 	onMixed, hasMixed := choose(now, g, &mixed, note)
 	onPrefill, hasPrefill := choose(now, g, &prefill, note)
 	onDecode, hasDecode := choose(now, g, &decode, note)
-	split := onPrefill.Cost + transferTime + onDecode.Cost
+	answer, onAnswer, hasAnswer := &decode, onDecode, hasDecode
+	if onImported, ok := choose(now, g, &imported, nil); ok && (!hasDecode || onImported.Cost < onDecode.Cost) {
+		answer, onAnswer, hasAnswer = &imported, onImported, true
+	}
+	split := onPrefill.Cost + transferTime + onAnswer.Cost
 	switch {
-	case hasPrefill && hasDecode && (!hasMixed || split < onMixed.Cost):
+	case hasPrefill && hasAnswer && (!hasMixed || split < onMixed.Cost):
 		return Plan{
-			Prefill: g.take(now, &prefill, onPrefill), Answer: g.take(now, &decode, onDecode),
-			Split: true, Predicted: onPrefill.Predicted + transferTime + onDecode.Predicted, Late: onDecode.Late, Cached: onPrefill.Cached,
+			Prefill: g.take(now, &prefill, onPrefill), Answer: g.take(now, answer, onAnswer),
+			Split: true, Predicted: onPrefill.Predicted + transferTime + onAnswer.Predicted, Late: onAnswer.Late, Cached: onPrefill.Cached,
 		}, true
 	case hasMixed:
 		return Plan{Answer: g.take(now, &mixed, onMixed), Predicted: onMixed.Predicted, Late: onMixed.Late, Cached: onMixed.Cached}, true
