--- a/internal/placer/roles.go
+++ b/internal/placer/roles.go
@@ -22,14 +22,14 @@
 
 const (
 	// mixedPart is the part of a mixed engine that prompts may take up.
-	mixedPart = 0.25
+	mixedPart = 0.35
 	// prefillPart is the part of a prefill engine that may be in use.
-	prefillPart = 0.75
+	prefillPart = 0.85
 	// answerPart is the part of an answering engine that may be in use.
 	answerPart = 0.80
 	// splitAbove and joinBelow are the parts of all engines that prompts take up.
-	splitAbove    = 0.33
-	joinBelow     = 0.22
+	splitAbove    = 0.48
+	joinBelow     = 0.35
 	tolerance     = 0.8
 	settleTime    = 8 * time.Second
 	changesAtOnce = 2
