Forget what was learned in another role; change roles sooner, and only for more than one engine

With that, quicker changes pay: four at once, 3 s apart, a long window of 8 s, and a tolerance of 1.6 engines against changes back and forth. Answers that fill more than 0.6 of all engines set engines apart for all prompts.

--- a/internal/evaluator/policy_test.go
+++ b/internal/evaluator/policy_test.go
@@ -85,7 +85,7 @@
 	var changedAt time.Time
 	for s.tick(time.Second) {
 		short := s.demand()
-		f := 1 - math.Exp(-1.0/20)
+		f := 1 - math.Exp(-1.0/8)
 		long.Prompt += f * (short.Prompt - long.Prompt)
 		long.Output += f * (short.Output - long.Output)
 		situation := placer.Situation{
--- a/internal/evaluator/simulation_test.go
+++ b/internal/evaluator/simulation_test.go
@@ -232,6 +232,7 @@
 		s.engine(plan.Prefill.ID).submit(pre)
 		ok := <-pre.done
 		e.tracker.Finish(plan.Prefill, !ok)
+		e.tracker.FirstToken(plan.Prefill)
 		j.imported = ok
 		time.Sleep(20 * time.Millisecond)
 	} else {
--- a/internal/placer/roles.go
+++ b/internal/placer/roles.go
@@ -17,22 +17,25 @@
 // output tokens per second over its decode rate. A mixed engine computes prompts in chunks beside its
 // running answers, so only a part of it can go to prompts while tokens still come in time. As long as
 // the prompts fit into that part of all engines, nothing is changed, because a change costs seconds.
-// Beyond that, so many engines are set apart for prompts that the rest fits again. The number follows
-// the demand only when it is off by most of an engine, in the shorter and in the longer window.
+// Beyond that, so many engines are set apart for prompts that the rest fits again; for all prompts, where
+// answers fill the batches so far that any prompt beside them makes tokens late. The number follows the
+// demand only when it is off by most of an engine, in the shorter and in the longer window.
 
 const (
 	// mixedPart is the part of a mixed engine that prompts may take up.
-	mixedPart = 0.35
+	mixedPart = 0.30
 	// prefillPart is the part of a prefill engine that may be in use.
 	prefillPart = 0.85
 	// answerPart is the part of an answering engine that may be in use.
 	answerPart = 0.80
 	// splitAbove and joinBelow are the parts of all engines that prompts take up.
-	splitAbove    = 0.48
-	joinBelow     = 0.35
-	tolerance     = 0.8
-	settleTime    = 8 * time.Second
-	changesAtOnce = 2
+	splitAbove    = 0.40
+	joinBelow     = 0.20
+	answersHigh   = 0.60
+	answersLow    = 0.50
+	tolerance     = 1.6
+	settleTime    = 3 * time.Second
+	changesAtOnce = 4
 )
 
 // Engine is what a role decision depends on for one engine.
@@ -122,14 +125,25 @@
 	if have > 0 {
 		threshold = joinBelow
 	}
-	if prefill/n <= threshold {
+	if prefill/n <= threshold && decode/n <= answersAbove(have) {
 		return 0
 	}
 	wanted := (prefill - mixedPart*n) / (prefillPart - mixedPart)
+	if decode/n > answersAbove(have) {
+		wanted = prefill / prefillPart
+	}
 	most := n - math.Ceil(decode/answerPart)
 	return max(0, min(max(1, wanted), most, n-1))
 }
 
+// answersAbove is the part of all engines that answers take up, above which no prompt fits beside them.
+func answersAbove(have int) float64 {
+	if have > 0 {
+		return answersLow
+	}
+	return answersHigh
+}
+
 // changes sets so many more engines apart for prompts, or fewer, in all zones in turn.
 func changes(engines []Engine, more int) []Change {
 	from, to := recorder.Role_Mixed, recorder.Role_Prefill
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -38,6 +38,7 @@
 		transfer, err := s.prefill(h, plan.Prefill)
 		s.Tracker.Finish(plan.Prefill, err != nil)
 		if err == nil {
+			s.Tracker.FirstToken(plan.Prefill)
 			req.Header.Set(chatter.HandleHeader, transfer.Handle)
 		}
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -29,7 +29,7 @@
 	zoneHop       = 2 * time.Millisecond
 	slowStart     = 10 * time.Second
 	slowStartCost = 400 * time.Millisecond
-	stallWeight   = 1.0
+	stallWeight   = 4.0
 	lateCost      = 500 * time.Millisecond
 	crowding      = 800 * time.Millisecond
 )
--- a/internal/runner/constants.go
+++ b/internal/runner/constants.go
@@ -52,7 +52,7 @@
 	addressSilence     = 2 * time.Second
 	placementInterval  = time.Second
 	drainNotice        = 1500 * time.Millisecond
-	longWindow         = 20 * time.Second
+	longWindow         = 8 * time.Second
 	ordersUnderWay     = 4
 	failureRest        = 30 * time.Second
 )
--- a/internal/tracker/target.go
+++ b/internal/tracker/target.go
@@ -115,6 +115,17 @@
 	tg.ends = bounded(append(tg.ends, now))
 }
 
+// setRole forgets what was learned in another role.
+func (tg *target) setRole(role recorder.Role) {
+	if tg.role == role {
+		return
+	}
+	tg.role = role
+	tg.stretch = 0
+	tg.batch = 0
+	tg.late = 0
+}
+
 // observe learns how much longer prompts take here than the prefill rate says.
 func (tg *target) observe(took, queued time.Duration) {
 	if queued < observedLeast {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -129,7 +129,7 @@
 	defer t.mu.Unlock()
 	for id, role := range roles {
 		if tg := t.targets[id]; tg != nil {
-			tg.role = role
+			tg.setRole(role)
 		}
 	}
 }
@@ -205,7 +205,8 @@
 	}
 }
 
-// FirstToken compares the time to an answer's first token with what the prefill rate alone would give.
+// FirstToken compares the time to an answer's first token, or to the end of a prompt that is computed
+// alone, with what the prefill rate would give.
 func (t *Tracker) FirstToken(h Handle) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
