Shrink a batch at one late token in a hundred

Cause of late answers in the flood (0.20 of all): the learned batch settled where 0.05 of all tokens are late, which is where half of the answers are.

--- a/internal/tracker/target.go
+++ b/internal/tracker/target.go
@@ -19,10 +19,10 @@
 	stretchShare     = 0.1
 	lateMemory       = 100.0
 	lateFading       = 2 * time.Second
-	lateTolerated    = 0.05
+	lateTolerated    = 0.01
 	batchInterval    = 500 * time.Millisecond
 	batchShrink      = 0.9
-	batchGrowth      = 0.02
+	batchGrowth      = 0.004
 	batchLeast       = 0.25
 )
 
