--- a/internal/evaluator/policy_test.go
+++ b/internal/evaluator/policy_test.go
@@ -75,7 +75,7 @@
 		r := s.rates[limiter.Subject{Team: t.id, Model: model}]
 		demands = append(demands, limiter.Demand{Wanted: limiter.Cost(r, prefill, decode), Weight: t.weight})
 	}
-	limiter.Share(1, demands)
+	limiter.Share(limiter.Scarce(demands), demands)
 	return demands[own].Wanted, demands[own].Allowed
 }
 
--- a/internal/evaluator/scenario_test.go
+++ b/internal/evaluator/scenario_test.go
@@ -20,6 +20,7 @@
 type row struct {
 	goodput []float64
 	worst   []float64
+	others  []float64
 	bound   []float64
 	changes []float64
 	refused []float64
@@ -54,15 +55,20 @@
 	list := tr.arrivals(seed)
 	o := newSimulation(tr, p, seed).run(list)
 	offered, good := 0, 0
-	worst := 1.0
+	worst, others := 1.0, 1.0
 	for _, team := range slices.Sorted(maps.Keys(o.offered)) {
 		offered += o.offered[team]
 		good += o.good[team]
-		worst = min(worst, float64(o.good[team])/float64(o.offered[team]))
+		share := float64(o.good[team]) / float64(o.offered[team])
+		worst = min(worst, share)
+		if team != tr.teams[0].id {
+			others = min(others, share)
+		}
 	}
 	n := float64(offered)
 	r.goodput = append(r.goodput, float64(good)/n)
 	r.worst = append(r.worst, worst)
+	r.others = append(r.others, others)
 	r.bound = append(r.bound, bound(tr, list))
 	r.changes = append(r.changes, float64(o.changes))
 	r.refused = append(r.refused, float64(o.refused)/n)
@@ -81,8 +87,8 @@
 	for i := range ratio {
 		ratio[i] = r.goodput[i] / r.bound[i]
 	}
-	return fmt.Sprintf("goodput %.3f, of bound %.3f (worst seed %.3f), worst team %.3f, changes %.0f, refused %.3f, late first %.3f, late gaps %.3f, cached %.2f, failed %.4f, harmed %.4f",
-		median(r.goodput), median(ratio), slices.Min(ratio), median(r.worst), median(r.changes), median(r.refused), median(r.first), median(r.gaps), median(r.cached), median(r.failed), median(r.harmed))
+	return fmt.Sprintf("goodput %.3f, of bound %.3f (worst seed %.3f), worst team %.3f (but the largest %.3f), changes %.0f, refused %.3f, late first %.3f, late gaps %.3f, cached %.2f, failed %.4f, harmed %.4f",
+		median(r.goodput), median(ratio), slices.Min(ratio), median(r.worst), median(r.others), median(r.changes), median(r.refused), median(r.first), median(r.gaps), median(r.cached), median(r.failed), median(r.harmed))
 }
 
 func median(list []float64) float64 {
--- a/internal/limiter/admission.go
+++ b/internal/limiter/admission.go
@@ -3,12 +3,12 @@
 import "time"
 
 const (
-	overload      = 0.5
+	overload      = 0.7
 	minimumReturn = time.Second
 	maximumReturn = 30 * time.Second
 	fairSlack     = 1.05
 	hopeless      = 0.8
-	lateOverload  = 0.03
+	lateOverload  = 0.05
 	lateHopeless  = 0.10
 )
 
--- a/internal/limiter/share.go
+++ b/internal/limiter/share.go
@@ -2,6 +2,8 @@
 
 import "slices"
 
+const scarcity = 0.9
+
 // Demand is one team's use of a shared capacity and its weight.
 type Demand struct {
 	Wanted  float64
@@ -44,6 +46,15 @@
 	}
 }
 
+// Scarce is the capacity to share out under overload: a little less than what all demands use now.
+func Scarce(demands []Demand) float64 {
+	total := 0.0
+	for _, d := range demands {
+		total += d.Wanted
+	}
+	return total * scarcity
+}
+
 // Cost returns the part of the capacity that a rate of tokens takes up, of prefill and of decode together.
 func Cost(r Rate, prefillPerSecond, decodePerSecond float64) float64 {
 	cost := 0.0
--- a/internal/runner/shares.go
+++ b/internal/runner/shares.go
@@ -59,7 +59,7 @@
 		teams = append(teams, team)
 		demands = append(demands, limiter.Demand{Wanted: limiter.Cost(rate, prefill, decode), Weight: view.Weight(team)})
 	}
-	limiter.Share(1, demands)
+	limiter.Share(limiter.Scarce(demands), demands)
 	for i, team := range teams {
 		result[limiter.Subject{Team: team, Model: model}] = demands[i]
 	}
