--- /dev/null
+++ b/internal/placer/placer_test.go
@@ -0,0 +1,91 @@
+package placer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/placer"
+	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// engines returns n engines in three zones, the first prefill of them with that role.
+func engines(n, prefill int) []placer.Engine {
+	list := make([]placer.Engine, n)
+	for i := range list {
+		list[i] = placer.Engine{ID: identifier.TargetID(fmt.Sprintf("%02d", i)), Zone: identifier.ZoneID(fmt.Sprint(i % 3)), Orderable: true, PrefillPerSecond: 100, DecodePerSecond: 100}
+		if i < prefill {
+			list[i].Role = recorder.Role_Prefill
+		}
+	}
+	return list
+}
+
+func TestRoles(t *testing.T) {
+	demand := func(prompt, output float64) placer.Demand { return placer.Demand{Prompt: prompt, Output: output} }
+	for name, tc := range map[string]struct {
+		s       placer.Situation
+		changes int
+		role    recorder.Role
+	}{
+		"light load changes nothing":            {placer.Situation{Engines: engines(12, 0), Short: demand(200, 200), Long: demand(200, 200)}, 0, 0},
+		"many prompts set engines apart":        {placer.Situation{Engines: engines(12, 0), Short: demand(660, 200), Long: demand(660, 200)}, 4, recorder.Role_Prefill},
+		"a short burst changes nothing":         {placer.Situation{Engines: engines(12, 0), Short: demand(660, 200), Long: demand(300, 200)}, 0, 0},
+		"soon after a change nothing changes":   {placer.Situation{Engines: engines(12, 0), Short: demand(660, 200), Long: demand(660, 200), SinceChange: time.Second}, 0, 0},
+		"fewer prompts give engines back":       {placer.Situation{Engines: engines(12, 5), Short: demand(100, 300), Long: demand(100, 300)}, 4, recorder.Role_Mixed},
+		"a little less changes nothing":         {placer.Situation{Engines: engines(12, 5), Short: demand(570, 200), Long: demand(570, 200)}, 0, 0},
+		"full batches set engines apart":        {placer.Situation{Engines: engines(12, 0), Short: demand(200, 800), Long: demand(200, 800)}, 2, recorder.Role_Prefill},
+		"an engine that changes is waited for":  {placer.Situation{Engines: changing(engines(12, 0)), Short: demand(660, 200), Long: demand(660, 200)}, 0, 0},
+		"engines that take no order stay as is": {placer.Situation{Engines: fixed(engines(12, 0)), Short: demand(660, 200), Long: demand(660, 200)}, 0, 0},
+		"one engine stays mixed":                {placer.Situation{Engines: engines(1, 0), Short: demand(90, 10), Long: demand(90, 10)}, 0, 0},
+	} {
+		if tc.s.SinceChange == 0 {
+			tc.s.SinceChange = time.Minute
+		}
+		got := placer.Roles(tc.s)
+		quicktest.Check(t, got, quicktest.HasLen, tc.changes, quicktest.Commentf(name))
+		for _, c := range got {
+			quicktest.Check(t, c.Role, quicktest.Equals, tc.role, quicktest.Commentf(name))
+		}
+	}
+}
+
+func changing(list []placer.Engine) []placer.Engine {
+	list[3].Changing = true
+	return list
+}
+
+func fixed(list []placer.Engine) []placer.Engine {
+	for i := range list {
+		list[i].Orderable = false
+	}
+	return list
+}
+
+func holdings(zones ...string) []placer.Holding {
+	var list []placer.Holding
+	for i, zone := range zones {
+		list = append(list, placer.Holding{ID: identifier.TargetID(fmt.Sprint(i)), Zone: identifier.ZoneID(zone), Acquired: i > 0})
+	}
+	return list
+}
+
+func TestTargets(t *testing.T) {
+	zones := []identifier.ZoneID{"a", "b", "c"}
+	for name, tc := range map[string]struct {
+		s    placer.Supply
+		want []placer.TargetChange
+	}{
+		"enough after any zone is lost": {placer.Supply{Zones: zones, Holdings: holdings("a", "b", "c"), Needed: 1.4, Maximum: 9, SurvivingShare: 1}, nil},
+		"too few after a zone is lost":  {placer.Supply{Zones: zones, Holdings: holdings("a", "b"), Needed: 1, Maximum: 9, SurvivingShare: 1}, []placer.TargetChange{{Zone: "c"}}},
+		"cheap within its share":        {placer.Supply{Zones: zones, Holdings: holdings("a", "b"), Needed: 1, Maximum: 9, SurvivingShare: 1, CheapShare: 0.5}, []placer.TargetChange{{Zone: "c", Cheap: true}}},
+		"no more than the maximum":      {placer.Supply{Zones: zones, Holdings: holdings("a", "b"), Needed: 5, Maximum: 2, SurvivingShare: 1}, nil},
+		"no zone to order in":           {placer.Supply{Holdings: holdings("a", "b"), Needed: 5, Maximum: 9, SurvivingShare: 1}, nil},
+		"gives back what is not needed": {placer.Supply{Zones: zones, Holdings: holdings("a", "b", "c", "b", "a"), Needed: 0.1, Maximum: 9, SurvivingShare: 1}, []placer.TargetChange{{Withdraw: "1"}}},
+	} {
+		quicktest.Check(t, placer.Targets(tc.s), quicktest.DeepEquals, tc.want, quicktest.Commentf(name))
+	}
+}
