--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PROTOS = internal/recorder/recorder.proto internal/messenger/messenger.proto
 OWN = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build test lint demo soak failures bench capacity proto
+.PHONY: build test lint demo soak failures measure bench capacity proto
 
 build:
 	go build -o bin/ ./cmd/...
@@ -30,3 +30,14 @@
 proto:
 	go build -modfile=tools/go.mod -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
 	protoc --plugin=bin/protoc-gen-go --go_out=. --go_opt=module=github.com/coltsfootscale/coltsfootscale $(PROTOS)
+
+measure: build
+	bash scripts/measure.sh
+
+bench:
+	go test ./internal/evaluator -run 'TestScenarios$$' -v -scenario.policy all -scenario.seeds 10 -timeout 30m
+	go test ./internal/committer -run TestGroupCommit -v
+	go test ./internal/router ./internal/limiter -run xxx -bench .
+
+capacity:
+	go test ./internal/evaluator -run TestCapacity -v -capacity
--- /dev/null
+++ b/internal/committer/committer_test.go
@@ -0,0 +1,123 @@
+package committer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/committer"
+	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// slowLog takes a fixed time for each append, as the platform's log does.
+type slowLog struct {
+	latency time.Duration
+	err     error
+}
+
+func (l slowLog) Append(ctx context.Context, _ ...*recorder.Record) (identifier.Offset, error) {
+	timer := time.NewTimer(l.latency)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return 0, l.err
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+// groupCommit offers records at a rate for ten seconds and returns appends and records a second and the latencies.
+func groupCommit(t *testing.T, batch, perSecond int, latency time.Duration) (appends, records float64, p50, p95 time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		c := committer.New(slowLog{latency: latency}, batch)
+		var group, waiters sync.WaitGroup
+		group.Go(func() { c.Run(ctx) })
+		var mu sync.Mutex
+		var took []time.Duration
+		const seconds = 10
+		for range perSecond * seconds {
+			time.Sleep(time.Second / time.Duration(perSecond))
+			waiters.Go(func() {
+				limited, stop := context.WithTimeout(ctx, 1500*time.Millisecond)
+				defer stop()
+				began := time.Now()
+				if c.Commit(limited, &recorder.Record{}) == nil {
+					mu.Lock()
+					took = append(took, time.Since(began))
+					mu.Unlock()
+				}
+			})
+		}
+		waiters.Wait()
+		cancel()
+		group.Wait()
+		slices.Sort(took)
+		a, _ := c.Counts()
+		appends, records = float64(a)/seconds, float64(len(took))/seconds
+		p50, p95 = took[len(took)/2], took[len(took)*95/100]
+	})
+	return appends, records, p50, p95
+}
+
+// TestGroupCommit prints appends a second and added latency against the batch size, on virtual time.
+func TestGroupCommit(t *testing.T) {
+	const latency = 10 * time.Millisecond
+	for _, perSecond := range []int{21, 300, 2000} {
+		for _, batch := range []int{1, 4, 16, 64, 256} {
+			appends, records, p50, p95 := groupCommit(t, batch, perSecond, latency)
+			t.Logf("offered %5d/s, batch %3d: %6.1f appends/s, %7.1f records/s, p50 %s, p95 %s", perSecond, batch, appends, records, p50, p95)
+			if batch == 256 {
+				quicktest.Check(t, appends <= 101, quicktest.IsTrue, quicktest.Commentf("one append at a time"))
+				quicktest.Check(t, p95 <= 3*latency, quicktest.IsTrue, quicktest.Commentf("offered %d/s: p95 %s", perSecond, p95))
+			}
+		}
+	}
+}
+
+func TestFullQueueRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		c := committer.New(slowLog{latency: time.Hour}, 1)
+		refused := 0
+		var waiters sync.WaitGroup
+		for range 5000 {
+			waiters.Go(func() {
+				if errors.Is(c.Commit(ctx, &recorder.Record{}), committer.ErrFull) {
+					refused++
+				}
+			})
+			synctest.Wait()
+		}
+		quicktest.Check(t, refused, quicktest.Equals, 5000-4096)
+		cancel()
+		waiters.Wait()
+	})
+}
+
+func TestFailureReachesEveryWaiter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		broken := errors.New("broken")
+		c := committer.New(slowLog{latency: time.Second, err: broken}, 0)
+		var group, waiters sync.WaitGroup
+		group.Go(func() { c.Run(ctx) })
+		for i := range 20 {
+			waiters.Go(func() {
+				quicktest.Check(t, c.Commit(ctx, &recorder.Record{}), quicktest.ErrorIs, broken, quicktest.Commentf(fmt.Sprint(i)))
+			})
+		}
+		waiters.Wait()
+		cancel()
+		group.Wait()
+		quicktest.Check(t, c.Commit(context.Background(), &recorder.Record{}), quicktest.ErrorIs, committer.ErrUnconfirmed, quicktest.Commentf("after the end"))
+	})
+}
--- /dev/null
+++ b/internal/evaluator/capacity_test.go
@@ -0,0 +1,275 @@
+package evaluator_test
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/accounter"
+	"github.com/coltsfootscale/coltsfootscale/internal/configurator"
+	"github.com/coltsfootscale/coltsfootscale/internal/journaler"
+	"github.com/coltsfootscale/coltsfootscale/internal/limiter"
+	"github.com/coltsfootscale/coltsfootscale/internal/messenger"
+	"github.com/coltsfootscale/coltsfootscale/internal/placer"
+	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/internal/router"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+var capacity = flag.Bool("capacity", false, "measure the slopes of docs/CAPACITY.md")
+
+// slope is a cost measured against a size, with its least-squares line.
+type slope struct {
+	role  string
+	unit  string
+	sizes []float64
+	costs []float64
+	at    float64
+}
+
+// fit returns the line's intercept and slope and the greatest relative distance of a point from it.
+func (s *slope) fit() (intercept, perUnit, worst float64) {
+	n := float64(len(s.sizes))
+	var sx, sy, sxx, sxy float64
+	for i, x := range s.sizes {
+		y := s.costs[i]
+		sx, sy, sxx, sxy = sx+x, sy+y, sxx+x*x, sxy+x*y
+	}
+	perUnit = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	intercept = (sy - perUnit*sx) / n
+	for i, x := range s.sizes {
+		if line := intercept + perUnit*x; line != 0 {
+			worst = math.Max(worst, math.Abs(s.costs[i]-line)/math.Abs(line))
+		}
+	}
+	return intercept, perUnit, worst
+}
+
+func (s *slope) String() string {
+	a, b, worst := s.fit()
+	points := ""
+	for i, x := range s.sizes {
+		points += fmt.Sprintf(" %g:%.4g", x, s.costs[i])
+	}
+	return fmt.Sprintf("%-34s %-10s points%s | %.4g + %.4g x, off by at most %.0f %% | at %g: %.4g", s.role, s.unit, points, a, b, 100*worst, s.at, a+b*s.at)
+}
+
+// measure fills in the cost at each size.
+func measure(role, unit string, at float64, sizes []int, cost func(n int) float64) *slope {
+	s := &slope{role: role, unit: unit, at: at}
+	for _, n := range sizes {
+		s.sizes = append(s.sizes, float64(n))
+		s.costs = append(s.costs, cost(n))
+	}
+	return s
+}
+
+// micros returns the microseconds of one call, the best of three runs of at least 20 ms.
+func micros(f func()) float64 {
+	best := math.Inf(1)
+	for range 3 {
+		calls := 0
+		began := time.Now()
+		for time.Since(began) < 20*time.Millisecond {
+			f()
+			calls++
+		}
+		best = min(best, float64(time.Since(began).Nanoseconds())/1000/float64(calls))
+	}
+	return best
+}
+
+// kilobytes returns the heap that what f returns holds on to.
+func kilobytes(f func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := f()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return (float64(after.HeapAlloc) - float64(before.HeapAlloc)) / 1024
+}
+
+func TestCapacity(t *testing.T) {
+	if !*capacity {
+		return
+	}
+	targets := []int{45, 90, 180, 360, 720}
+	teams := []int{80, 312, 625, 1250, 2500}
+	instances := []int{6, 24, 98, 195, 390}
+	for _, s := range []*slope{
+		measure("Route one request, by targets", "us", 720, targets, routeCost),
+		measure("Share among teams", "us", 2500, teams, shareCost),
+		measure("Decide roles, by engines", "us", 720, targets, placeCost),
+		measure("Decode a heartbeat, by teams", "us", 2500, teams, func(n int) float64 { return micros(func() { decodeBeat(beatOf(n)) }) }),
+		measure("Bytes of a heartbeat, by teams", "bytes", 2500, teams, func(n int) float64 { return float64(len(beatOf(n))) }),
+		measure("Apply a publish, by teams", "us", 2500, teams, func(n int) float64 { return publishCost(n, 100) }),
+		measure("Apply a publish, by targets", "us", 720, targets, func(n int) float64 { return publishCost(100, n) }),
+		measure("Bytes of a publish, by targets", "bytes", 720, targets, func(n int) float64 { return float64(proto.Size(publishOf(100, n))) }),
+		measure("Bytes of a publish, by teams", "bytes", 2500, teams, func(n int) float64 { return float64(proto.Size(publishOf(n, 100))) }),
+		measure("Configuration in memory, by teams", "KB", 2500, teams, func(n int) float64 { return configMemory(n, 100) }),
+		measure("Configuration in memory, by targets", "KB", 720, targets, func(n int) float64 { return configMemory(100, n) }),
+		measure("Apply one journal record, by keys", "us", 200000, []int{12500, 25000, 50000, 100000}, journalCost),
+		measure("Journal in memory, by keys", "KB", 200000, []int{12500, 25000, 50000, 100000}, journalMemory),
+		measure("Apply a usage delta, by teams in it", "us", 2500, teams, usageCost),
+		measure("Bytes of a usage delta, by teams", "bytes", 2500, teams, func(n int) float64 { return float64(proto.Size(deltaOf("o", n))) }),
+		measure("Usage in memory, by origins of 50 teams", "KB", 390, instances, usageMemory),
+	} {
+		t.Log(s)
+	}
+}
+
+func routeCost(n int) float64 {
+	candidates := make([]router.Candidate, n)
+	for i := range candidates {
+		candidates[i] = router.Candidate{
+			ID: identifier.TargetID(fmt.Sprint(i)), Hash: uint64(i) * 0x9e3779b97f4a7c15, Zone: identifier.ZoneID(fmt.Sprint("zone-", i%6)),
+			Usable: true, PrefillPerSecond: prefillRate, Slots: engineSlots, Batch: engineSlots,
+		}
+	}
+	req := &router.Request{Zone: "zone-1", PromptTokens: 4000, Pieces: []uint64{1, 2}}
+	now := time.Now()
+	return micros(func() {
+		req.Draw++
+		router.Choose(now, req, candidates)
+	})
+}
+
+func shareCost(n int) float64 {
+	demands := make([]limiter.Demand, n)
+	for i := range demands {
+		demands[i] = limiter.Demand{Wanted: float64(i % 13), Weight: float64(1 + i%3)}
+	}
+	return micros(func() { limiter.Share(float64(n), demands) })
+}
+
+func placeCost(n int) float64 {
+	s := placer.Situation{Short: placer.Demand{Prompt: float64(n) * 60, Output: float64(n) * 10}, SinceChange: time.Hour}
+	s.Long = s.Short
+	for i := range n {
+		s.Engines = append(s.Engines, placer.Engine{ID: identifier.TargetID(fmt.Sprint(i)), Zone: identifier.ZoneID(fmt.Sprint(i % 6)), Orderable: true, PrefillPerSecond: 100, DecodePerSecond: 100})
+	}
+	return micros(func() { placer.Roles(s) })
+}
+
+func beatOf(n int) []byte {
+	beat := &messenger.Heartbeat{Instance: "entry-100", Incarnation: "5c1b4f0e-9f54-0a8a-4c7c-2d110b9d7c1e", ConfigNext: 1 << 20, FreshAgeMilliseconds: 300, Voting: true}
+	for i := range n {
+		beat.Rates = append(beat.Rates, &messenger.TeamRate{Team: fmt.Sprint("team-", i), Model: "menu-7b", PromptTokensPerSecond: 1.5, OutputTokensPerSecond: 2.5})
+	}
+	data, _ := proto.Marshal(beat)
+	return data
+}
+
+func decodeBeat(data []byte) { proto.Unmarshal(data, &messenger.Heartbeat{}) }
+
+func publishOf(teams, targets int) *recorder.Record {
+	inv, rules := &recorder.Inventory{}, &recorder.Rules{Promise: &recorder.Promise{}}
+	for i := range teams {
+		id := fmt.Sprint("team-", i)
+		inv.Teams = append(inv.Teams, &recorder.Team{ID: id, Partner: "hanbit"})
+		rules.Teams = append(rules.Teams, &recorder.TeamRule{Team: id, Priority: 3, CostShare: 0.1})
+	}
+	for i := range targets {
+		inv.Targets = append(inv.Targets, &recorder.Target{
+			ID: fmt.Sprint("engine-", i), Address: "10.20.30.40:8000", Zone: "seoul-a", Model: "menu-7b", ChecksFence: true,
+			PricePerHour: 2, PrefillTokensPerSecond: prefillRate, DecodeTokensPerSecond: 40, Slots: engineSlots,
+		})
+	}
+	return &recorder.Record{ID: "r", Body: &recorder.Record_Publish{Publish: &recorder.Publish{Inventory: inv, Rules: rules}}}
+}
+
+// foldOf returns a configuration with a key for each team.
+func foldOf(teams, targets int) *configurator.Fold {
+	f := &configurator.Fold{}
+	f.Apply(0, publishOf(teams, targets))
+	for i := range teams {
+		k := &recorder.Key{ID: fmt.Sprint("key-", i), Hash: string(identifier.HashKey(fmt.Sprint(i))), Team: fmt.Sprint("team-", i)}
+		f.Apply(identifier.Offset(i+1), &recorder.Record{ID: k.ID, Body: &recorder.Record_KeyGrant{KeyGrant: &recorder.KeyGrant{Key: k}}})
+	}
+	return f
+}
+
+// publishCost is decoding, folding and preparing the view, as each instance does for each change.
+func publishCost(teams, targets int) float64 {
+	f := foldOf(teams, targets)
+	data, _ := proto.Marshal(publishOf(teams, targets))
+	return micros(func() {
+		r := &recorder.Record{}
+		proto.Unmarshal(data, r)
+		f.Apply(f.Next(), r)
+		configurator.NewView(f.State())
+	})
+}
+
+func configMemory(teams, targets int) float64 {
+	return kilobytes(func() any {
+		f := foldOf(teams, targets)
+		return []any{f, configurator.NewView(f.State())}
+	})
+}
+
+func dispatchOf(i int) *recorder.Record {
+	d := &recorder.Dispatch{Key: fmt.Sprintf("team-%d/key-%d", i%2500, i), Digest: string(identifier.HashKey("x"))}
+	return &recorder.Record{ID: fmt.Sprintf("5c1b4f0e-9f54-0a8a-4c7c-%012d", i), Writer: "entry-100/5c1b4f0e", Body: &recorder.Record_Dispatch{Dispatch: d}}
+}
+
+func journalOf(keys int) *journaler.Fold {
+	f := &journaler.Fold{}
+	for i := range keys {
+		f.Apply(identifier.Offset(i), dispatchOf(i))
+	}
+	return f
+}
+
+func journalCost(keys int) float64 {
+	f := journalOf(keys)
+	i := keys
+	data := make([][]byte, 1000)
+	for n := range data {
+		data[n], _ = proto.Marshal(dispatchOf(keys + n))
+	}
+	return micros(func() {
+		r := &recorder.Record{}
+		proto.Unmarshal(data[i%1000], r)
+		f.Apply(identifier.Offset(i), r)
+		i++
+	})
+}
+
+func journalMemory(keys int) float64 { return kilobytes(func() any { return journalOf(keys) }) }
+
+func deltaOf(origin string, teams int) *recorder.UsageDelta {
+	d := &recorder.UsageDelta{Origin: origin}
+	for i := range teams {
+		d.Teams = append(d.Teams, &recorder.TeamUsage{Team: fmt.Sprint("team-", i), Requests: 100, PromptTokens: 300000, OutputTokens: 15000})
+	}
+	return d
+}
+
+func usageCost(teams int) float64 {
+	f := &accounter.Fold{}
+	data, _ := proto.Marshal(&recorder.Record{Body: &recorder.Record_UsageDelta{UsageDelta: deltaOf("o", teams)}})
+	return micros(func() {
+		r := &recorder.Record{}
+		proto.Unmarshal(data, r)
+		f.Apply(f.Next(), r)
+	})
+}
+
+func usageMemory(origins int) float64 {
+	return kilobytes(func() any {
+		f := &accounter.Fold{}
+		for i := range origins {
+			d := deltaOf(fmt.Sprintf("entry-%d/5c1b4f0e-9f54-0a8a-4c7c-2d110b9d7c1e", i), 50)
+			f.Apply(identifier.Offset(i), &recorder.Record{Body: &recorder.Record_UsageDelta{UsageDelta: d}})
+		}
+		return f
+	})
+}
--- a/internal/imitator/engine.go
+++ b/internal/imitator/engine.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/chatter"
+	"github.com/coltsfootscale/coltsfootscale/pkg/caller"
 )
 
 // Engine is a stand-in for a model engine; PrefillPerSecond, DecodePerSecond and Slots must be set.
@@ -70,6 +71,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", e.complete)
 	mux.HandleFunc("POST /kv/prefill", e.prefillOnly)
+	mux.HandleFunc("GET /addresses", e.addresses)
 	mux.HandleFunc("GET /control/load", e.load)
 	mux.HandleFunc("GET /control/cache-events", e.cacheEvents)
 	mux.HandleFunc("GET /control/state", e.state)
@@ -321,6 +323,11 @@
 	writeJSON(w, chatter.Transfer{Handle: fmt.Sprintf("%s/kv/%s", r.Host, r.Header.Get(chatter.RequestIDHeader))})
 }
 
+// addresses answers as an entry does, so that a load can be sent to the engine directly for comparison.
+func (e *Engine) addresses(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, caller.Addresses{Addresses: []caller.Address{{Address: r.Host}}, LifetimeMilliseconds: time.Minute.Milliseconds()})
+}
+
 // abort cuts the connection without an answer.
 func abort(http.ResponseWriter) { panic(http.ErrAbortHandler) }
 
--- /dev/null
+++ b/internal/relayer/intake_test.go
@@ -0,0 +1,53 @@
+package relayer_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/answerer"
+)
+
+// send writes raw bytes to a relayer's server, closes its side if told to, and returns the answer.
+func send(t *testing.T, raw string, half bool) *http.Response {
+	r := newRelayer()
+	r.Limits.BodyTimeout = 200 * time.Millisecond
+	srv := httptest.NewServer(http.HandlerFunc(r.Chat))
+	t.Cleanup(srv.Close)
+	conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+	quicktest.Assert(t, err, quicktest.IsNil)
+	t.Cleanup(func() { conn.Close() })
+	fmt.Fprint(conn, raw)
+	if half {
+		conn.(*net.TCPConn).CloseWrite()
+	}
+	conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	return resp
+}
+
+func TestBodiesThatDoNotArrive(t *testing.T) {
+	const head = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\nContent-Length: %d\r\n\r\n"
+	for name, tc := range map[string]struct {
+		raw    string
+		half   bool
+		status int
+	}{
+		"too slow":  {fmt.Sprintf(head, 100) + "{", false, http.StatusRequestTimeout},
+		"cut short": {fmt.Sprintf(head, 100) + "{", true, http.StatusBadRequest},
+		"too large": {fmt.Sprintf(head, 2<<20), false, http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			resp := send(t, tc.raw, tc.half)
+			quicktest.Check(t, resp.StatusCode, quicktest.Equals, tc.status)
+			quicktest.Check(t, resp.Header.Get(answerer.RunHeader), quicktest.Equals, string(answerer.NotRun))
+		})
+	}
+}
--- a/internal/relayer/service.go
+++ b/internal/relayer/service.go
@@ -86,6 +86,7 @@
 // serveService sends a call without a record: again only if it may be repeated or did not leave this instance.
 func (s *Relayer) serveService(v *serviceCall) {
 	s.Budget.Note()
+	run := answerer.NotRun
 	for attempt := 1; ; attempt++ {
 		answer, refusal, err := s.sendOnce(v, attempt)
 		if refusal != nil {
@@ -97,13 +98,12 @@
 			return
 		}
 		notSent := errors.Is(err, ErrNotSent)
+		if !notSent {
+			run = answerer.Unknown
+		}
 		if attempt < maximumAttempts && (notSent || v.repeatable()) && v.ctx.Err() == nil && s.Budget.Take() {
 			continue
 		}
-		run := answerer.Unknown
-		if notSent && attempt == 1 {
-			run = answerer.NotRun
-		}
 		s.refuse(v.call, targetFailed(run))
 		return
 	}
--- a/internal/runner/constants.go
+++ b/internal/runner/constants.go
@@ -45,6 +45,7 @@
 	retryShare         = 0.2
 	retryReserve       = 20
 	metricsInterval    = time.Second
+	idleTimeout        = 2 * time.Minute
 	journalBatch       = 256
 	peerPort           = "peer"
 	maximumFreshAge    = time.Hour
--- a/internal/runner/core.go
+++ b/internal/runner/core.go
@@ -266,6 +266,7 @@
 		khttp.StrictSlash(false),
 	)
 	srv.ReadHeaderTimeout = limits.HeaderTimeout
+	srv.IdleTimeout = idleTimeout
 	srv.MaxHeaderBytes = limits.HeaderBytes
 	srv.ErrorLog = zap.NewStdLog(e.logger)
 	srv.HandlePrefix("/", e.handler())
