Test targets and entries that the platform lists as leaving or gone

A listed target gets no new work after 3 s; an entry that is left of three takes changes again 75 s after the platform stopped listing the other two, and not before.

--- a/internal/runner/leaving_test.go
+++ b/internal/runner/leaving_test.go
@@ -8,6 +8,7 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/chatter"
+	"github.com/coltsfootscale/coltsfootscale/internal/provider"
 )
 
 // answer is the outcome of one chat completion.
@@ -114,3 +115,34 @@
 		}
 	})
 }
+
+func TestTargetListedAsLeavingGetsNoNewWork(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		s.up("entry-a", "entry-b")
+		s.grant("entry-a", "k", "tabline", "secret")
+		s.platform.SetInstances([]provider.Instance{{ID: "entry-a"}, {ID: "entry-b"}, {ID: "engine-a", Leaving: true}, {ID: "engine-b"}, {ID: "engine-c"}})
+		time.Sleep(3 * time.Second)
+		before := s.engines["engine-a"].Verdict().Started
+		answers := s.stream("entry-b", 20, 10)
+		for range 20 {
+			quicktest.Check(t, (<-answers).whole, quicktest.IsTrue)
+		}
+		quicktest.Check(t, s.engines["engine-a"].Verdict().Started, quicktest.Equals, before)
+	})
+}
+
+func TestLostEntriesAreEvictedByTheList(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		s.up("entry-a", "entry-b", "entry-c")
+		s.kill("entry-b")
+		s.kill("entry-c")
+		status, _ := s.grant("entry-a", "k", "tabline", "secret")
+		quicktest.Check(t, status, quicktest.Equals, http.StatusServiceUnavailable, quicktest.Commentf("one of three is no majority"))
+		s.platform.SetInstances([]provider.Instance{{ID: "entry-a"}})
+		time.Sleep(75 * time.Second)
+		status, body := s.grant("entry-a", "k2", "tabline", "secret-2")
+		quicktest.Check(t, status, quicktest.Equals, http.StatusOK, quicktest.Commentf(body))
+		_, body = s.operate("entry-a", http.MethodGet, "/status", nil)
+		quicktest.Check(t, body, quicktest.Not(quicktest.Contains), "entry-b:1")
+	})
+}
