--- a/internal/accounter/accounter_test.go
+++ b/internal/accounter/accounter_test.go
@@ -124,3 +124,18 @@
 	quicktest.Check(t, f.Closed(0).Teams[0].Requests, quicktest.Equals, int64(2))
 	quicktest.Check(t, f.Totals()[0].Requests, quicktest.Equals, int64(5))
 }
+
+func FuzzApply(f *testing.F) {
+	data, _ := proto.Marshal(record(&recorder.UsageDelta{Origin: "o", Teams: []*recorder.TeamUsage{requests(2)}}))
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		r := &recorder.Record{}
+		if proto.Unmarshal(data, r) != nil {
+			return
+		}
+		fold := &accounter.Fold{}
+		fold.Apply(0, r)
+		fold.Apply(1, closing(0))
+		fold.Apply(2, r)
+	})
+}
--- a/internal/journaler/fold_test.go
+++ b/internal/journaler/fold_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/journaler"
@@ -80,3 +81,18 @@
 		quicktest.Check(t, fold.Entry("l"), quicktest.IsNotNil)
 	}
 }
+
+func FuzzApply(f *testing.F) {
+	data, _ := proto.Marshal(result("1", "k", true))
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		r := &recorder.Record{}
+		if proto.Unmarshal(data, r) != nil {
+			return
+		}
+		fold := &journaler.Fold{}
+		fold.Apply(0, r)
+		fold.Apply(1, dispatch("1", "k"))
+		fold.Apply(2, r)
+	})
+}
