Decide on roles by the mix of what can be served

Beyond 0.85 of all engines the demand is now scaled to what can be served. Ruled out: the limits on admission (0.8 and 0.9 of the promise give the same). Also tried: long windows of 12 and 16 s and a tolerance of 2.0 engines; no difference, dropped.

--- a/internal/placer/roles.go
+++ b/internal/placer/roles.go
@@ -28,7 +28,8 @@
 	prefillPart = 0.85
 	// answerPart is the part of an answering engine that may be in use.
 	answerPart = 0.80
-	// splitAbove and joinBelow are the parts of all engines that prompts take up.
+	// servedPart is the part of all engines that can be in use together; splitAbove and joinBelow are the parts of all engines that prompts take up.
+	servedPart    = 0.85
 	splitAbove    = 0.40
 	joinBelow     = 0.20
 	answersHigh   = 0.60
@@ -121,6 +122,11 @@
 func wantedPrefill(engines []Engine, d Demand, have int) float64 {
 	n := float64(len(engines))
 	prefill, decode := need(engines, d)
+	// What exceeds the fleet is refused whatever the roles are; the mix of what can be served decides.
+	if used := (prefill + decode) / n; used > servedPart {
+		prefill *= servedPart / used
+		decode *= servedPart / used
+	}
 	threshold := splitAbove
 	if have > 0 {
 		threshold = joinBelow
--- a/internal/runner/constants.go
+++ b/internal/runner/constants.go
@@ -47,9 +47,7 @@
 	metricsInterval    = time.Second
 	idleTimeout        = 2 * time.Minute
 	journalBatch       = 256
-	peerPort           = "peer"
 	maximumFreshAge    = time.Hour
-	servePollInterval  = 50 * time.Millisecond
 	addressSilence     = 2 * time.Second
 	placementInterval  = time.Second
 	drainNotice        = 1500 * time.Millisecond
