--- /dev/null
+++ b/internal/relayer/run_test.go
@@ -0,0 +1,117 @@
+package relayer_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/answerer"
+	"github.com/coltsfootscale/coltsfootscale/internal/configurator"
+	"github.com/coltsfootscale/coltsfootscale/internal/journaler"
+	"github.com/coltsfootscale/coltsfootscale/internal/networker"
+	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/internal/relayer"
+)
+
+// journal applies records at once.
+type journal struct {
+	fold journaler.Fold
+	next int
+}
+
+func (j *journal) Ready() bool                             { return true }
+func (j *journal) Entry(key string) *recorder.JournalEntry { return j.fold.Entry(key) }
+func (j *journal) NewRecord() *recorder.Record {
+	j.next++
+	return &recorder.Record{ID: strings.Repeat("r", j.next), Writer: "w"}
+}
+
+func (j *journal) Commit(_ context.Context, r *recorder.Record) error {
+	j.fold.Apply(j.fold.Next(), r)
+	return nil
+}
+
+// newServiceRelayer routes /run to a service at an address.
+func newServiceRelayer(address string) *relayer.Relayer {
+	r := newRelayer()
+	state := r.View().State
+	state.Inventory.Targets = []*recorder.Target{{ID: "s", Kind: recorder.TargetKind_Service, Service: "s", Address: address}}
+	state.Rules.Routes = []*recorder.Route{{Path: "/run", Service: "s"}}
+	view := configurator.NewView(state)
+	r.View = func() *configurator.View { return view }
+	r.Tracker.SetTargets(state.Inventory.Targets)
+	r.HTTP = networker.Client(networker.TCP{}, true)
+	r.Once = networker.Client(networker.TCP{}, false)
+	r.Journal = &journal{}
+	return r
+}
+
+// TestRunIsToldTruly lets a service execute a call and cut the connection, refuse connections, or answer.
+func TestRunIsToldTruly(t *testing.T) {
+	executions := 0
+	cut := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		executions++
+		panic(http.ErrAbortHandler)
+	}))
+	defer cut.Close()
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	for name, tc := range map[string]struct {
+		address string
+		body    string
+		run     answerer.Run
+		ran     int
+	}{
+		"executed and cut":               {cut.Listener.Addr().String(), "x", answerer.Unknown, 1},
+		"executed and cut, without body": {cut.Listener.Addr().String(), "", answerer.Unknown, 1},
+		"no connection":                  {gone.Listener.Addr().String(), "x", answerer.NotRun, 0},
+	} {
+		for _, key := range []string{"", "k"} {
+			executions = 0
+			r := newServiceRelayer(tc.address)
+			req := httptest.NewRequest(http.MethodPost, "/run", strings.NewReader(tc.body))
+			req.Header.Set("Authorization", "Bearer secret")
+			if key != "" {
+				req.Header.Set("Idempotency-Key", key)
+			}
+			w := httptest.NewRecorder()
+			r.Service(w, req)
+			c := quicktest.Commentf("%s, key %q: %s", name, key, w.Body)
+			quicktest.Check(t, answerer.Run(w.Header().Get(answerer.RunHeader)), quicktest.Equals, tc.run, c)
+			quicktest.Check(t, executions, quicktest.Equals, tc.ran, c)
+		}
+	}
+}
+
+// TestReusedConnectionsWouldRunTwice shows why calls that must not run twice have connections of their own:
+// the transport sends a request with an idempotency key and without a body again when a kept connection breaks.
+func TestReusedConnectionsWouldRunTwice(t *testing.T) {
+	for _, tc := range []struct {
+		reuse bool
+		ran   int
+	}{{true, 2}, {false, 1}} {
+		executions := 0
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet {
+				return
+			}
+			executions++
+			panic(http.ErrAbortHandler)
+		}))
+		client := networker.Client(networker.TCP{}, tc.reuse)
+		warm, err := client.Get(srv.URL)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		warm.Body.Close()
+		req, err := http.NewRequest(http.MethodPost, srv.URL, nil)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		req.Header.Set("Idempotency-Key", "k")
+		_, err = client.Do(req)
+		quicktest.Check(t, err, quicktest.IsNotNil)
+		quicktest.Check(t, executions, quicktest.Equals, tc.ran, quicktest.Commentf("reuse %t", tc.reuse))
+		srv.Close()
+	}
+}
--- /dev/null
+++ b/internal/reporter/reporter_test.go
@@ -0,0 +1,57 @@
+package reporter_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/accounter"
+	"github.com/coltsfootscale/coltsfootscale/internal/imitator"
+	"github.com/coltsfootscale/coltsfootscale/internal/provider"
+	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+func usage(requests int64) *recorder.Record {
+	d := &recorder.UsageDelta{Origin: "o", Teams: []*recorder.TeamUsage{{Team: "t", Requests: requests}}}
+	return &recorder.Record{Body: &recorder.Record_UsageDelta{UsageDelta: d}}
+}
+
+// report hands in the figures of window 0 and returns the platform's count of wrong reports.
+func report(platform *imitator.Platform, teams []*recorder.TeamUsage) int {
+	r := provider.Report{Fence: 1}
+	for _, u := range teams {
+		r.Teams = append(r.Teams, provider.TeamFigures{Team: u.Team, Requests: u.Requests})
+	}
+	data, _ := json.Marshal(r)
+	platform.Handler().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/reports", bytes.NewReader(data)))
+	return platform.Verdict().WrongReports
+}
+
+// TestTwoReportersSendTheSameFigures lets two processes that have read differently far report one window:
+// from what each has folded so far, and from what the close record fixed.
+func TestTwoReportersSendTheSameFigures(t *testing.T) {
+	records := []*recorder.Record{
+		usage(3), usage(5),
+		{Body: &recorder.Record_WindowClose{WindowClose: &recorder.WindowClose{Window: 0}}},
+		usage(9),
+	}
+	fold := func(n int) *accounter.Fold {
+		f := &accounter.Fold{}
+		for i, r := range records[:n] {
+			f.Apply(identifier.Offset(i), r)
+		}
+		return f
+	}
+	open := &imitator.Platform{}
+	report(open, fold(1).Totals())
+	quicktest.Check(t, report(open, fold(2).Totals()), quicktest.Equals, 1, quicktest.Commentf("without a close record"))
+
+	closed := &imitator.Platform{}
+	report(closed, fold(3).Closed(0).Teams)
+	quicktest.Check(t, report(closed, fold(4).Closed(0).Teams), quicktest.Equals, 0)
+}
--- a/internal/runner/leaving_test.go
+++ b/internal/runner/leaving_test.go
@@ -120,6 +120,11 @@
 	inBubble(t, func(t *testing.T, s *site) {
 		s.up("entry-a", "entry-b")
 		s.grant("entry-a", "k", "tabline", "secret")
+		listed := s.stream("entry-a", 20, 10)
+		for range 20 {
+			<-listed
+		}
+		quicktest.Check(t, s.engines["engine-a"].Verdict().Started > 0, quicktest.IsTrue, quicktest.Commentf("until it is listed it gets work"))
 		s.platform.SetInstances([]provider.Instance{{ID: "entry-a"}, {ID: "entry-b"}, {ID: "engine-a", Leaving: true}, {ID: "engine-b"}, {ID: "engine-c"}})
 		time.Sleep(3 * time.Second)
 		before := s.engines["engine-a"].Verdict().Started
--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -27,6 +27,15 @@
 equals() { [ "$1" = "$2" ] || { echo "  got $1, want $2"; return 1; }; }
 no_cuts() { ! grep -q Cut "$1" || { cat "$1"; return 1; }; }
 load() { colt load $ENTRIES --KeyFile "$RUN/team.key" --Model menu-7b --Requests "$1" --Concurrency 16 --OutputTokens 40 --Timeout 90s >"$2" 2>/dev/null; }
+eventually() { # eventually COMMAND... tries for a minute
+  local tries=0
+  while [ "$tries" -lt 300 ]; do
+    "$@" && return 0
+    sleep 0.2
+    tries=$((tries + 1))
+  done
+  return 1
+}
 PLATFORM=http://127.0.0.1:18001
 
 start_site || exit 1
@@ -67,8 +76,8 @@
 HOLDER=$(colt status --Entry http://127.0.0.1:18101 $OPERATOR | sed -n 's/^lease held by \(entry-.\).*/\1/p')
 BEFORE=$(field $PLATFORM Reports)
 if [ -n "$HOLDER" ]; then signal "$HOLDER" KILL; fi
-sleep 16
-check "windows are reported after the holder was killed" test "$(field $PLATFORM Reports)" -gt "$BEFORE"
+more_reports() { [ "$(field $PLATFORM Reports)" -gt "$BEFORE" ]; }
+check "windows are reported after the holder was killed" eventually more_reports
 start_entry "${HOLDER#entry-}"
 check "the killed entry joined again" wait_members 3
 
