--- a/internal/evaluator/capacity_test.go
+++ b/internal/evaluator/capacity_test.go
@@ -119,6 +119,9 @@
 		measure("Journal in memory, by keys", "KB", 200000, []int{12500, 25000, 50000, 100000}, journalMemory),
 		measure("Apply a usage delta, by teams in it", "us", 2500, teams, usageCost),
 		measure("Bytes of a usage delta, by teams", "bytes", 2500, teams, func(n int) float64 { return float64(proto.Size(deltaOf("o", n))) }),
+		measure("Exchange heartbeats, by peers", "us", 389, []int{2, 4, 8, 16, 32}, exchangeCost),
+		measure("Read a page of the log, by records", "us", 1000, []int{10, 50, 100, 500, 1000}, tailCost),
+		measure("Bytes of a journal record", "bytes", 200000, []int{12500, 25000, 50000, 100000}, func(n int) float64 { return float64(proto.Size(dispatchOf(n))) }),
 		measure("Usage in memory, by origins of 50 teams", "KB", 390, instances, usageMemory),
 	} {
 		t.Log(s)
--- a/internal/runner/configuration_test.go
+++ b/internal/runner/configuration_test.go
@@ -124,3 +124,31 @@
 		quicktest.Check(t, counts, quicktest.DeepEquals, map[int]int{http.StatusOK: 1, http.StatusConflict: 2})
 	})
 }
+
+func TestWithdrawalReachesAnEntryThatIsPartlyCutOff(t *testing.T) {
+	for name, cuts := range map[string][]string{
+		"from the log":   {"platform"},
+		"from its peers": {"entry-a", "entry-b"},
+		"from one peer":  {"entry-a"},
+	} {
+		inBubble(t, func(t *testing.T, s *site) {
+			c := quicktest.New(t)
+			s.up("entry-a", "entry-b", "entry-c")
+			s.grant("entry-a", "k", "tabline", "secret")
+			for _, other := range cuts {
+				s.network.Cut("entry-c", other)
+			}
+			time.Sleep(10 * time.Second)
+			status, _, _ := s.ask("entry-c", "secret", prompt("x", 1, true))
+			c.Check(status, quicktest.Equals, http.StatusOK, quicktest.Commentf("%s: it goes on serving", name))
+			began := time.Now()
+			status, body := s.withdraw("entry-a", "k")
+			c.Assert(status, quicktest.Equals, http.StatusOK, quicktest.Commentf("%s: %s", name, body))
+			c.Check(time.Since(began) <= 4*time.Second, quicktest.IsTrue, quicktest.Commentf("%s: %s", name, time.Since(began)))
+			// An entry that none of its peers hears for 10 s is evicted, and then refuses everybody.
+			status, text, _ := s.ask("entry-c", "secret", prompt("x", 1, true))
+			c.Check(status == http.StatusUnauthorized || status == http.StatusServiceUnavailable, quicktest.IsTrue, quicktest.Commentf("%s: %d", name, status))
+			c.Check(text, quicktest.Contains, `"Run":"NotRun"`)
+		})
+	}
+}
--- a/internal/runner/soak_test.go
+++ b/internal/runner/soak_test.go
@@ -72,6 +72,7 @@
 func (k *soak) run() {
 	k.inventory = strings.ReplaceAll(inventoryText, "Model = menu-7b\n", "Model = menu-7b\nPrefillTokensPerSecond = 20\nDecodeTokensPerSecond = 1\n")
 	k.rules = rulesText + soakRules
+	k.platform.ReportTimeout = 30 * time.Second
 	k.platform.Retention = 600
 	k.platform.Pool = pool()
 	k.up(soakEntries...)
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -9,8 +9,8 @@
 ENTRY="--Entry http://127.0.0.1:18101"
 ENGINE="--Entry http://127.0.0.1:18301"
 colt() { "$BIN/coltsfootscale" "$@"; }
-load() { # load TARGET STREAMS OUTPUT
-  colt load $1 --KeyFile "$RUN/team.key" --Model menu-7b --Requests $(($2 * 4)) --Concurrency "$2" --OutputTokens "$3" --PromptTokens 100 --Swing 0s --Timeout 120s 2>/dev/null
+load() { # load TARGET STREAMS OUTPUT [REQUESTS-PER-STREAM]
+  colt load $1 --KeyFile "$RUN/team.key" --Model menu-7b --Requests $(($2 * ${4:-4})) --Concurrency "$2" --OutputTokens "$3" --PromptTokens 100 --Swing 0s --Timeout 120s 2>/dev/null
 }
 ticks() { awk '{print $14 + $15}' "/proc/$(cat "$RUN/entry-a.pid")/stat"; }
 resident() { awk '/VmRSS/ {print $2}' "/proc/$(cat "$RUN/entry-a.pid")/status"; }
@@ -37,9 +37,11 @@
 
 echo "== memory of the entry"
 echo "$(resident) KB with no stream"
-load "$ENTRY" 800 400 >"$RUN/many.out" &
-MANY=$!
-sleep 3
-echo "$(resident) KB with 800 streams open"
-wait "$MANY"
+for streams in 100 200 400 800; do
+  load "$ENTRY" "$streams" 400 1 >"$RUN/many.out" &
+  MANY=$!
+  sleep 3
+  echo "$(resident) KB with $streams streams open"
+  wait "$MANY"
+done
 tail -n 1 "$RUN/many.out"
