Let only a holder that hears a majority evict members, and evicted ones wait

Three causes, one after the other: - A cut-off lease holder evicted the others one by one, on acknowledgements that it had heard long before, until no majority was left. It must hear a majority now. - A member that the holder alone did not hear was evicted and joined again once a second, and each eviction made every change wait anew. Members now tell whom they hear, a join counts as heard, and an evicted entry waits for 20 s. - A removal in the middle of a change made it wait the bound twice (5.9 s). The bound after the majority was seen covers removed members as well; the rule says why. Ruled out: heartbeats and the log (both on time in the trace).

--- a/internal/freshener/rule.go
+++ b/internal/freshener/rule.go
@@ -9,8 +9,9 @@
 
 // The two rules of this file fit together.
 //
-// A change counts as accepted only when a majority of the members has acknowledged it and every other
-// member has either acknowledged it or had the whole bound pass since the majority was seen.
+// A change counts as accepted only when a majority of the members has acknowledged it and, unless all
+// have and none was removed lately, the whole bound has passed since the majority was seen. A member
+// that was removed may go on for as long as the bound, and nobody asks it for an acknowledgement.
 //
 // An instance serves until the bound has passed since it knew that its configuration was whole:
 // by a read of the log, by a peer at the same offset that had read the log, or, where nobody reaches
@@ -97,10 +98,10 @@
 		a.majority = now
 	}
 	wait := a.Bound + a.Margin
-	if holding == len(members) {
-		return now.Sub(removed) >= wait
+	if holding == len(members) && now.Sub(removed) >= wait {
+		return true
 	}
-	return now.Sub(a.majority) >= wait && now.Sub(removed) >= wait
+	return now.Sub(a.majority) >= wait
 }
 
 func countHolding(offset identifier.Offset, members []Member) int {
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -186,6 +186,19 @@
 	return list
 }
 
+// Hears returns the instances whose heartbeats were heard within the given age.
+func (o *Observer) Hears(age time.Duration) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var list []string
+	for id, h := range o.heard {
+		if time.Since(h.sentAt) <= age {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
 // Silent returns how long nothing was heard of an incarnation, or false where it never was.
 func (o *Observer) Silent(instance, incarnation string) (time.Duration, bool) {
 	o.mu.Lock()
--- a/internal/runner/constants.go
+++ b/internal/runner/constants.go
@@ -29,6 +29,7 @@
 	goneAfter          = 30 * time.Second
 	evictAfter         = 10 * time.Second
 	evictInterval      = time.Second
+	rejoinAfter        = 20 * time.Second
 	dutyInterval       = 250 * time.Millisecond
 	dutyTimeout        = 2 * time.Second
 	checkpointInterval = 10 * time.Second
--- a/internal/runner/membership.go
+++ b/internal/runner/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -29,6 +30,7 @@
 		FreshAgeMilliseconds: age.Milliseconds() + 1,
 		Voting:               e.config.ReadSelf(),
 		Leaving:              e.leaving.Load(),
+		Hears:                e.observer.Hears(addressSilence),
 	}
 	for subject, rate := range e.meter.Rates() {
 		beat.Rates = append(beat.Rates, &messenger.TeamRate{
@@ -59,10 +61,17 @@
 	return now.Before(freshener.ServeUntil(now, bound, v))
 }
 
-// runMembership joins, and joins again after an eviction.
+// runMembership joins, and joins again some time after an eviction. Without that time an entry that the
+// lease holder does not hear would come and go with each look of the holder, and no change would settle.
 func (e *Entry) runMembership(ctx context.Context) {
+	var memberAt time.Time
 	every(ctx, joinRetry, func(ctx context.Context) {
-		if e.leaving.Load() || e.joined() || !e.config.ReadSelf() {
+		if e.joined() {
+			memberAt = time.Now()
+			return
+		}
+		evicted := !memberAt.IsZero() && time.Since(memberAt) < rejoinAfter
+		if evicted || e.leaving.Load() || !e.config.ReadSelf() {
 			return
 		}
 		if err := e.admin.Join(ctx, e.member); err != nil {
@@ -110,15 +119,18 @@
 	return gone
 }
 
-// runEvictions removes members that fell silent, while this instance holds the lease.
+// runEvictions removes members that neither this instance nor those that it hears have heard for long,
+// while this instance holds the lease.
 func (e *Entry) runEvictions(ctx context.Context) {
-	firstSeen := map[string]time.Time{}
+	lastSeen := map[string]time.Time{}
 	every(ctx, evictInterval, func(ctx context.Context) {
-		if _, _, err := e.holder.Authority(); err != nil {
+		members := e.view.Load().State.GetMembers()
+		e.noteHeard(members, lastSeen)
+		if _, _, err := e.holder.Authority(); err != nil || !e.hearsMajority() {
 			return
 		}
-		for id, m := range e.view.Load().State.GetMembers() {
-			if id != e.member.Instance && e.silent(m, firstSeen) > evictAfter {
+		for id, m := range members {
+			if id != e.member.Instance && time.Since(lastSeen[id]) > evictAfter {
 				err := e.admin.Evict(ctx, id, m.Incarnation)
 				e.logger.Info("Evict", zap.String("Instance", id), zap.Error(err))
 				return
@@ -127,14 +139,36 @@
 	})
 }
 
-func (e *Entry) silent(m *recorder.Member, firstSeen map[string]time.Time) time.Duration {
-	if d, ok := e.observer.Silent(m.Instance, m.Incarnation); ok {
-		return d
+// hearsMajority reports whether this instance hears a majority of the members now. One that is cut off
+// must not evict the others.
+func (e *Entry) hearsMajority() bool {
+	members := e.observer.View()
+	heard := 0
+	for _, m := range members {
+		if m.Self || m.Gone || time.Since(m.SentAt) <= addressSilence {
+			heard++
+		}
 	}
-	if firstSeen[m.Incarnation].IsZero() {
-		firstSeen[m.Incarnation] = time.Now()
+	return heard >= len(members)/2+1
+}
+
+// noteHeard follows when each member was last heard here or by a member that is heard here; one that has
+// just joined counts as heard.
+func (e *Entry) noteHeard(members map[string]*recorder.Member, lastSeen map[string]time.Time) {
+	now := time.Now()
+	heard := map[string]bool{}
+	for _, beat := range e.observer.Beats(addressSilence) {
+		heard[beat.Instance] = true
+		for _, id := range beat.Hears {
+			heard[id] = true
+		}
+	}
+	for id := range members {
+		if heard[id] || lastSeen[id].IsZero() {
+			lastSeen[id] = now
+		}
 	}
-	return time.Since(firstSeen[m.Incarnation])
+	maps.DeleteFunc(lastSeen, func(id string, _ time.Time) bool { return members[id] == nil })
 }
 
 // addresses ranks the entries that take callers: those of the caller's availability zone first.
