Identify the caller again after the body has come in

Cause, found while reading: a key was checked before a body that may take 10 s, so a request could begin with a key that had stopped working everywhere seconds before. The test withdraws the key in the middle of a body: 200 before, 401 after. Chat and service share the steps up to the body now.

--- a/internal/relayer/chat.go
+++ b/internal/relayer/chat.go
@@ -46,12 +46,8 @@
 
 // Chat serves a chat-completions request.
 func (s *Relayer) Chat(w http.ResponseWriter, r *http.Request) {
-	c, refusal := s.begin(w, r, false)
-	if refusal != nil {
-		s.refuse(c, refusal)
-		return
-	}
-	body, refusal := s.readBody(w, r)
+	c := s.newCall(w, r)
+	body, refusal := s.receive(c, false, func(*call) *answerer.Refusal { return nil })
 	if refusal != nil {
 		s.refuse(c, refusal)
 		return
--- a/internal/relayer/intake_test.go
+++ b/internal/relayer/intake_test.go
@@ -3,15 +3,19 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/answerer"
+	"github.com/coltsfootscale/coltsfootscale/internal/configurator"
+	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
 )
 
 // send writes raw bytes to a relayer's server, closes its side if told to, and returns the answer.
@@ -51,3 +55,27 @@
 		})
 	}
 }
+
+func TestKeyWithdrawnWhileTheBodyComesIn(t *testing.T) {
+	r := newRelayer()
+	granted := r.View()
+	var withdrawn atomic.Bool
+	r.View = func() *configurator.View {
+		if withdrawn.Load() {
+			return configurator.NewView(&recorder.ConfigState{Inventory: granted.State.Inventory})
+		}
+		return granted
+	}
+	body, write := io.Pipe()
+	req := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", body)
+	req.Header.Set("Authorization", "Bearer secret")
+	go func() {
+		fmt.Fprint(write, `{"model":"m",`)
+		withdrawn.Store(true)
+		fmt.Fprint(write, `"messages":[{"role":"user","content":"x"}]}`)
+		write.Close()
+	}()
+	w := httptest.NewRecorder()
+	r.Chat(w, req)
+	quicktest.Check(t, w.Code, quicktest.Equals, http.StatusUnauthorized)
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -64,33 +64,52 @@
 	logger *zap.Logger
 }
 
-// begin identifies the caller, or returns why it is refused; routes open to all need no key.
-func (s *Relayer) begin(w http.ResponseWriter, r *http.Request, open bool) (*call, *answerer.Refusal) {
+// newCall names a request and gives it a logger.
+func (s *Relayer) newCall(w http.ResponseWriter, r *http.Request) *call {
+	id := identifier.RequestID(uuid.NewString())
+	w.Header().Set("X-Request-Id", string(id))
+	return &call{id: id, w: w, r: r, logger: s.Logger.With(zap.String("RequestID", string(id)))}
+}
+
+// receive identifies the caller and reads the body, or returns why the request is refused. The caller is
+// identified again after the body, because the key may have been withdrawn while it came in.
+func (s *Relayer) receive(c *call, open bool, check func(*call) *answerer.Refusal) ([]byte, *answerer.Refusal) {
+	if refusal := s.identify(c, open); refusal != nil {
+		return nil, refusal
+	}
+	c.logger = c.logger.With(zap.String("Team", string(c.team)))
+	if refusal := check(c); refusal != nil {
+		return nil, refusal
+	}
+	body, refusal := s.readBody(c.w, c.r)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return body, s.identify(c, open)
+}
+
+// identify finds the team whose key came with the request; routes open to all need no key.
+func (s *Relayer) identify(c *call, open bool) *answerer.Refusal {
 	// The view is taken after the check, so that it is at least as new as the check needs.
 	serving := s.Serving()
-	c := &call{id: identifier.RequestID(uuid.NewString()), view: s.View(), w: w, r: r}
-	w.Header().Set("X-Request-Id", string(c.id))
-	c.logger = s.Logger.With(zap.String("RequestID", string(c.id)))
+	c.view = s.View()
 	if !serving {
-		return c, &answerer.Refusal{
+		return &answerer.Refusal{
 			Status: http.StatusServiceUnavailable, Code: answerer.CodeNotServing, Run: answerer.NotRun,
 			Message: "this instance cannot tell whether its configuration is current", Return: shortReturn,
 		}
 	}
 	if open {
-		return c, nil
+		return nil
 	}
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	key, ok := strings.CutPrefix(c.r.Header.Get("Authorization"), "Bearer ")
 	if !ok || key == "" {
-		return c, unauthorized("the Authorization header holds no bearer key")
+		return unauthorized("the Authorization header holds no bearer key")
 	}
-	team, ok := c.view.Team(identifier.HashKey(key))
-	if !ok {
-		return c, unauthorized("the key is not granted")
+	if c.team, ok = c.view.Team(identifier.HashKey(key)); !ok {
+		return unauthorized("the key is not granted")
 	}
-	c.team = team
-	c.logger = c.logger.With(zap.String("Team", string(team)))
-	return c, nil
+	return nil
 }
 
 func unauthorized(message string) *answerer.Refusal {
--- a/internal/relayer/service.go
+++ b/internal/relayer/service.go
@@ -43,15 +43,8 @@
 // Service serves a call to a plain service.
 func (s *Relayer) Service(w http.ResponseWriter, r *http.Request) {
 	route := s.View().Route(r.URL.Path)
-	c, refusal := s.begin(w, r, route.GetOpen())
-	if refusal == nil {
-		refusal = checkRoute(route, c)
-	}
-	if refusal != nil {
-		s.refuse(c, refusal)
-		return
-	}
-	body, refusal := s.readBody(w, r)
+	c := s.newCall(w, r)
+	body, refusal := s.receive(c, route.GetOpen(), func(c *call) *answerer.Refusal { return checkRoute(route, c) })
 	if refusal != nil {
 		s.refuse(c, refusal)
 		return
