Serve cached addresses until they expire, also after a signal

Cause, found while reading: SIGTERM reached the application twice, by its own handler and by the end of the process's context. The second stop found the entry leaving already and closed the listener at once, while callers still had its address cached. Ruled out: the address lifetime, which the first stop waited for. Before: a second after SIGTERM a real entry refused connections; after: it serves. make failures checks it. Callers of the demo were not cut, because they go on to the next address when a connection is refused.

--- a/internal/runner/core.go
+++ b/internal/runner/core.go
@@ -82,6 +82,7 @@
 	view        atomic.Pointer[configurator.View]
 	removed     atomic.Int64
 	leaving     atomic.Bool
+	leaveOnce   sync.Once
 	peers       *exchanger.Client
 	observer    *observer.Observer
 	admin       *administrator.Administrator
@@ -276,7 +277,11 @@
 		kratos.Signal(syscall.SIGTERM, os.Interrupt),
 		kratos.StopTimeout(e.settings.Timing.Stop),
 		kratos.Logger(kratosLogger{e.logger}),
-		kratos.BeforeStop(func(context.Context) error { return e.leave(kill, yield) }),
+		kratos.BeforeStop(func(context.Context) error {
+			// A signal and the end of stop may both come here; the later one waits for the earlier.
+			e.leaveOnce.Do(func() { e.leave(kill, yield) })
+			return nil
+		}),
 	)
 	stopped := context.AfterFunc(stop, func() { app.Stop() })
 	defer stopped()
@@ -299,10 +304,8 @@
 }
 
 // leave yields the lease, announces the departure and waits until no caller has this address cached.
-func (e *Entry) leave(ctx context.Context, yield func()) error {
-	if e.leaving.Swap(true) {
-		return nil
-	}
+func (e *Entry) leave(ctx context.Context, yield func()) {
+	e.leaving.Store(true)
 	e.logger.Info("leaving")
 	yield()
 	announce, cancel := context.WithTimeout(ctx, leaveTimeout)
@@ -311,7 +314,6 @@
 		e.logger.Info("leave not announced in the log", zap.Error(err))
 	}
 	sleep(ctx, e.settings.Timing.AddressLifetime+4*e.settings.Timing.Heartbeat)
-	return nil
 }
 
 // depart removes this instance from the membership.
--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -48,6 +48,8 @@
 sleep 1
 signal entry-c TERM
 signal engine-b TERM
+sleep 1
+check "a leaving entry still takes callers that have its address cached" "$BIN/standin" get http://127.0.0.1:18103/healthz
 wait "$LOAD"
 check "planned stops cut nothing" no_cuts "$RUN/load1.out"
 check "the stopped entry ended by itself" finished entry-c
