Find a log line's request without decoding the line; count answers and retries

Each log line of a request was decoded as JSON to keep it for explain. A conflict no longer says so twice.

--- a/internal/configurator/fold.go
+++ b/internal/configurator/fold.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -170,7 +171,7 @@
 func (f *Fold) note(offset identifier.Offset, recordID string, err error) {
 	v := &recorder.Verdict{RecordID: recordID, Offset: uint64(offset), Accepted: err == nil}
 	if err != nil {
-		v.Reason = err.Error()
+		v.Reason = strings.TrimPrefix(err.Error(), ErrConflict.Error()+": ")
 	}
 	f.state.Verdicts = append(f.state.Verdicts, v)
 	if over := len(f.state.Verdicts) - verdictLimit; over > 0 {
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -1,7 +1,7 @@
 package explainer
 
 import (
-	"encoding/json"
+	"bytes"
 	"io"
 	"slices"
 
@@ -32,16 +32,25 @@
 
 // Write keeps one JSON log line under its request and writes it on.
 func (e *Explainer) Write(line []byte) (int, error) {
-	var fields struct{ RequestID identifier.RequestID }
-	if json.Unmarshal(line, &fields) == nil && fields.RequestID != "" {
-		kept, _ := e.lines.Get(fields.RequestID)
+	if id := requestID(line); id != "" {
+		kept, _ := e.lines.Get(id)
 		if len(kept) < keptLinesRequest {
-			e.lines.Add(fields.RequestID, append(slices.Clone(kept), string(line)))
+			e.lines.Add(id, append(slices.Clone(kept), string(line)))
 		}
 	}
 	return e.out.Write(line)
 }
 
+// requestID finds the request's id without decoding the whole line.
+func requestID(line []byte) identifier.RequestID {
+	_, rest, found := bytes.Cut(line, []byte(`"RequestID":"`))
+	if !found {
+		return ""
+	}
+	id, _, _ := bytes.Cut(rest, []byte(`"`))
+	return identifier.RequestID(id)
+}
+
 // Sync does nothing, because lines are written at once.
 func (e *Explainer) Sync() error { return nil }
 
--- a/internal/relayer/chat.go
+++ b/internal/relayer/chat.go
@@ -117,6 +117,7 @@
 			return
 		}
 		h.tried[plan.Answer.ID] = true
+		s.Metrics.Counter("Retries").Inc(1)
 		h.logger.Info("Retry", zap.String("Target", string(plan.Answer.ID)), zap.Int64("Delivered", h.delivered), zap.Error(err))
 		if refusal := s.mayRetry(h, attempt); refusal != nil {
 			s.giveUp(h, refusal)
@@ -260,6 +261,8 @@
 		h.w.Header().Set("Content-Type", "application/json")
 		json.NewEncoder(h.w).Encode(chatter.NewCompletion(string(h.id), h.request.Model, h.text.String(), int64(h.prompt), h.delivered))
 	}
+	s.Metrics.Counter("Answers").Inc(1)
+	s.Metrics.Counter("OutputTokens").Inc(h.delivered)
 	s.Metrics.Timer("AnswerTime").Record(time.Since(h.began))
 	h.logger.Info("Finish", zap.Int64("OutputTokens", h.delivered), zap.Duration("Took", time.Since(h.began)))
 }
