--- a/internal/placer/roles.go
+++ b/internal/placer/roles.go
@@ -19,7 +19,7 @@
 // the prompts fit into that part of all engines, nothing is changed, because a change costs seconds.
 // Beyond that, so many engines are set apart for prompts that the rest fits again; for all prompts, where
 // answers fill the batches so far that any prompt beside them makes tokens late. The number follows the
-// demand only when it is off by most of an engine, in the shorter and in the longer window.
+// demand only when it is off by more than one engine, in the shorter and in the longer window.
 
 const (
 	// mixedPart is the part of a mixed engine that prompts may take up.
@@ -28,12 +28,16 @@
 	prefillPart = 0.85
 	// answerPart is the part of an answering engine that may be in use.
 	answerPart = 0.80
-	// servedPart is the part of all engines that can be in use together; splitAbove and joinBelow are the parts of all engines that prompts take up.
-	servedPart    = 0.85
-	splitAbove    = 0.40
-	joinBelow     = 0.20
-	answersHigh   = 0.60
-	answersLow    = 0.50
+	// servedPart is the part of all engines that can be in use together.
+	servedPart = 0.85
+	// splitAbove is the part of all engines that prompts take up when the first is set apart, and joinBelow
+	// the one when the last is given back.
+	splitAbove = 0.40
+	joinBelow  = 0.20
+	// answersHigh and answersLow are the same for answers.
+	answersHigh = 0.60
+	answersLow  = 0.50
+	// tolerance is the number of engines by which the split may be off.
 	tolerance     = 1.6
 	settleTime    = 3 * time.Second
 	changesAtOnce = 4
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -54,9 +54,7 @@
 	if id := resp.Header.Get(chatter.RequestIDHeader); id != string(h.id) {
 		return fmt.Errorf("%w: it is for request %q", ErrWrongAnswer, id)
 	}
-	h.firstToken = func() { s.Tracker.FirstToken(plan.Answer) }
-	h.plan = plan
-	h.lastToken = time.Time{}
+	h.attempted = attempted{plan: plan}
 	return s.relay(h, chatter.NewEventReader(resp.Body), alive)
 }
 
@@ -96,11 +94,7 @@
 	}
 	asserter.That(event.Number == h.delivered+1, asserter.TokensInOrder, "token %d after %d", event.Number, h.delivered)
 	h.delivered = event.Number
-	h.countToken(time.Now())
-	if h.firstToken != nil {
-		h.firstToken()
-		h.firstToken = nil
-	}
+	s.countToken(h, time.Now())
 	if !h.request.Stream {
 		var chunk chatter.Completion
 		if err := json.Unmarshal(event.Data, &chunk); err != nil || len(chunk.Choices) == 0 || chunk.Choices[0].Delta == nil {
@@ -114,11 +108,13 @@
 	return forward(h, event)
 }
 
-// countToken notes whether a token came later after the one before than promised.
-func (h *chat) countToken(now time.Time) {
-	promised := time.Duration(h.view.Promise().GetBetweenTokensMilliseconds()) * time.Millisecond
-	if !h.lastToken.IsZero() {
+// countToken observes the attempt's first token, and whether a later one came later than promised.
+func (s *Relayer) countToken(h *chat, now time.Time) {
+	if h.lastToken.IsZero() {
+		s.Tracker.FirstToken(h.plan.Answer)
+	} else {
 		h.tokens++
+		promised := time.Duration(h.view.Promise().GetBetweenTokensMilliseconds()) * time.Millisecond
 		if promised > 0 && now.Sub(h.lastToken) > promised {
 			h.late++
 		}
--- a/internal/relayer/chat.go
+++ b/internal/relayer/chat.go
@@ -36,12 +36,15 @@
 	countedAt time.Time
 	tried     map[identifier.TargetID]bool
 	began     time.Time
-	// firstToken is called with the first token of an attempt.
-	firstToken func()
-	plan       tracker.Plan
-	late       int64
-	tokens     int64
-	lastToken  time.Time
+	attempted
+}
+
+// attempted is what is observed of the attempt under way.
+type attempted struct {
+	plan      tracker.Plan
+	lastToken time.Time
+	tokens    int64
+	late      int64
 }
 
 // Chat serves a chat-completions request.
--- a/internal/tailer/bootstrap.go
+++ b/internal/tailer/bootstrap.go
@@ -22,11 +22,7 @@
 	var all []*recorder.Record
 	offset := page.Offset
 	for {
-		records, err := decode(page)
-		if err != nil {
-			return err
-		}
-		all = append(all, records...)
+		all = append(all, decode(page)...)
 		next := offset + identifier.Offset(len(all))
 		if next >= page.End {
 			break
--- a/internal/tailer/tailer.go
+++ b/internal/tailer/tailer.go
@@ -271,7 +271,8 @@
 	if err != nil {
 		return err
 	}
-	return t.apply(page, started)
+	t.apply(page, started)
+	return nil
 }
 
 func (t *Tailer) read(ctx context.Context, from identifier.Offset, wait time.Duration) (provider.Page, time.Time, error) {
@@ -282,11 +283,8 @@
 	return page, started, err
 }
 
-func (t *Tailer) apply(page provider.Page, started time.Time) error {
-	records, err := decode(page)
-	if err != nil {
-		return err
-	}
+func (t *Tailer) apply(page provider.Page, started time.Time) {
+	records := decode(page)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i, r := range records {
@@ -296,7 +294,6 @@
 	if len(records) > 0 {
 		t.signal()
 	}
-	return nil
 }
 
 func (t *Tailer) applyOne(offset identifier.Offset, r *recorder.Record) {
@@ -348,16 +345,16 @@
 	return t.changed
 }
 
-func decode(page provider.Page) ([]*recorder.Record, error) {
+// decode returns a page's records; one that cannot be decoded is void at every reader alike.
+func decode(page provider.Page) []*recorder.Record {
 	records := make([]*recorder.Record, len(page.Records))
 	for i, data := range page.Records {
 		records[i] = &recorder.Record{}
 		if err := proto.Unmarshal(data, records[i]); err != nil {
-			// A record that cannot be decoded is void at every reader alike.
 			records[i] = &recorder.Record{}
 		}
 	}
-	return records, nil
+	return records
 }
 
 func awaitReadBack(ctx context.Context, done <-chan struct{}, wait time.Duration) bool {
