Give the random schedules their own generators; set kratos' logger once a process

Found by the race detector: the randomised run drew the seeds of its workers on their own goroutines, so that a seed did not fix the schedule; they are drawn before now. kratos keeps one logger for the process, which each entry set; the command sets it. The program itself showed no race in the randomised run.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PROTOS = internal/recorder/recorder.proto internal/messenger/messenger.proto
 OWN = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build test lint demo soak failures measure bench capacity fuzz proto
+.PHONY: build test lint demo soak failures measure bench capacity fuzz race proto
 
 build:
 	go build -o bin/ ./cmd/...
@@ -46,3 +46,6 @@
 fuzz:
 	@for p in authorizer:FuzzApply configurator:FuzzApply journaler:FuzzApply accounter:FuzzApply chatter:FuzzEventReader chatter:FuzzParseRequest parser:FuzzParse; do \
 		go test ./internal/$${p%%:*} -run xxx -fuzz "^$${p#*:}$$" -fuzztime $(FUZZTIME) || exit 1; done
+
+race:
+	go test -race ./internal/runner ./internal/relayer ./internal/holder ./internal/orderer ./internal/committer ./internal/tailer -timeout 10m
--- a/internal/runner/logger.go
+++ b/internal/commander/logger.go
@@ -1,4 +1,4 @@
-package runner
+package commander
 
 import (
 	"github.com/go-kratos/kratos/v2/log"
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 
+	"github.com/go-kratos/kratos/v2/log"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -39,6 +40,8 @@
 		return err
 	}
 	logger := NewLogger(out, c.Debug).With(zap.String("Instance", string(c.settings.Instance)))
+	// kratos logs by a logger that all of the process shares.
+	log.SetLogger(kratosLogger{logger})
 	entry := runner.New(c.settings, networker.TCP{}, logger, out.Lines)
 	if err := entry.Run(env.Stop, context.Background()); err != nil {
 		return fmt.Errorf("%w: %w", ErrUsage, err)
--- a/internal/runner/core.go
+++ b/internal/runner/core.go
@@ -276,7 +276,6 @@
 		kratos.Server(srv),
 		kratos.Signal(syscall.SIGTERM, os.Interrupt),
 		kratos.StopTimeout(e.settings.Timing.Stop),
-		kratos.Logger(kratosLogger{e.logger}),
 		kratos.BeforeStop(func(context.Context) error {
 			// A signal and the end of stop may both come here; the later one waits for the earlier.
 			e.leaveOnce.Do(func() { e.leave(kill, yield) })
--- a/internal/runner/soak_test.go
+++ b/internal/runner/soak_test.go
@@ -80,13 +80,16 @@
 	quicktest.Assert(k.t, status, quicktest.Equals, http.StatusOK, quicktest.Commentf(body))
 	end := time.Now().Add(soakDuration)
 	for i := range 5 {
-		k.spawn(func() { k.chat(i, end, k.child(100+i)) })
+		r := k.child(100 + i)
+		k.spawn(func() { k.chat(i, end, r) })
 	}
 	for i := range 3 {
-		k.spawn(func() { k.settlements(i, end, k.child(200+i)) })
+		r := k.child(200 + i)
+		k.spawn(func() { k.settlements(i, end, r) })
 	}
-	k.spawn(func() { k.operators(end, k.child(300)) })
-	k.spawn(func() { k.publishers(end, k.child(301)) })
+	operators, publishers := k.child(300), k.child(301)
+	k.spawn(func() { k.operators(end, operators) })
+	k.spawn(func() { k.publishers(end, publishers) })
 	k.injectFaults(end)
 	k.group.Wait()
 	k.judge()
