--- a/internal/relayer/run_test.go
+++ b/internal/relayer/run_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/frankban/quicktest"
@@ -52,9 +53,9 @@
 
 // TestRunIsToldTruly lets a service execute a call and cut the connection, refuse connections, or answer.
 func TestRunIsToldTruly(t *testing.T) {
-	executions := 0
+	var executions atomic.Int64
 	cut := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-		executions++
+		executions.Add(1)
 		panic(http.ErrAbortHandler)
 	}))
 	defer cut.Close()
@@ -64,14 +65,14 @@
 		address string
 		body    string
 		run     answerer.Run
-		ran     int
+		ran     int64
 	}{
 		"executed and cut":               {cut.Listener.Addr().String(), "x", answerer.Unknown, 1},
 		"executed and cut, without body": {cut.Listener.Addr().String(), "", answerer.Unknown, 1},
 		"no connection":                  {gone.Listener.Addr().String(), "x", answerer.NotRun, 0},
 	} {
 		for _, key := range []string{"", "k"} {
-			executions = 0
+			executions.Store(0)
 			r := newServiceRelayer(tc.address)
 			req := httptest.NewRequest(http.MethodPost, "/run", strings.NewReader(tc.body))
 			req.Header.Set("Authorization", "Bearer secret")
@@ -82,7 +83,7 @@
 			r.Service(w, req)
 			c := quicktest.Commentf("%s, key %q: %s", name, key, w.Body)
 			quicktest.Check(t, answerer.Run(w.Header().Get(answerer.RunHeader)), quicktest.Equals, tc.run, c)
-			quicktest.Check(t, executions, quicktest.Equals, tc.ran, c)
+			quicktest.Check(t, executions.Load(), quicktest.Equals, tc.ran, c)
 		}
 	}
 }
@@ -92,14 +93,14 @@
 func TestReusedConnectionsWouldRunTwice(t *testing.T) {
 	for _, tc := range []struct {
 		reuse bool
-		ran   int
+		ran   int64
 	}{{true, 2}, {false, 1}} {
-		executions := 0
+		var executions atomic.Int64
 		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.Method == http.MethodGet {
 				return
 			}
-			executions++
+			executions.Add(1)
 			panic(http.ErrAbortHandler)
 		}))
 		client := networker.Client(networker.TCP{}, tc.reuse)
@@ -111,7 +112,7 @@
 		req.Header.Set("Idempotency-Key", "k")
 		_, err = client.Do(req)
 		quicktest.Check(t, err, quicktest.IsNotNil)
-		quicktest.Check(t, executions, quicktest.Equals, tc.ran, quicktest.Commentf("reuse %t", tc.reuse))
+		quicktest.Check(t, executions.Load(), quicktest.Equals, tc.ran, quicktest.Commentf("reuse %t", tc.reuse))
 		srv.Close()
 	}
 }
