Assert an invariant in the program for each promise; place a lost target order once

NotRun only if nothing went out, only the winner of a dispatch sends, only usable targets are chosen, a lease is held at each send, a planned stop ends with no request under way; the others stood before. A target order whose answer is lost twice, the second time under a new holder, keeps its id: one target of two is taken.

--- a/internal/asserter/asserter.go
+++ b/internal/asserter/asserter.go
@@ -17,6 +17,11 @@
 	KeyStaysHere              Invariant = "KeyStaysHere"
 	SameFiguresPerWindow      Invariant = "SameFiguresPerWindow"
 	OneOpenOrderPerTarget     Invariant = "OneOpenOrderPerTarget"
+	NotRunIsTrue              Invariant = "NotRunIsTrue"
+	WinnerSends               Invariant = "WinnerSends"
+	UsableTargetChosen        Invariant = "UsableTargetChosen"
+	LeaseHeldAtSend           Invariant = "LeaseHeldAtSend"
+	PlannedStopCutsNothing    Invariant = "PlannedStopCutsNothing"
 )
 
 var (
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -61,6 +61,7 @@
 	if held != fence {
 		return fmt.Errorf("%w: fencing number %d was superseded by %d", ErrLost, fence, held)
 	}
+	asserter.That(remaining > 0 && remaining <= h.Lease, asserter.LeaseHeldAtSend, "%s left of %s", remaining, h.Lease)
 	ctx, cancel := context.WithTimeout(ctx, min(timeout, remaining))
 	defer cancel()
 	return send(ctx)
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -1,7 +1,9 @@
 package orderer_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"net/http/httptest"
@@ -165,3 +167,48 @@
 	quicktest.Check(t, f.engine.Verdict().Cut, quicktest.Equals, 0)
 	quicktest.Check(t, o.Open(), quicktest.HasLen, 0)
 }
+
+// forgetful is a platform whose first answers are lost although the orders take effect.
+type forgetful struct {
+	platform *imitator.Platform
+	lose     int
+	ids      map[string]bool
+}
+
+func (p *forgetful) OrderTarget(_ context.Context, order provider.TargetOrder) (provider.GrantedTarget, error) {
+	p.ids[order.OrderID] = true
+	body, _ := json.Marshal(order)
+	w := httptest.NewRecorder()
+	p.platform.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/targets", bytes.NewReader(body)))
+	var granted provider.GrantedTarget
+	json.Unmarshal(w.Body.Bytes(), &granted)
+	if p.lose > 0 {
+		p.lose--
+		return provider.GrantedTarget{}, provider.ErrUnavailable
+	}
+	return granted, nil
+}
+
+func TestTargetOrderWhoseAnswerIsLostIsPlacedOnce(t *testing.T) {
+	f := newFixture(t, true)
+	f.claim(t, "first", 0)
+	pool := []provider.GrantedTarget{{ID: "a", Zone: "z", Model: "m"}, {ID: "b", Zone: "z", Model: "m"}}
+	platform := &forgetful{platform: &imitator.Platform{Pool: pool}, lose: 2, ids: map[string]bool{}}
+	o := f.orderer(t, &authority{fence: 1})
+	o.Platform = platform
+	order := &recorder.Order{Kind: recorder.OrderKind_Acquire, Target: "new/m/z", Zone: "z", Model: "m", ChecksFence: true}
+	quicktest.Check(t, o.Order(context.Background(), order), quicktest.ErrorIs, provider.ErrUnavailable)
+
+	f.claim(t, "second", 1)
+	second := f.orderer(t, &authority{fence: 3})
+	second.Platform = platform
+	err := second.Control.WaitFor(context.Background(), func() bool { return len(second.Fold.Orders()) == 1 && second.Fold.Lease("Fleet").Fence == 3 })
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, second.Resume(context.Background(), second.Open()[0]), quicktest.ErrorIs, provider.ErrUnavailable)
+	quicktest.Check(t, second.Resume(context.Background(), second.Open()[0]), quicktest.IsNil)
+	quicktest.Check(t, second.Open(), quicktest.HasLen, 0)
+	quicktest.Check(t, second.Fold.Acquired(), quicktest.HasLen, 1)
+	quicktest.Check(t, platform.ids, quicktest.HasLen, 1)
+	quicktest.Check(t, platform.platform.Pool, quicktest.HasLen, 1)
+	quicktest.Check(t, platform.platform.Verdict().ConflictingOrders, quicktest.Equals, 0)
+}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -43,6 +43,7 @@
 		}
 	}
 	assertNoKey(req)
+	h.sent.Store(true)
 	resp, err := s.HTTP.Do(req)
 	if err != nil {
 		return err
--- a/internal/relayer/keyed.go
+++ b/internal/relayer/keyed.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/answerer"
+	"github.com/coltsfootscale/coltsfootscale/internal/asserter"
 	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
 	"github.com/coltsfootscale/coltsfootscale/internal/tracker"
 )
@@ -74,6 +75,8 @@
 		}
 		return
 	}
+	winner := s.Journal.Entry(key)
+	asserter.That(winner != nil && winner.DispatchID == dispatchID && winner.Result == nil, asserter.WinnerSends, "key %s", key)
 	answer, err := s.send(v, handle)
 	s.Tracker.Finish(handle, err != nil)
 	if err != nil {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/google/uuid"
 	"github.com/uber-go/tally/v4"
@@ -12,6 +13,7 @@
 
 	"github.com/coltsfootscale/coltsfootscale/internal/accounter"
 	"github.com/coltsfootscale/coltsfootscale/internal/answerer"
+	"github.com/coltsfootscale/coltsfootscale/internal/asserter"
 	"github.com/coltsfootscale/coltsfootscale/internal/configurator"
 	"github.com/coltsfootscale/coltsfootscale/internal/limiter"
 	"github.com/coltsfootscale/coltsfootscale/internal/parser"
@@ -62,6 +64,8 @@
 	w      http.ResponseWriter
 	r      *http.Request
 	logger *zap.Logger
+	// sent is set before any part of the request can reach a target.
+	sent atomic.Bool
 }
 
 // newCall names a request and gives it a logger.
@@ -118,6 +122,7 @@
 
 // refuse writes a final answer and counts it.
 func (s *Relayer) refuse(c *call, refusal *answerer.Refusal) {
+	asserter.That(refusal.Run != answerer.NotRun || !c.sent.Load(), asserter.NotRunIsTrue, "request %s: %s", c.id, refusal.Code)
 	s.Metrics.Tagged(map[string]string{"Code": string(refusal.Code)}).Counter("Refusals").Inc(1)
 	c.logger.Info("Refuse",
 		zap.String("Code", string(refusal.Code)),
--- a/internal/relayer/service.go
+++ b/internal/relayer/service.go
@@ -151,7 +151,10 @@
 // send sends the call on a connection of its own unless it may be repeated; ErrNotSent means that it cannot have run.
 func (s *Relayer) send(v *serviceCall, handle tracker.Handle) (*reply, error) {
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+		connected.Store(true)
+		v.sent.Store(true)
+	}}
 	ctx := httptrace.WithClientTrace(v.ctx, trace)
 	req, err := s.outbound(ctx, v, handle)
 	if err != nil {
--- a/internal/runner/core.go
+++ b/internal/runner/core.go
@@ -83,6 +83,8 @@
 	removed     atomic.Int64
 	leaving     atomic.Bool
 	leaveOnce   sync.Once
+	stopping    atomic.Int64
+	inFlight    atomic.Int64
 	peers       *exchanger.Client
 	observer    *observer.Observer
 	admin       *administrator.Administrator
@@ -278,7 +280,10 @@
 		kratos.StopTimeout(e.settings.Timing.Stop),
 		kratos.BeforeStop(func(context.Context) error {
 			// A signal and the end of stop may both come here; the later one waits for the earlier.
-			e.leaveOnce.Do(func() { e.leave(kill, yield) })
+			e.leaveOnce.Do(func() {
+				e.leave(kill, yield)
+				e.stopping.Store(time.Now().UnixNano())
+			})
 			return nil
 		}),
 	)
@@ -287,6 +292,7 @@
 	killed := context.AfterFunc(kill, func() { srv.Close() })
 	defer killed()
 	err := app.Run()
+	e.assertAllAnswered(kill)
 	srv.Close()
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -294,12 +300,29 @@
 	return err
 }
 
+// assertAllAnswered checks that a planned stop that was not given up ended with no request under way.
+func (e *Entry) assertAllAnswered(kill context.Context) {
+	stopping := time.Since(time.Unix(0, e.stopping.Load()))
+	gaveUp := kill.Err() != nil || stopping >= e.settings.Timing.Stop
+	open := e.inFlight.Load()
+	asserter.That(gaveUp || open == 0, asserter.PlannedStopCutsNothing, "%d requests under way", open)
+}
+
+// countInFlight counts the requests under way.
+func (e *Entry) countInFlight(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.inFlight.Add(1)
+		defer e.inFlight.Add(-1)
+		h.ServeHTTP(w, r)
+	})
+}
+
 func (e *Entry) handler() http.Handler {
 	s := &server.Server{
 		Relayer: e.relayer, Administrator: e.admin, Metrics: e.exporter, OperatorKeyHash: e.settings.OperatorKeyHash,
 		View: e.view.Load, Serving: e.serving, Addresses: e.addresses, Usage: e.usageAnswer, Explain: e.explain, Status: e.status,
 	}
-	return s.Handler()
+	return e.countInFlight(s.Handler())
 }
 
 // leave yields the lease, announces the departure and waits until no caller has this address cached.
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/coltsfootscale/coltsfootscale/internal/asserter"
 	"github.com/coltsfootscale/coltsfootscale/internal/chatter"
 	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
 	"github.com/coltsfootscale/coltsfootscale/internal/router"
@@ -181,6 +182,7 @@
 func (g *group) take(now time.Time, req *router.Request, best router.Score) Handle {
 	tg := g.targets[best.Index]
 	c := &g.candidates[best.Index]
+	asserter.That(c.Usable && !tg.reported.Leaving, asserter.UsableTargetChosen, "target %s", c.ID)
 	h := Handle{ID: c.ID, Address: tg.spec.Address, Zone: c.Zone, Role: c.Role, target: tg}
 	if !req.Computed {
 		h.cost = time.Duration(float64(req.PromptTokens-best.Cached) / max(1, c.PrefillPerSecond) * float64(time.Second))
