Make two tests independent of the order in one instant

Seen in a fresh clone: TestRefusals ended while a server lingered for 500 ms on a connection whose body was refused unread, and virtual time does not go on after the end. The site waits 2 s of virtual time when it closes. Seen once in 42 repetitions: a departure was looked for at another entry in the instant in which the departing one read it back; the test gives it 2 s of virtual time. Ruled out: a departure that failed, since the record was in the log. 60 repetitions of all but the randomised run pass, and 10 of the other packages.

--- a/internal/runner/leaving_test.go
+++ b/internal/runner/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,8 +74,10 @@
 		quicktest.Check(t, (<-answers).whole, quicktest.IsTrue)
 		<-b.done
 		delete(s.entries, "entry-b")
-		_, body = s.operate("entry-a", http.MethodGet, "/status", nil)
-		quicktest.Check(t, body, quicktest.Not(quicktest.Contains), "entry-b:1")
+		s.until(2*time.Second, func() bool {
+			_, status := s.operate("entry-a", http.MethodGet, "/status", nil)
+			return !strings.Contains(status, "entry-b:1")
+		})
 	})
 }
 
--- a/internal/runner/site_test.go
+++ b/internal/runner/site_test.go
@@ -169,6 +169,8 @@
 	for _, srv := range s.servers {
 		srv.Close()
 	}
+	// A server lingers for a moment on a connection whose request it has not read to its end.
+	time.Sleep(2 * time.Second)
 }
 
 // up starts the named entries and waits until all serve a published configuration.
