--- a/internal/runner/usage_test.go
+++ b/internal/runner/usage_test.go
@@ -1,6 +1,11 @@
 package runner_test
 
 import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -68,7 +73,7 @@
 	})
 }
 
-func TestRefusedAndCutRequestsAreCounted(t *testing.T) {
+func TestRefusedRequestsAreCounted(t *testing.T) {
 	inBubble(t, func(t *testing.T, s *site) {
 		s.up("entry-a", "entry-b")
 		s.grant("entry-a", "k", "tabline", "secret")
@@ -83,3 +88,29 @@
 		quicktest.Check(t, sum["tabline"].Requests, quicktest.Equals, int64(0))
 	})
 }
+
+func TestCutRequestIsCountedWithWhatItGot(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		s.up("entry-a", "entry-b")
+		s.grant("entry-a", "k", "tabline", "secret")
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		body, err := json.Marshal(prompt("x", 1000, true))
+		quicktest.Assert(t, err, quicktest.IsNil)
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://entry-a:1/v1/chat/completions", bytes.NewReader(body))
+		quicktest.Assert(t, err, quicktest.IsNil)
+		req.Header.Set("Authorization", "Bearer secret")
+		resp, err := s.http.Do(req)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		got, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		time.Sleep(25 * time.Second)
+		sum, _ := s.reported()
+		tokens := int64(bytes.Count(got, []byte("data: ")))
+		quicktest.Check(t, sum["tabline"].Cut, quicktest.Equals, int64(1))
+		quicktest.Check(t, sum["tabline"].Requests, quicktest.Equals, int64(0))
+		quicktest.Check(t, sum["tabline"].PromptTokens > 0, quicktest.IsTrue)
+		quicktest.Check(t, tokens > 50 && sum["tabline"].OutputTokens >= tokens && sum["tabline"].OutputTokens <= tokens+2, quicktest.IsTrue,
+			quicktest.Commentf("%d tokens received, %d counted", tokens, sum["tabline"].OutputTokens))
+	})
+}
