Send a change to one entry only once it may have run

Cause, found on the last reading: the operators' commands went on to the next entry after any error, also when the first entry had taken the command and only its answer was lost. A publish could then report a conflict with itself. The comment promised otherwise. Ruled out: the log, where a second copy of a change has no effect. Queries still go on.

--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/answerer"
+	"github.com/coltsfootscale/coltsfootscale/pkg/caller"
 )
 
 const maximumAnswerBytes = 64 << 20
@@ -35,6 +36,9 @@
 		resp, err := env.HTTP.Do(req)
 		if err != nil {
 			failed = fmt.Errorf("%w: %s: %w", ErrUnreachable, entry, err)
+			if method != http.MethodGet && !caller.NotSent(err) {
+				return fmt.Errorf("the change may have taken effect, look before you repeat it: %w", failed)
+			}
 			continue
 		}
 		return readAnswer(resp, out)
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -90,7 +90,7 @@
 		}
 		c.Forget()
 		failed = err
-		if !notSent(err) {
+		if !NotSent(err) {
 			return nil, err
 		}
 	}
--- a/pkg/caller/sent.go
+++ b/pkg/caller/sent.go
@@ -5,8 +5,8 @@
 	"net"
 )
 
-// notSent reports whether an error means that no connection came about.
-func notSent(err error) bool {
+// NotSent reports whether an error of a request means that no connection came about, so that nothing was sent.
+func NotSent(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
 }
