--- a/internal/administrator/administrator.go
+++ b/internal/administrator/administrator.go
@@ -11,6 +11,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/configurator"
 	"github.com/coltsfootscale/coltsfootscale/internal/freshener"
 	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/internal/sleeper"
 	"github.com/coltsfootscale/coltsfootscale/internal/tailer"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
@@ -44,7 +45,7 @@
 	started := time.Now()
 	acceptance := freshener.Acceptance{Offset: offset, Bound: a.Freshness, Margin: a.Margin}
 	for !acceptance.InForce(time.Now(), a.Removed(), a.Members()) {
-		if err := pause(ctx); err != nil {
+		if err := sleeper.Sleep(ctx, pollInterval); err != nil {
 			return offset, fmt.Errorf("%w: offset %d", ErrNotInForce, offset)
 		}
 	}
@@ -67,14 +68,3 @@
 	}
 	return verdict, nil
 }
-
-func pause(ctx context.Context) error {
-	timer := time.NewTimer(pollInterval)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -18,6 +18,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/chatter"
 	"github.com/coltsfootscale/coltsfootscale/internal/provider"
 	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/internal/sleeper"
 	"github.com/coltsfootscale/coltsfootscale/internal/tailer"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
@@ -246,12 +247,8 @@
 		if finished || err != nil {
 			return err
 		}
-		timer := time.NewTimer(statePoll)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
+		if err := sleeper.Sleep(ctx, statePoll); err != nil {
+			return err
 		}
 	}
 }
--- a/internal/runner/core.go
+++ b/internal/runner/core.go
@@ -40,6 +40,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/retrier"
 	"github.com/coltsfootscale/coltsfootscale/internal/server"
 	"github.com/coltsfootscale/coltsfootscale/internal/signaler"
+	"github.com/coltsfootscale/coltsfootscale/internal/sleeper"
 	"github.com/coltsfootscale/coltsfootscale/internal/tailer"
 	"github.com/coltsfootscale/coltsfootscale/internal/tracker"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
@@ -335,7 +336,7 @@
 	if err := e.admin.Leave(announce, e.member.Instance, e.member.Incarnation); err != nil {
 		e.logger.Info("leave not announced in the log", zap.Error(err))
 	}
-	sleep(ctx, e.settings.Timing.AddressLifetime+4*e.settings.Timing.Heartbeat)
+	sleeper.Sleep(ctx, e.settings.Timing.AddressLifetime+4*e.settings.Timing.Heartbeat)
 }
 
 // depart removes this instance from the membership.
@@ -350,7 +351,7 @@
 		if _, ok := e.view.Load().State.GetMembers()[e.member.Instance]; !ok {
 			return
 		}
-		sleep(ctx, joinRetry)
+		sleeper.Sleep(ctx, joinRetry)
 	}
 }
 
@@ -370,15 +371,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // every runs f at once and then at each interval until ctx ends.
 func every(ctx context.Context, interval time.Duration, f func(ctx context.Context)) {
 	ticker := time.NewTicker(interval)
--- a/internal/runner/membership.go
+++ b/internal/runner/membership.go
@@ -12,6 +12,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/freshener"
 	"github.com/coltsfootscale/coltsfootscale/internal/messenger"
 	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/internal/sleeper"
 	"github.com/coltsfootscale/coltsfootscale/pkg/caller"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
@@ -76,7 +77,7 @@
 		}
 		if err := e.admin.Join(ctx, e.member); err != nil {
 			e.logger.Debug("join failed", zap.Error(err))
-			sleep(ctx, rand.N(joinRetry))
+			sleeper.Sleep(ctx, rand.N(joinRetry))
 		}
 	})
 }
--- a/internal/runner/usage.go
+++ b/internal/runner/usage.go
@@ -10,6 +10,7 @@
 
 	"github.com/coltsfootscale/coltsfootscale/internal/messenger"
 	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/internal/sleeper"
 )
 
 // runMirror keeps a copy of the usage that the log does not have yet at a peer, in another zone where there is one.
@@ -25,7 +26,7 @@
 		case <-ticker.C:
 		}
 		for ctx.Err() == nil && !e.mirrorOnce(ctx) {
-			sleep(ctx, mirrorRetry)
+			sleeper.Sleep(ctx, mirrorRetry)
 		}
 	}
 }
@@ -122,7 +123,7 @@
 	ctx, cancel := context.WithTimeout(ctx, finalFlushTimeout)
 	defer cancel()
 	for ctx.Err() == nil && !e.appendUsage(ctx) {
-		sleep(ctx, mirrorRetry)
+		sleeper.Sleep(ctx, mirrorRetry)
 	}
 }
 
--- a/internal/tailer/tailer.go
+++ b/internal/tailer/tailer.go
@@ -14,6 +14,7 @@
 
 	"github.com/coltsfootscale/coltsfootscale/internal/provider"
 	"github.com/coltsfootscale/coltsfootscale/internal/recorder"
+	"github.com/coltsfootscale/coltsfootscale/internal/sleeper"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
@@ -77,7 +78,7 @@
 			continue
 		}
 		t.noteFailure(err)
-		sleep(ctx, retry.NextBackOff())
+		sleeper.Sleep(ctx, retry.NextBackOff())
 	}
 }
 
@@ -385,12 +386,3 @@
 	b.MaxInterval = retryMaximum
 	return b
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
