--- /dev/null
+++ b/internal/chooser/book.go
@@ -0,0 +1,268 @@
+package chooser
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+const (
+	// cachePart is the part of a target's memory that is taken to hold prompt parts; running requests need the rest.
+	cachePart = 0.7
+	// defaultCacheTokens stands for targets whose memory is not known.
+	defaultCacheTokens = 300_000
+	// sickHalfLife is how fast failures are forgotten.
+	sickHalfLife = 2 * time.Second
+	// keptSent is how many parts are kept for peers that have not heard of them.
+	keptSent = 256
+	// peerLoadLife is how long a peer's load counts without news of it.
+	peerLoadLife = 3 * time.Second
+)
+
+// Sent is a prompt part that a target has read for this instance; peers are told of it.
+type Sent struct {
+	Target identifier.TargetID
+	Part   Part
+}
+
+// Book keeps what this instance knows of each target; the zero value is ready.
+type Book struct {
+	mu      sync.Mutex
+	targets map[identifier.TargetID]*page
+	// sent holds the last parts that were read for this instance; the last one has the number sentNext-1.
+	sent     []Sent
+	sentNext uint64
+}
+
+type page struct {
+	own     Load
+	peers   map[string]peerLoad
+	parts   map[identifier.PartID]*held
+	tokens  identifier.Tokens
+	sick    float64
+	sickAt  time.Time
+	firstAt time.Time
+	born    time.Time
+}
+
+type peerLoad struct {
+	load Load
+	at   time.Time
+}
+
+type held struct {
+	tokens identifier.Tokens
+	used   time.Time
+}
+
+// Candidates describes targets for a choice; parts may be empty.
+func (b *Book) Candidates(targets []*registrar.Target, parts []Part, now time.Time) []Candidate {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make([]Candidate, 0, len(targets))
+	for _, t := range targets {
+		p := b.page(t.ID, now)
+		if !t.Born.Equal(p.born) {
+			p.parts, p.tokens, p.born = nil, 0, t.Born
+		}
+		list = append(list, Candidate{
+			Target: t, Load: p.load(now), Cached: p.cached(parts), Sick: p.sickness(now), Age: now.Sub(p.firstAt),
+		})
+	}
+	return list
+}
+
+// Begin notes work that this instance sends to a target; the returned function ends it.
+func (b *Book) Begin(id identifier.TargetID, work Load, now time.Time) (end func()) {
+	b.add(id, work, 1, now)
+	var once sync.Once
+	return func() { once.Do(func() { b.add(id, work, -1, now) }) }
+}
+
+func (b *Book) add(id identifier.TargetID, work Load, sign int, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.page(id, now)
+	p.own.PromptTokens += identifier.Tokens(sign) * work.PromptTokens
+	p.own.Answers += sign * work.Answers
+	p.own.AnswerTokens += identifier.Tokens(sign) * work.AnswerTokens
+}
+
+// Read notes that a target holds the parts of a prompt, and remembers to tell peers.
+func (b *Book) Read(id identifier.TargetID, parts []Part, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.page(id, now)
+	for _, part := range parts {
+		p.hold(part, now)
+		b.sent = append(b.sent, Sent{Target: id, Part: part})
+		b.sentNext++
+	}
+	if len(b.sent) > keptSent {
+		b.sent = slices.Clone(b.sent[len(b.sent)-keptSent:])
+	}
+}
+
+// Learn notes what a peer told of a target's parts.
+func (b *Book) Learn(s Sent, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.page(s.Target, now).hold(s.Part, now)
+}
+
+// SentSince returns the parts read from a number on, as far as they are kept, and the number to go on with.
+func (b *Book) SentSince(from uint64) ([]Sent, uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	first := b.sentNext - uint64(len(b.sent))
+	from = min(max(from, first), b.sentNext)
+	return slices.Clone(b.sent[from-first:]), b.sentNext
+}
+
+// Forget drops what a target was thought to hold.
+func (b *Book) Forget(id identifier.TargetID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p := b.targets[id]; p != nil {
+		p.parts, p.tokens = nil, 0
+	}
+}
+
+// Failed counts a failure of a target.
+func (b *Book) Failed(id identifier.TargetID, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.page(id, now)
+	p.sick = p.sickness(now) + 1
+	p.sickAt = now
+}
+
+// Succeeded halves the failures that are held against a target.
+func (b *Book) Succeeded(id identifier.TargetID, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.page(id, now)
+	p.sick = p.sickness(now) / 2
+	p.sickAt = now
+}
+
+// Own returns this instance's load of each target that has any.
+func (b *Book) Own() map[identifier.TargetID]Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	own := map[identifier.TargetID]Load{}
+	for id, p := range b.targets {
+		if p.own != (Load{}) {
+			own[id] = p.own
+		}
+	}
+	return own
+}
+
+// Hear replaces a peer's loads.
+func (b *Book) Hear(peer string, loads map[identifier.TargetID]Load, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.targets {
+		delete(p.peers, peer)
+	}
+	for id, load := range loads {
+		p := b.page(id, now)
+		if p.peers == nil {
+			p.peers = map[string]peerLoad{}
+		}
+		p.peers[peer] = peerLoad{load, now}
+	}
+}
+
+// Retain drops all targets but the given ones, unless this instance has work there.
+func (b *Book) Retain(targets []*registrar.Target) {
+	keep := map[identifier.TargetID]bool{}
+	for _, t := range targets {
+		keep[t.ID] = true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, p := range b.targets {
+		if !keep[id] && p.own == (Load{}) {
+			delete(b.targets, id)
+		}
+	}
+}
+
+func (b *Book) page(id identifier.TargetID, now time.Time) *page {
+	if b.targets == nil {
+		b.targets = map[identifier.TargetID]*page{}
+	}
+	p := b.targets[id]
+	if p == nil {
+		p = &page{firstAt: now}
+		b.targets[id] = p
+	}
+	return p
+}
+
+func (p *page) load(now time.Time) Load {
+	total := p.own
+	for _, peer := range p.peers {
+		if now.Sub(peer.at) > peerLoadLife {
+			continue
+		}
+		total.PromptTokens += peer.load.PromptTokens
+		total.Answers += peer.load.Answers
+		total.AnswerTokens += peer.load.AnswerTokens
+	}
+	return total
+}
+
+// cached sums the leading parts that the target holds.
+func (p *page) cached(parts []Part) identifier.Tokens {
+	total := identifier.Tokens(0)
+	for _, part := range parts {
+		h := p.parts[part.ID]
+		if h == nil {
+			break
+		}
+		total += min(h.tokens, part.Tokens)
+	}
+	return total
+}
+
+// hold adds a part; the least recently used ones yield.
+func (p *page) hold(part Part, now time.Time) {
+	if p.parts == nil {
+		p.parts = map[identifier.PartID]*held{}
+	}
+	if h := p.parts[part.ID]; h != nil {
+		h.used = now
+		return
+	}
+	p.parts[part.ID] = &held{tokens: part.Tokens, used: now}
+	p.tokens += part.Tokens
+	for float64(p.tokens) > cachePart*defaultCacheTokens && len(p.parts) > 1 {
+		p.evict()
+	}
+}
+
+func (p *page) evict() {
+	var oldest identifier.PartID
+	var at time.Time
+	for id, h := range p.parts {
+		if at.IsZero() || h.used.Before(at) {
+			oldest, at = id, h.used
+		}
+	}
+	p.tokens -= p.parts[oldest].tokens
+	delete(p.parts, oldest)
+}
+
+func (p *page) sickness(now time.Time) float64 {
+	if p.sick == 0 {
+		return 0
+	}
+	return p.sick * math.Exp2(-now.Sub(p.sickAt).Seconds()/sickHalfLife.Seconds())
+}
--- /dev/null
+++ b/internal/chooser/chooser.go
@@ -0,0 +1,173 @@
+package chooser
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// A prompt goes to the target with the lowest predicted time until it is computed: the prompt tokens that are queued
+// there, those of this prompt that the target does not hold, and the way to another availability zone. Parts that no
+// target holds pull weakly towards one target by rendezvous hashing, so that instances that have not yet heard of each
+// other's sends agree. An answer goes to the target with the fewest answers for its batch.
+
+const (
+	// promptTokensPerSecond is what an engine of the users' sheets computes.
+	promptTokensPerSecond = 36_700
+	// promptSetup is what each prompt takes besides its tokens.
+	promptSetup = 25 * time.Millisecond
+	// zoneCost weighs bytes between availability zones against time.
+	zoneCost = 40 * time.Millisecond
+	// strayCost is what a target other than the hashed one costs for parts that nobody holds.
+	strayCost = 60 * time.Millisecond
+	// answerCost is what one more answer in the batch costs the others.
+	answerCost = 8 * time.Millisecond
+	// coldCost is what a target costs right after its start, less as it warms up.
+	coldCost = 150 * time.Millisecond
+	// sickCost is what each recent failure adds; failures fade with sickHalfLife.
+	sickCost = 250 * time.Millisecond
+)
+
+// Part is a piece of a prompt; requests share pieces up to the first one that differs.
+type Part struct {
+	ID     identifier.PartID
+	Tokens identifier.Tokens
+}
+
+// Load is the work in flight at a target, over all instances.
+type Load struct {
+	PromptTokens identifier.Tokens
+	Answers      int
+	AnswerTokens identifier.Tokens
+}
+
+// Candidate is what is known of a target.
+type Candidate struct {
+	Target *registrar.Target
+	Load   Load
+	// Cached is how many leading tokens of the prompt the target holds.
+	Cached identifier.Tokens
+	// Sick counts recent failures.
+	Sick float64
+	// Age is how long the target has been known here.
+	Age time.Duration
+}
+
+// Prompt is what the choice of a prompt target depends on.
+type Prompt struct {
+	Zone  identifier.ZoneID
+	Parts []Part
+}
+
+// Tokens sums the parts.
+func (p *Prompt) Tokens() identifier.Tokens {
+	total := identifier.Tokens(0)
+	for _, part := range p.Parts {
+		total += part.Tokens
+	}
+	return total
+}
+
+// Verdict is a choice with the prediction that decided it.
+type Verdict struct {
+	Target    *registrar.Target
+	Predicted time.Duration
+	// Fresh is how many tokens of the prompt the target has to compute.
+	Fresh identifier.Tokens
+}
+
+// PromptTarget returns the target that computes a prompt soonest, or false without candidates.
+func PromptTarget(p *Prompt, candidates []Candidate) (Verdict, bool) {
+	var best Verdict
+	var bestCost time.Duration
+	total := p.Tokens()
+	home := homeOf(p, candidates)
+	for i := range candidates {
+		c := &candidates[i]
+		v := Verdict{Target: c.Target, Fresh: max(0, total-c.Cached)}
+		v.Predicted = promptSetup + promptTime(c.Load.PromptTokens+v.Fresh)
+		cost := v.Predicted + handicap(c, p.Zone)
+		if c.Cached == 0 && i != home {
+			cost += strayCost
+		}
+		if best.Target == nil || cost < bestCost {
+			best, bestCost = v, cost
+		}
+	}
+	return best, best.Target != nil
+}
+
+// AnswerTarget returns the target whose batch suffers least, or false without candidates.
+func AnswerTarget(zone identifier.ZoneID, candidates []Candidate) (Verdict, bool) {
+	var best Verdict
+	var bestCost time.Duration
+	for i := range candidates {
+		c := &candidates[i]
+		cost := time.Duration(c.Load.Answers)*answerCost + handicap(c, zone)
+		if c.Target.Slots > 0 && c.Load.Answers >= c.Target.Slots {
+			cost += time.Second
+		}
+		if best.Target == nil || cost < bestCost {
+			best, bestCost = Verdict{Target: c.Target, Predicted: cost}, cost
+		}
+	}
+	return best, best.Target != nil
+}
+
+// PlainTarget returns the target of a plain service with the shortest queue for its slots, or false without candidates.
+func PlainTarget(zone identifier.ZoneID, work time.Duration, candidates []Candidate) (Verdict, bool) {
+	var best Verdict
+	var bestCost time.Duration
+	for i := range candidates {
+		c := &candidates[i]
+		slots := max(1, c.Target.Slots)
+		wait := work * time.Duration(c.Load.Answers) / time.Duration(slots)
+		cost := wait + handicap(c, zone)/8
+		if best.Target == nil || cost < bestCost {
+			best, bestCost = Verdict{Target: c.Target, Predicted: wait + work}, cost
+		}
+	}
+	return best, best.Target != nil
+}
+
+func promptTime(tokens identifier.Tokens) time.Duration {
+	return time.Duration(float64(tokens) / promptTokensPerSecond * float64(time.Second))
+}
+
+// handicap is what speaks against a target besides its load.
+func handicap(c *Candidate, zone identifier.ZoneID) time.Duration {
+	cost := time.Duration(c.Sick * float64(sickCost))
+	if c.Target.Zone != zone {
+		cost += zoneCost
+	}
+	if cold := c.Target.Cold - c.Age; cold > 0 {
+		cost += time.Duration(float64(coldCost) * min(1, cold.Seconds()))
+	}
+	return cost
+}
+
+// homeOf is the candidate that rendezvous hashing gives for the first part.
+func homeOf(p *Prompt, candidates []Candidate) int {
+	if len(p.Parts) == 0 {
+		return -1
+	}
+	best, highest := -1, uint64(0)
+	for i := range candidates {
+		weight := mix(uint64(p.Parts[0].ID) ^ xxhash.Sum64String(string(candidates[i].Target.ID)))
+		if best < 0 || weight > highest {
+			best, highest = i, weight
+		}
+	}
+	return best
+}
+
+// mix spreads the bits of a hash (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/commander/entry.go
@@ -0,0 +1,67 @@
+package commander
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+
+	"github.com/go-kratos/kratos/v2/log"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/coordinator"
+	"github.com/coltsfootscale/coltsfootscale/internal/parser"
+	"github.com/coltsfootscale/coltsfootscale/platform"
+)
+
+type entryCommand struct {
+	deferred
+	Settings string `long:"Settings" value-name:"FILE" description:"settings of the entry instance; by default the file that the platform names"`
+	Debug    bool   `long:"Debug" description:"log debug lines too"`
+
+	settings *parser.EntrySettings
+}
+
+func (c *entryCommand) validate() error {
+	if c.Settings == "" {
+		c.Settings = platform.SettingsFile()
+	}
+	var err error
+	c.settings, err = c.read()
+	return err
+}
+
+func (c *entryCommand) read() (*parser.EntrySettings, error) {
+	data, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return nil, fmt.Errorf("%w: --Settings: %w", ErrUsage, err)
+	}
+	s, err := parser.ParseEntrySettings(c.Settings, data)
+	if err != nil {
+		return nil, fmt.Errorf("%w:\n%w", ErrUsage, err)
+	}
+	return s, nil
+}
+
+func (c *entryCommand) run(env *Environment) error {
+	logger := NewLogger(zapcore.Lock(zapcore.AddSync(env.Stdout)), c.Debug).With(zap.String("Instance", string(c.settings.Instance)))
+	// kratos logs by a logger that all of the process shares.
+	log.SetLogger(kratosLogger{logger})
+	faces := coordinator.Faces{
+		Client: func(co *coordinator.Coordinator) http.Handler {
+			return &platform.Ingress{Server: co, BodyBytes: co.BodyBytes, Logger: logger}
+		},
+		Ready: func(co *coordinator.Coordinator) http.Handler {
+			return &platform.Readiness{Ready: co.Ready, Metrics: co.Exporter}
+		},
+		Directory: func(co *coordinator.Coordinator) http.Handler {
+			return &platform.Directory{Addresses: co.Addresses, Lifetime: min(coordinator.AddressLifetime, c.settings.Bounds.AddressLifetime), Logger: logger}
+		},
+	}
+	p, sweep := platform.New(c.settings)
+	go sweep(env.Stop)
+	if err := coordinator.New(c.settings, p, faces, c.read, logger).Run(env.Stop); err != nil {
+		return fmt.Errorf("%w: %w", ErrUsage, err)
+	}
+	return nil
+}
--- a/internal/commander/help.go
+++ b/internal/commander/help.go
@@ -4,13 +4,14 @@
 
 const longDescription = `coltsfootscale serves language models from a limited fleet.
 
-Commands that change something: serve, publish, key grant, key withdraw, ask, call, load.
+Commands that change something: serve, entry, publish, key grant, key withdraw, ask, call, load.
 Queries: status, inventory, usage, explain, addresses, check, hash.
 
 Exit codes: 0 done, 1 refused, 2 wrong use, 3 unreachable.`
 
 var examples = map[string]string{
 	"serve":     "Runs an entry instance until SIGTERM, then leaves without cutting a request.\n\nExample: coltsfootscale serve --Settings entry-a.ini",
+	"entry":     "Runs an entry instance on the users' machines until SIGTERM, then leaves without cutting a request.\n\nExample: coltsfootscale entry --Settings deploy/entry.ini",
 	"publish":   "Puts an inventory and rules in force everywhere. Without --Base it replaces what is in force now.\n\nExample: coltsfootscale publish --Entry http://127.0.0.1:8101 --OperatorKeyFile operator.key --Inventory inventory.ini --Rules rules.ini",
 	"key":       "Grants and withdraws keys.\n\nExample: coltsfootscale key grant --help",
 	"status":    "Shows the members, the lease and the orders as one entry instance sees them.\n\nExample: coltsfootscale status --Entry http://127.0.0.1:8101 --OperatorKeyFile operator.key",
--- a/internal/commander/options.go
+++ b/internal/commander/options.go
@@ -42,6 +42,7 @@
 // Options are all commands with their arguments.
 type Options struct {
 	Serve     serveCommand   `command:"serve" description:"run an entry instance"`
+	Entry     entryCommand   `command:"entry" description:"run an entry instance on the users' machines"`
 	Publish   publishCommand `command:"publish" description:"put an inventory and rules in force"`
 	Key       keyCommands    `command:"key" description:"grant or withdraw keys"`
 	Status    statusQuery    `command:"status" description:"show an entry instance and the fleet"`
--- /dev/null
+++ b/internal/coordinator/beats.go
@@ -0,0 +1,141 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
+	"github.com/coltsfootscale/coltsfootscale/internal/counter"
+	"github.com/coltsfootscale/coltsfootscale/internal/elector"
+	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
+	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+func (c *Coordinator) mirrors() map[string]*mirrorer.Mirror {
+	return map[string]*mirrorer.Mirror{streamConfiguration: &c.config, streamTargets: &c.targets, streamMembers: &c.members}
+}
+
+// compose makes the beat for a peer by what its last beat said it knows; last is nil for a peer not heard yet.
+func (c *Coordinator) compose(last *gossiper.Beat) *gossiper.Beat {
+	now := time.Now()
+	b := &gossiper.Beat{Sender: c.self, Ready: c.Ready(), Leaving: c.leaving.Load(), UnixMilliseconds: now.UnixMilli()}
+	known := map[string]uint64{}
+	for _, s := range last.GetStreams() {
+		known[s.Name] = s.Next
+	}
+	for name, m := range c.mirrors() {
+		b.Streams = append(b.Streams, describe(name, m, identifier.Offset(known[name]), now))
+	}
+	for id, load := range c.book.Own() {
+		b.Loads = append(b.Loads, &gossiper.Load{
+			Target: string(id), PromptTokens: uint64(max(0, load.PromptTokens)),
+			Answers: uint32(max(0, load.Answers)), AnswerTokens: uint64(max(0, load.AnswerTokens)),
+		})
+	}
+	for _, cell := range c.counts.Of(c.self.Incarnation) {
+		b.Counts = append(b.Counts, &gossiper.Count{Incarnation: cell.Incarnation, Window: cell.Window, Team: string(cell.Team), Requests: cell.Requests})
+	}
+	if s, ok := c.elector.Seen(); ok {
+		b.Lease = &gossiper.Lease{Holder: s.Holder, Fence: uint64(s.Fence), Offset: uint64(s.Next), AgeMilliseconds: s.Age.Milliseconds()}
+	}
+	if last == nil {
+		for _, p := range c.peers.Alive(now) {
+			b.Heard = append(b.Heard, p.Member)
+		}
+		return b
+	}
+	b.Parts = c.partsFor(last.GetSender().GetID())
+	return b
+}
+
+// partsFor returns the prompt parts that were read since the last beat to a peer.
+func (c *Coordinator) partsFor(peer string) []*gossiper.Part {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sent, next := c.book.SentSince(c.cursors[peer])
+	c.cursors[peer] = next
+	var parts []*gossiper.Part
+	for _, s := range sent {
+		parts = append(parts, &gossiper.Part{Target: string(s.Target), Part: uint64(s.Part.ID), Tokens: uint32(s.Part.Tokens)})
+	}
+	return parts
+}
+
+func describe(name string, m *mirrorer.Mirror, from identifier.Offset, now time.Time) *gossiper.Stream {
+	s := &gossiper.Stream{Name: name, Next: uint64(m.Next()), AgeMilliseconds: -1}
+	if age, known := m.Age(now); known {
+		s.AgeMilliseconds = age.Milliseconds()
+	}
+	for _, r := range m.Since(from) {
+		s.Records = append(s.Records, &gossiper.Record{Key: r.Key, Value: r.Value, Offset: uint64(r.Offset)})
+	}
+	return s
+}
+
+// heard takes what a peer's beat says.
+func (c *Coordinator) heard(b *gossiper.Beat, now time.Time) {
+	mirrors := c.mirrors()
+	for _, s := range b.Streams {
+		m := mirrors[s.Name]
+		if m == nil {
+			continue // A newer version's stream.
+		}
+		records := make([]mirrorer.Record, 0, len(s.Records))
+		for _, r := range s.Records {
+			records = append(records, mirrorer.Record{Key: r.Key, Value: r.Value, Offset: identifier.Offset(r.Offset)})
+		}
+		asOf := time.Time{}
+		if s.AgeMilliseconds >= 0 {
+			asOf = now.Add(-time.Duration(s.AgeMilliseconds) * time.Millisecond)
+		}
+		m.Apply(records, identifier.Offset(s.Next), asOf)
+	}
+	loads := map[identifier.TargetID]chooser.Load{}
+	for _, l := range b.Loads {
+		loads[identifier.TargetID(l.Target)] = chooser.Load{
+			PromptTokens: identifier.Tokens(l.PromptTokens), Answers: int(l.Answers), AnswerTokens: identifier.Tokens(l.AnswerTokens),
+		}
+	}
+	c.book.Hear(b.Sender.ID, loads, now)
+	for _, p := range b.Parts {
+		part := chooser.Part{ID: identifier.PartID(p.Part), Tokens: identifier.Tokens(p.Tokens)}
+		c.book.Learn(chooser.Sent{Target: identifier.TargetID(p.Target), Part: part}, now)
+	}
+	for _, n := range b.Counts {
+		c.counts.Merge(counter.Cell{Incarnation: n.Incarnation, Window: n.Window, Team: identifier.TeamID(n.Team), Requests: n.Requests})
+	}
+	if l := b.Lease; l != nil {
+		c.elector.Hear(elector.Sighting{
+			Holder: l.Holder, Fence: identifier.Fence(l.Fence), Next: identifier.Offset(l.Offset),
+			Age: time.Duration(l.AgeMilliseconds) * time.Millisecond,
+		})
+	}
+}
+
+// rank is the position of this instance among those that are alive and ready.
+func (c *Coordinator) rank() int {
+	n := 0
+	for _, p := range c.peers.Alive(time.Now()) {
+		if p.Ready && !p.Leaving && p.Member.ID < c.self.ID {
+			n++
+		}
+	}
+	return n
+}
+
+// eligible lets the first instance claim at once, and the others only if it does not.
+func (c *Coordinator) eligible(since time.Duration) bool {
+	return c.Ready() && since >= time.Duration(c.rank())*claimDelay
+}
+
+// trueTime is the median of the times of day of all instances, so that a few that jump do not matter.
+func (c *Coordinator) trueTime() time.Time {
+	now := time.Now()
+	ahead := []time.Duration{time.Duration(now.UnixNano()) - gossiper.Steady(now)}
+	for _, p := range c.peers.Alive(now) {
+		ahead = append(ahead, p.ClockAhead)
+	}
+	slices.Sort(ahead)
+	return time.Unix(0, int64(ahead[len(ahead)/2]+gossiper.Steady(now)))
+}
--- /dev/null
+++ b/internal/coordinator/constants.go
@@ -0,0 +1,46 @@
+package coordinator
+
+import "time"
+
+const (
+	// defaultBodyBytes bounds bodies before the first configuration.
+	defaultBodyBytes = 4 << 20
+	// nearEnough is how many instances of the client's own availability zone are named without others.
+	nearEnough = 2
+	// mostAddresses is how many addresses a client takes.
+	mostAddresses = 64
+	// readerAge is how old the first reader lets its copies of configuration and targets grow before it reads the store;
+	// the others wait for its beats, and read by themselves if these do not come.
+	readerAge = 300 * time.Millisecond
+	rankDelay = 500 * time.Millisecond
+	mostDelay = 1000 * time.Millisecond
+	// memberAge is the same for the list of members, which rarely changes.
+	memberAge = 5 * time.Second
+	// claimDelay is how much later each further instance claims duties that nobody holds.
+	claimDelay = 700 * time.Millisecond
+	// registerRetry is the pause between tries to register as a member.
+	registerRetry = 500 * time.Millisecond
+	// callTimeout bounds one call to the store.
+	callTimeout = time.Second
+	// tidyPause is how often what is gone is forgotten.
+	tidyPause = time.Second
+	// settingsPause is how often the settings file is looked at.
+	settingsPause = time.Second
+	// leaveTime is how long a leaving instance goes on taking requests: clients keep its address for a while.
+	leaveTime = 2500 * time.Millisecond
+	// stopMargin is what is left of the grace for the end of the process.
+	stopMargin = 700 * time.Millisecond
+	// memoryPart is the part of the memory limit at which the runtime collects harder.
+	memoryPart = 0.7
+	// reservedDescriptors are not for connections of clients.
+	reservedDescriptors = 600
+	// AddressLifetime is how long clients may keep an answer of the directory, at most as long as the site counts.
+	AddressLifetime = 1500 * time.Millisecond
+)
+
+// Names of the mirrored streams in beats.
+const (
+	streamConfiguration = "Configuration"
+	streamTargets       = "Targets"
+	streamMembers       = "Members"
+)
--- /dev/null
+++ b/internal/coordinator/coordinator.go
@@ -0,0 +1,289 @@
+package coordinator
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
+	"github.com/coltsfootscale/coltsfootscale/internal/counter"
+	"github.com/coltsfootscale/coltsfootscale/internal/elector"
+	"github.com/coltsfootscale/coltsfootscale/internal/exchanger"
+	"github.com/coltsfootscale/coltsfootscale/internal/exporter"
+	"github.com/coltsfootscale/coltsfootscale/internal/follower"
+	"github.com/coltsfootscale/coltsfootscale/internal/forwarder"
+	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
+	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
+	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
+	"github.com/coltsfootscale/coltsfootscale/internal/orderkeeper"
+	"github.com/coltsfootscale/coltsfootscale/internal/parser"
+	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/internal/reporter"
+	"github.com/coltsfootscale/coltsfootscale/internal/retrier"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// Data flow of an entry instance on the users' machines:
+//
+//	store --newest, read--> followers --> mirrors (configuration, targets, members) --> table, registrar, gossiper
+//	                                        ^   |
+//	peers <--------beats (gossiper)---------+---+   loads, cached parts --> book;  counts --> counter;  lease --> elector
+//
+//	clients --> ingress --> forwarder --table, registrar, book--> chooser --> backend (targets)
+//	                            \--began--> counter --lease holder--> windows --> store, platform
+//	                                                  lease holder--> keeper  --> targets
+
+// MemberTopic keeps one record of each entry instance.
+type MemberTopic interface {
+	follower.Stream
+	Put(ctx context.Context, key string, value []byte) error
+}
+
+// Platform is what the users' machines offer.
+type Platform struct {
+	Configuration follower.Stream
+	Targets       follower.Stream
+	Members       MemberTopic
+	Duties        elector.Log
+	Backend       forwarder.Backend
+	Commander     orderkeeper.Commander
+	// Usage is nil where there are no duties.
+	Usage reporter.UsagePlatform
+	// ConfigurationKey is the key of the configuration in its stream.
+	ConfigurationKey    string
+	DecodeConfiguration func(data []byte) (matcher.Configuration, error)
+	DecodeTarget        func(id string, data []byte) (registrar.Target, error)
+	SameTarget          func(older, newer []byte) bool
+}
+
+// Faces are the handlers for those who call an entry instance.
+type Faces struct {
+	Client    func(c *Coordinator) http.Handler
+	Ready     func(c *Coordinator) http.Handler
+	Directory func(c *Coordinator) http.Handler
+}
+
+// Coordinator is one entry instance; use New.
+type Coordinator struct {
+	platform Platform
+	faces    Faces
+	logger   *zap.Logger
+	reload   func() (*parser.EntrySettings, error)
+	settings atomic.Pointer[parser.EntrySettings]
+	self     *gossiper.Member
+
+	config   mirrorer.Mirror
+	targets  mirrorer.Mirror
+	members  mirrorer.Mirror
+	table    atomic.Pointer[matcher.Table]
+	registry registrar.Registrar
+	book     chooser.Book
+	counts   counter.Counter
+	budget   *retrier.Windowed
+	peers    *gossiper.Gossiper
+	calls    *exchanger.Client
+	elector  *elector.Elector
+	keeper   *orderkeeper.Keeper
+	windows  *reporter.Windows
+	forward  *forwarder.Forwarder
+
+	// Exporter holds the metrics.
+	Exporter *exporter.Exporter
+	metrics  tally.Scope
+	closer   func() error
+
+	leaving  atomic.Bool
+	returned atomic.Pointer[time.Time]
+	inFlight atomic.Int64
+
+	mu      sync.Mutex
+	cursors map[string]uint64
+}
+
+// New prepares an entry instance; reload reads the settings again.
+func New(settings *parser.EntrySettings, p Platform, faces Faces, reload func() (*parser.EntrySettings, error), logger *zap.Logger) *Coordinator {
+	c := &Coordinator{platform: p, faces: faces, logger: logger, reload: reload, Exporter: &exporter.Exporter{}, cursors: map[string]uint64{}}
+	c.settings.Store(settings)
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{Reporter: c.Exporter, OmitCardinalityMetrics: true}, time.Second)
+	c.metrics, c.closer = scope, closer.Close
+	c.self = &gossiper.Member{
+		ID: string(settings.Instance), Incarnation: uuid.NewString(), Zone: string(settings.Zone),
+		ClientAddress: settings.Listen, PeerAddress: settings.PeerListen,
+	}
+	c.wireViews()
+	c.wirePeers()
+	c.wireDuties()
+	c.wireRequests()
+	return c
+}
+
+func (c *Coordinator) wireViews() {
+	c.config.Changed = c.configurationChanged
+	c.targets.Changed = c.targetChanged
+	c.targets.Same = c.platform.SameTarget
+	c.members.Changed = c.memberChanged
+	c.registry.StoreReturned = func() time.Time {
+		if at := c.returned.Load(); at != nil {
+			return *at
+		}
+		return time.Time{}
+	}
+}
+
+func (c *Coordinator) wirePeers() {
+	c.calls = &exchanger.Client{Logger: c.logger, Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	}}
+	c.peers = &gossiper.Gossiper{Self: c.self, Caller: c.calls, Logger: c.logger, Compose: c.compose, Heard: c.heard}
+}
+
+func (c *Coordinator) wireDuties() {
+	bounds := c.settings.Load().Bounds
+	c.elector = &elector.Elector{
+		Holder: c.self.ID + "/" + c.self.Incarnation, Log: c.platform.Duties, Lease: bounds.Lease, Logger: c.logger,
+		Now: bootTime, Eligible: c.eligible,
+	}
+	c.keeper = &orderkeeper.Keeper{
+		Holder: c.self.ID, Duty: c.elector, Commander: c.platform.Commander,
+		Table: c.table.Load, Targets: c.registry.Of, Logger: c.logger,
+	}
+	c.windows = &reporter.Windows{
+		Duty: c.elector, Platform: c.platform.Usage, Length: bounds.UsageWindow, Late: bounds.UsageLate,
+		Now: c.trueTime, Total: c.counts.Total, Logger: c.logger,
+	}
+}
+
+func (c *Coordinator) wireRequests() {
+	bounds := c.settings.Load().Bounds
+	c.budget = &retrier.Windowed{
+		Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow,
+		Members: func() int { return len(c.peers.Alive(time.Now())) + 1 },
+	}
+	c.forward = &forwarder.Forwarder{
+		Zone: identifier.ZoneID(c.self.Zone), Table: c.table.Load, TableAge: c.tableAge, Targets: c.registry.Of,
+		Book: &c.book, Backend: c.platform.Backend, Budget: c.budget, Began: c.began, Logger: c.logger, Metrics: c.metrics,
+	}
+}
+
+// Serve answers a client's call.
+func (c *Coordinator) Serve(ctx context.Context, w http.ResponseWriter, call *forwarder.Call) {
+	c.forward.Serve(ctx, w, call)
+}
+
+// Ready tells whether this instance takes requests.
+func (c *Coordinator) Ready() bool {
+	return !c.leaving.Load() && c.table.Load() != nil && c.registry.Targets() != nil
+}
+
+// BodyBytes is the most that a client may send.
+func (c *Coordinator) BodyBytes() int64 {
+	if t := c.table.Load(); t != nil && t.Limits.BodyBytes > 0 {
+		return t.Limits.BodyBytes
+	}
+	return defaultBodyBytes
+}
+
+// Addresses returns where a client of an availability zone may connect: instances that are known to be alive and ready.
+func (c *Coordinator) Addresses(zone identifier.ZoneID) []string {
+	var near, all []string
+	add := func(m *gossiper.Member) {
+		all = append(all, m.ClientAddress)
+		if m.Zone == string(zone) {
+			near = append(near, m.ClientAddress)
+		}
+	}
+	if c.Ready() {
+		add(c.self)
+	}
+	for _, p := range c.peers.Alive(time.Now()) {
+		if p.Ready && !p.Leaving {
+			add(p.Member)
+		}
+	}
+	if len(near) >= nearEnough {
+		return near
+	}
+	return all[:min(len(all), mostAddresses)]
+}
+
+func (c *Coordinator) tableAge() time.Duration {
+	age, known := c.config.Age(time.Now())
+	if !known {
+		return time.Hour
+	}
+	return age
+}
+
+// began counts a request that begins to run now.
+func (c *Coordinator) began(team identifier.TeamID) {
+	if team == "" {
+		return
+	}
+	c.counts.Add(c.self.Incarnation, counter.Window(c.trueTime(), c.settings.Load().Bounds.UsageWindow), team)
+}
+
+// configurationChanged puts a newer version in force; an older one or one that cannot be read changes nothing.
+func (c *Coordinator) configurationChanged(r mirrorer.Record) {
+	if r.Key != c.platform.ConfigurationKey {
+		return
+	}
+	cfg, err := c.platform.DecodeConfiguration(r.Value)
+	if err != nil {
+		c.logger.Error("configuration not readable, the one before stays in force", zap.Uint64("Offset", uint64(r.Offset)), zap.Error(err))
+		return
+	}
+	next := matcher.New(cfg)
+	for {
+		old := c.table.Load()
+		if old != nil && old.Version >= next.Version {
+			return
+		}
+		if c.table.CompareAndSwap(old, next) {
+			break
+		}
+	}
+	c.logger.Info("configuration in force", zap.Uint64("Version", uint64(cfg.Version)), zap.Uint64("Offset", uint64(r.Offset)),
+		zap.Int("Routes", len(cfg.Routes)), zap.Int("Teams", len(cfg.Teams)))
+	c.peers.Wake()
+}
+
+// targetChanged takes a target's entry. One that cannot be read names no target to use.
+func (c *Coordinator) targetChanged(r mirrorer.Record) {
+	id := identifier.TargetID(r.Key)
+	if len(r.Value) == 0 {
+		c.registry.Drop(id, time.Now())
+		c.logger.Info("target gone", zap.String("Target", r.Key), zap.Uint64("Offset", uint64(r.Offset)))
+		c.peers.Wake()
+		return
+	}
+	t, err := c.platform.DecodeTarget(r.Key, r.Value)
+	if err != nil {
+		c.logger.Warn("target entry not usable", zap.String("Target", r.Key), zap.Uint64("Offset", uint64(r.Offset)), zap.Error(err))
+		c.registry.Drop(id, time.Now())
+		return
+	}
+	c.registry.Put(t)
+	c.logger.Info("target", zap.String("Target", r.Key), zap.String("Service", string(t.Service)), zap.String("Zone", string(t.Zone)),
+		zap.Stringer("Stage", t.Stage), zap.Bool("Leaving", t.Leaving), zap.Bool("Cheap", t.Cheap), zap.Uint64("Offset", uint64(r.Offset)))
+	c.peers.Wake()
+}
+
+func (c *Coordinator) memberChanged(r mirrorer.Record) {
+	if len(r.Value) == 0 {
+		return // It said that it leaves; its silence is what counts.
+	}
+	m := &gossiper.Member{}
+	if err := proto.Unmarshal(r.Value, m); err != nil {
+		c.logger.Warn("member record not readable", zap.String("Key", r.Key), zap.Error(err))
+		return
+	}
+	c.peers.Know(m)
+}
--- /dev/null
+++ b/internal/counter/counter.go
@@ -0,0 +1,97 @@
+package counter
+
+import (
+	"sync"
+	"time"
+
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// Cell is one count of one incarnation of an entry instance.
+type Cell struct {
+	Incarnation string
+	Window      int64
+	Team        identifier.TeamID
+	Requests    uint64
+}
+
+// keptWindows is how many windows are kept after the newest.
+const keptWindows = 6
+
+// Counter holds the counts of all incarnations; the zero value is ready.
+//
+// A count only rises, so cells may come in any order and more than once.
+type Counter struct {
+	mu    sync.Mutex
+	cells map[key]uint64
+}
+
+type key struct {
+	incarnation string
+	window      int64
+	team        identifier.TeamID
+}
+
+// Window returns the number of the usage window at a time, counted from the start of 1970.
+func Window(at time.Time, length time.Duration) int64 { return at.UnixMilli() / length.Milliseconds() }
+
+// Add counts one request.
+func (c *Counter) Add(incarnation string, window int64, team identifier.TeamID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.set(key{incarnation, window, team}, c.cells[key{incarnation, window, team}]+1)
+}
+
+// Merge takes a cell of a peer.
+func (c *Counter) Merge(cell Cell) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := key{cell.Incarnation, cell.Window, cell.Team}
+	if cell.Requests > c.cells[k] {
+		c.set(k, cell.Requests)
+	}
+}
+
+func (c *Counter) set(k key, n uint64) {
+	if c.cells == nil {
+		c.cells = map[key]uint64{}
+	}
+	c.cells[k] = n
+}
+
+// Of returns the cells of one incarnation.
+func (c *Counter) Of(incarnation string) []Cell {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var cells []Cell
+	for k, n := range c.cells {
+		if k.incarnation == incarnation {
+			cells = append(cells, Cell{Incarnation: k.incarnation, Window: k.window, Team: k.team, Requests: n})
+		}
+	}
+	return cells
+}
+
+// Total sums a window over all incarnations.
+func (c *Counter) Total(window int64) map[identifier.TeamID]uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	total := map[identifier.TeamID]uint64{}
+	for k, n := range c.cells {
+		if k.window == window {
+			total[k.team] += n
+		}
+	}
+	return total
+}
+
+// Forget drops windows that lie far before the given one.
+func (c *Counter) Forget(window int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for k := range c.cells {
+		if k.window < window-keptWindows {
+			delete(c.cells, k)
+		}
+	}
+}
--- a/internal/evaluator/exchange_test.go
+++ b/internal/evaluator/exchange_test.go
@@ -50,7 +50,7 @@
 		if err != nil {
 			return 0
 		}
-		go (&exchanger.Server{Handler: answering{beat}}).Serve(ctx, lis)
+		go exchanger.ForHandler(answering{beat}, nil).Serve(ctx, lis)
 		addresses = append(addresses, lis.Addr().String())
 	}
 	round := func() {
--- a/internal/exchanger/client.go
+++ b/internal/exchanger/client.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/yamux"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/messenger"
 )
@@ -32,16 +33,24 @@
 
 // Call sends a request to the peer at addr and returns its reply; errors wrap ErrUnreachable.
 func (c *Client) Call(ctx context.Context, addr string, req *messenger.Request) (*messenger.Reply, error) {
+	reply := &messenger.Reply{}
+	if err := c.Exchange(ctx, addr, req, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// Exchange sends a message to the peer at addr and fills reply; errors wrap ErrUnreachable.
+func (c *Client) Exchange(ctx context.Context, addr string, req, reply proto.Message) error {
 	session, err := c.session(ctx, addr)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, addr, err)
+		return fmt.Errorf("%w: %s: %w", ErrUnreachable, addr, err)
 	}
-	reply, err := call(ctx, session, req)
-	if err != nil {
+	if err := exchange(ctx, session, req, reply); err != nil {
 		c.drop(addr, session)
-		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, addr, err)
+		return fmt.Errorf("%w: %s: %w", ErrUnreachable, addr, err)
 	}
-	return reply, nil
+	return nil
 }
 
 // Close ends all sessions.
@@ -92,10 +101,10 @@
 	s.Close()
 }
 
-func call(ctx context.Context, session *yamux.Session, req *messenger.Request) (*messenger.Reply, error) {
+func exchange(ctx context.Context, session *yamux.Session, req, reply proto.Message) error {
 	stream, err := session.OpenStream()
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer stream.Close()
 	deadline, ok := ctx.Deadline()
@@ -103,16 +112,12 @@
 		deadline = time.Now().Add(defaultCallTimeout)
 	}
 	if err := stream.SetDeadline(deadline); err != nil {
-		return nil, err
+		return err
 	}
 	if _, err := protodelim.MarshalTo(stream, req); err != nil {
-		return nil, err
+		return err
 	}
-	reply := &messenger.Reply{}
-	if err := protodelim.UnmarshalFrom(bufio.NewReader(stream), reply); err != nil {
-		return nil, err
-	}
-	return reply, nil
+	return protodelim.UnmarshalFrom(bufio.NewReader(stream), reply)
 }
 
 func config(logger *zap.Logger) *yamux.Config {
--- a/internal/exchanger/server.go
+++ b/internal/exchanger/server.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/yamux"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/messenger"
 )
@@ -20,10 +21,22 @@
 	Handle(req *messenger.Request) *messenger.Reply
 }
 
-// Server accepts sessions of peers; Handler must be set.
+// Server accepts sessions of peers; New and Answer must be set.
 type Server struct {
-	Handler Handler
-	Logger  *zap.Logger
+	// New returns an empty message to decode a request into.
+	New func() proto.Message
+	// Answer returns the reply to a request.
+	Answer func(req proto.Message) proto.Message
+	Logger *zap.Logger
+}
+
+// ForHandler returns a server of the messages between entry instances of the product's own interface.
+func ForHandler(h Handler, logger *zap.Logger) *Server {
+	return &Server{
+		New:    func() proto.Message { return &messenger.Request{} },
+		Answer: func(req proto.Message) proto.Message { return h.Handle(req.(*messenger.Request)) },
+		Logger: logger,
+	}
 }
 
 // Serve accepts sessions until ctx ends.
@@ -62,9 +75,9 @@
 	if err := stream.SetDeadline(time.Now().Add(streamTimeout)); err != nil {
 		return
 	}
-	req := &messenger.Request{}
+	req := s.New()
 	if err := protodelim.UnmarshalFrom(bufio.NewReader(stream), req); err != nil {
 		return
 	}
-	protodelim.MarshalTo(stream, s.Handler.Handle(req))
+	protodelim.MarshalTo(stream, s.Answer(req))
 }
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,109 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
+	"github.com/coltsfootscale/coltsfootscale/internal/sleeper"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// ErrExpired is returned by a stream whose records at the asked offset are gone.
+var ErrExpired = errors.New("records are no longer kept")
+
+// Stream is a keyed stream of the store.
+type Stream interface {
+	// Newest returns the newest record of each key and the offset at which reading goes on.
+	Newest(ctx context.Context) ([]mirrorer.Record, identifier.Offset, error)
+	// Read returns the records from an offset on, waiting up to wait for the first one.
+	Read(ctx context.Context, from identifier.Offset, wait time.Duration) ([]mirrorer.Record, identifier.Offset, error)
+}
+
+const (
+	// callTimeout bounds one call without a wait; the store answers in milliseconds when it is well.
+	callTimeout = time.Second
+	// retryPause is the pause after a failed call, so that a store in trouble is not pressed.
+	retryPause = 400 * time.Millisecond
+	// checkPause is how often the age of the mirror is looked at.
+	checkPause = 50 * time.Millisecond
+)
+
+// Follower reads a stream into a mirror; all fields but Returned must be set.
+type Follower struct {
+	Name   string
+	Stream Stream
+	Mirror *mirrorer.Mirror
+	Logger *zap.Logger
+	// MaximumAge returns how old the mirror may grow before this instance asks the store itself.
+	MaximumAge func() time.Duration
+	// Wait is how long a read may wait at the store; zero: reads return at once.
+	Wait time.Duration
+	// Returned is called when a call succeeds after one had failed; it may be nil.
+	Returned func(now time.Time)
+
+	whole bool
+	away  bool
+}
+
+// Run follows the stream until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if age, known := f.Mirror.Age(time.Now()); known && age < f.MaximumAge() {
+			if sleeper.Sleep(ctx, checkPause) != nil {
+				return
+			}
+			continue
+		}
+		if err := f.step(ctx); err != nil && sleeper.Sleep(ctx, retryPause) != nil {
+			return
+		}
+	}
+}
+
+// step makes one call to the store and applies its answer.
+func (f *Follower) step(ctx context.Context) error {
+	asked := time.Now()
+	records, next, err := f.call(ctx)
+	if errors.Is(err, ErrExpired) {
+		f.Logger.Info("records expired, reading the newest of each key", zap.String("Stream", f.Name), zap.Error(err))
+		f.whole = false
+		return nil
+	}
+	if err != nil {
+		if !f.away && ctx.Err() == nil {
+			f.Logger.Warn("store lost", zap.String("Stream", f.Name), zap.Error(err))
+		}
+		f.away = true
+		return err
+	}
+	f.whole = true
+	if f.away {
+		f.away = false
+		f.Logger.Info("store regained", zap.String("Stream", f.Name))
+		if f.Returned != nil {
+			f.Returned(time.Now())
+		}
+	}
+	f.Mirror.Apply(records, next, asked)
+	return nil
+}
+
+func (f *Follower) call(ctx context.Context) ([]mirrorer.Record, identifier.Offset, error) {
+	// What peers passed on counts as much as what was read here.
+	if next := f.Mirror.Next(); f.whole || next > 0 {
+		wait := f.Wait
+		if _, known := f.Mirror.Age(time.Now()); !known {
+			wait = 0
+		}
+		ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
+		defer cancel()
+		return f.Stream.Read(ctx, next, wait)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return f.Stream.Newest(ctx)
+}
--- /dev/null
+++ b/internal/forwarder/forwarder.go
@@ -0,0 +1,235 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
+	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
+	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// The way of a request:
+//
+//	admit: route, team, deadline --> plain: one target, retried where the kind allows it
+//	                             \-> prompted: prompt target computes, answer target generates, events go on as they come
+//
+// Each way ends with the target's own answer, or with a refusal that says whether the request may have run.
+
+const (
+	// keptFreshness is how old a kept connection may be for requests that may be repeated.
+	keptFreshness = 10 * time.Second
+	// onceFreshness is the same for requests that run at most once: a connection that was just used is not yet dropped.
+	onceFreshness = 300 * time.Millisecond
+	// comeBack is the least time that a refused client is asked to wait.
+	comeBack = 150 * time.Millisecond
+	// staleConfiguration is the age beyond which an unknown route or key may just be new.
+	staleConfiguration = 1500 * time.Millisecond
+	// plainWork is what a call to a plain target usually takes.
+	plainWork = 20 * time.Millisecond
+	// plainBodyBytes bounds the answer of a plain target, which is held until it is whole.
+	plainBodyBytes = 16 << 20
+	// minimumLeft is the least time that is worth a send.
+	minimumLeft = 5 * time.Millisecond
+)
+
+// Budget allows sends beyond the first of a request.
+type Budget interface {
+	Note(service identifier.ServiceID)
+	Take(service identifier.ServiceID) bool
+}
+
+// Forwarder serves requests; all fields must be set.
+type Forwarder struct {
+	Zone     identifier.ZoneID
+	Table    func() *matcher.Table
+	TableAge func() time.Duration
+	Targets  func(service identifier.ServiceID) []*registrar.Target
+	Book     *chooser.Book
+	Backend  Backend
+	Budget   Budget
+	// Began counts a request that began to run now.
+	Began   func(team identifier.TeamID)
+	Logger  *zap.Logger
+	Metrics tally.Scope
+}
+
+// job is one request on its way.
+type job struct {
+	f      *Forwarder
+	w      http.ResponseWriter
+	call   *Call
+	route  *matcher.Route
+	team   *matcher.Team
+	target identifier.ServiceID
+	due    time.Time
+	start  time.Time
+	sends  int
+	failed []identifier.TargetID
+	began  bool
+	// wrote tells that the head of the answer went to the client.
+	wrote bool
+}
+
+// Serve answers a call.
+func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, call *Call) {
+	j := &job{f: f, w: w, call: call, start: time.Now()}
+	refusal := j.admit()
+	if refusal == nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, j.due)
+		defer cancel()
+		if j.route.Prompted && j.route.Kind == matcher.Stream {
+			refusal = j.prompted(ctx)
+		} else {
+			refusal = j.plain(ctx)
+		}
+	}
+	j.finish(ctx, refusal)
+}
+
+// finish sends a refusal, if there is one, and logs the outcome.
+func (j *job) finish(ctx context.Context, refusal *Refusal) {
+	j.f.Metrics.Counter("Requests").Inc(1)
+	if refusal == nil {
+		return
+	}
+	// A client that has left hears nothing; its connection is closed, so that no half answer looks whole.
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		j.log("client left", refusal)
+		panic(http.ErrAbortHandler)
+	}
+	j.f.Metrics.Tagged(map[string]string{"Reason": refusal.Reason}).Counter("Refusals").Inc(1)
+	j.log("request refused", refusal)
+	if j.wrote {
+		panic(http.ErrAbortHandler)
+	}
+	refusal.write(j.w)
+}
+
+func (j *job) log(message string, r *Refusal) {
+	route := identifier.RouteID("")
+	if j.route != nil {
+		route = j.route.ID
+	}
+	j.f.Logger.Info(message,
+		zap.String("RequestID", string(j.call.ID)), zap.String("Route", string(route)),
+		zap.String("Reason", r.Reason), zap.Int("Status", r.Status), zap.Duration("After", time.Since(j.start)),
+		zap.Int("Sends", j.sends), zap.Duration("Deadline", j.call.Deadline), zap.Error(r.Err))
+}
+
+// admit finds route, team and deadline.
+func (j *job) admit() *Refusal {
+	table := j.f.Table()
+	if table == nil {
+		return notRun("NoConfiguration", comeBack, nil)
+	}
+	j.route = table.Route(j.call.Host, j.call.Path)
+	if j.route == nil {
+		return j.unknown(http.StatusNotFound, "UnknownRoute")
+	}
+	if table.Keyed() && !j.route.Public {
+		if j.team = table.Team(j.call.Key); j.team == nil {
+			return j.unknown(http.StatusUnauthorized, "UnknownKey")
+		}
+	}
+	j.due = j.start.Add(j.route.Timeout)
+	if d := j.start.Add(j.call.Deadline); j.call.Deadline > 0 && d.Before(j.due) {
+		j.due = d
+	}
+	j.target = j.route.Pick(rand.Float64())
+	j.f.Budget.Note(j.target)
+	return nil
+}
+
+// unknown refuses for good what the configuration does not hold, unless a newer one may hold it.
+func (j *job) unknown(status int, reason string) *Refusal {
+	if j.f.TableAge() > staleConfiguration {
+		return notRun(reason+"Yet", comeBack, nil)
+	}
+	return &Refusal{Status: status, Reason: reason}
+}
+
+func (j *job) teamID() identifier.TeamID {
+	if j.team == nil {
+		return ""
+	}
+	return j.team.ID
+}
+
+// send describes a send to a target; events go on after lastEvent.
+func (j *job) send(t *registrar.Target, source *Handle, lastEvent string) *Send {
+	freshness := onceFreshness
+	if j.route.Repeatable() {
+		freshness = keptFreshness
+	}
+	return &Send{
+		Target: t, Team: j.teamID(), Left: time.Until(j.due), Rank: matcher.Rank(j.route, j.team),
+		Source: source, LastEvent: lastEvent, Freshness: freshness,
+	}
+}
+
+// candidates are the targets of a stage that have not failed this request.
+func (j *job) candidates(stage registrar.Stage, parts []chooser.Part) []chooser.Candidate {
+	targets := j.f.Targets(j.target)
+	targets = slices.DeleteFunc(targets, func(t *registrar.Target) bool {
+		return t.Stage != stage || slices.Contains(j.failed, t.ID)
+	})
+	return j.f.Book.Candidates(targets, parts, time.Now())
+}
+
+// mayRepeat tells whether one more send is allowed, and takes it from the budget.
+func (j *job) mayRepeat() bool {
+	return j.sends < j.route.Attempts && time.Until(j.due) > minimumLeft && j.f.Budget.Take(j.target)
+}
+
+// begin counts the request as running, once.
+func (j *job) begin() {
+	if !j.began {
+		j.began = true
+		j.f.Began(j.teamID())
+	}
+}
+
+// Refusal is a final answer that is not a target's.
+type Refusal struct {
+	Status int
+	Reason string
+	// Return is when the client may come back; zero: not said.
+	Return time.Duration
+	Err    error
+}
+
+// notRun refuses a request that has not run and never will.
+func notRun(reason string, back time.Duration, err error) *Refusal {
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: reason, Return: back, Err: err}
+}
+
+// open gives up a request that may have run.
+func open(ctx context.Context, reason string, err error) *Refusal {
+	status := http.StatusBadGateway
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		status, reason = http.StatusGatewayTimeout, "Timeout"
+	}
+	return &Refusal{Status: status, Reason: reason, Err: err}
+}
+
+func (r *Refusal) write(w http.ResponseWriter) {
+	if r.Return > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(r.Return.Seconds(), 'f', 3, 64))
+	}
+	w.Header().Set("Content-Type", "text/plain")
+	w.WriteHeader(r.Status)
+	if _, err := w.Write([]byte(r.Reason + "\n")); err != nil {
+		return // The client is gone; its leaving is logged where it is noticed.
+	}
+}
--- /dev/null
+++ b/internal/forwarder/plain.go
@@ -0,0 +1,93 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
+	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
+	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+)
+
+// plain sends a request to targets of a plain service until one answer stands.
+func (j *job) plain(ctx context.Context) *Refusal {
+	for {
+		v, ok := chooser.PlainTarget(j.f.Zone, plainWork, j.candidates(registrar.AnyStage, nil))
+		if !ok {
+			return j.noTarget()
+		}
+		reply, body, err := j.sendPlain(ctx, v.Target)
+		switch {
+		case err == nil && !j.repeatable(reply):
+			j.f.Book.Succeeded(v.Target.ID, time.Now())
+			j.writeWhole(reply, body)
+			return nil
+		case err == nil && !j.mayRepeat():
+			j.writeWhole(reply, body)
+			return nil
+		case err == nil:
+		case errors.Is(err, ErrNotRun):
+			if !j.mayRepeat() {
+				return notRun("TargetsFull", comeBack, err)
+			}
+		case j.route.Kind != matcher.Safe || ctx.Err() != nil || !j.mayRepeat():
+			return open(ctx, "TargetFailed", err)
+		}
+		j.f.Book.Failed(v.Target.ID, time.Now())
+		j.failed = append(j.failed, v.Target.ID)
+	}
+}
+
+// noTarget refuses for want of a target, truthfully if one was tried.
+func (j *job) noTarget() *Refusal {
+	if j.began {
+		return &Refusal{Status: http.StatusBadGateway, Reason: "TargetFailed"}
+	}
+	return notRun("NoTarget", comeBack, nil)
+}
+
+// repeatable tells a failure of the target that another target may mend.
+func (j *job) repeatable(r *Reply) bool {
+	return j.route.Kind == matcher.Safe && r.Status >= http.StatusInternalServerError
+}
+
+// sendPlain sends once and reads the whole answer, so that nothing incomplete reaches the client.
+func (j *job) sendPlain(ctx context.Context, t *registrar.Target) (*Reply, []byte, error) {
+	end := j.f.Book.Begin(t.ID, chooser.Load{Answers: 1}, time.Now())
+	defer end()
+	j.sends++
+	reply, err := j.f.Backend.Run(ctx, j.call, j.send(t, nil, j.call.LastEvent))
+	if err != nil {
+		if !errors.Is(err, ErrNotRun) {
+			j.begin()
+		}
+		return nil, nil, err
+	}
+	j.begin()
+	defer reply.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(reply.Body, plainBodyBytes+1))
+	switch {
+	case err != nil:
+		return nil, nil, fmt.Errorf("%w: body: %w", ErrOpen, err)
+	case len(body) > plainBodyBytes:
+		return nil, nil, fmt.Errorf("%w: body of more than %d bytes", ErrOpen, plainBodyBytes)
+	}
+	return reply, body, nil
+}
+
+// writeWhole sends a target's answer unchanged.
+func (j *job) writeWhole(r *Reply, body []byte) {
+	j.wrote = true
+	maps.Copy(j.w.Header(), r.Header)
+	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	j.w.WriteHeader(r.Status)
+	if _, err := j.w.Write(body); err != nil {
+		return // The client is gone.
+	}
+}
--- /dev/null
+++ b/internal/forwarder/port.go
@@ -0,0 +1,80 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
+	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// Errors of a backend.
+var (
+	// ErrNotRun is returned when the target has not run the request and never will.
+	ErrNotRun = errors.New("target did not run the request")
+	// ErrOpen is returned when the target may have run the request.
+	ErrOpen = errors.New("target may have run the request")
+)
+
+// Call is a client's request; Header holds only what may reach a target.
+type Call struct {
+	ID       identifier.RequestID
+	Method   string
+	URI      string
+	Host     string
+	Path     string
+	Key      string
+	Deadline time.Duration
+	Header   http.Header
+	Body     []byte
+	// LastEvent is the id of the last event that the client has, or empty.
+	LastEvent string
+	// Parts are the pieces of the prompt; AnswerTokens is the most that may be generated.
+	Parts        []chooser.Part
+	AnswerTokens identifier.Tokens
+}
+
+// Handle names the KV cache of a prompt that a target holds for another one.
+type Handle struct {
+	Target *registrar.Target
+	ID     string
+}
+
+// Send is what goes with a call to one target.
+type Send struct {
+	Target *registrar.Target
+	Team   identifier.TeamID
+	// Left is the time until the final answer is due.
+	Left time.Duration
+	// Rank is the urgency among the target's requests; 0 comes first.
+	Rank int
+	// Source is where the prompt's KV cache is, or nil.
+	Source *Handle
+	// LastEvent is the id of the event after which the answer goes on, or empty.
+	LastEvent string
+	// Freshness is how long ago a kept connection may have been used; zero: a new connection.
+	Freshness time.Duration
+}
+
+// Reply is a target's answer; Body must be closed.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	// Sealed tells that the answer bears the target's proof that it is its own.
+	Sealed bool
+}
+
+// Backend sends calls to targets, each exactly once.
+type Backend interface {
+	// Run sends a call; errors wrap ErrNotRun or ErrOpen.
+	Run(ctx context.Context, c *Call, s *Send) (*Reply, error)
+	// ReadPrompt has the prompt computed; errors wrap ErrNotRun or ErrOpen.
+	ReadPrompt(ctx context.Context, c *Call, s *Send) (*Handle, error)
+	// Free gives a handle back that is not used.
+	Free(ctx context.Context, h *Handle) error
+}
--- /dev/null
+++ b/internal/forwarder/prompted.go
@@ -0,0 +1,170 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
+	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+)
+
+// freeTimeout bounds giving back a handle; an unused one lapses by itself.
+const freeTimeout = time.Second
+
+// prompted has the prompt computed on one target and the answer generated on another.
+func (j *job) prompted(ctx context.Context) *Refusal {
+	stream := newStream(j)
+	for {
+		t, source, refusal := j.prepare(ctx)
+		if refusal != nil {
+			if stream.last > 0 {
+				return open(ctx, "StreamBroken", refusal.Err)
+			}
+			return refusal
+		}
+		err := j.generate(ctx, stream, t, source)
+		if err == nil {
+			return nil
+		}
+		j.f.Logger.Info("answer target failed", zap.String("RequestID", string(j.call.ID)),
+			zap.String("Target", string(t.ID)), zap.Int("Event", stream.last), zap.Error(err))
+		j.f.Book.Failed(t.ID, time.Now())
+		j.failed = append(j.failed, t.ID)
+		switch {
+		case ctx.Err() != nil:
+			return open(ctx, "Interrupted", err)
+		case errors.Is(err, ErrNotRun) && !j.mayRepeat():
+			if j.began {
+				return open(ctx, "StreamBroken", err)
+			}
+			return notRun("AnswerTargetFull", comeBack, err)
+		case errors.Is(err, ErrNotRun):
+		case !j.route.Resumable || !j.mayRepeat():
+			return open(ctx, "StreamBroken", err)
+		}
+	}
+}
+
+// prepare chooses the answer target and has the prompt computed for it where there are targets for prompts.
+func (j *job) prepare(ctx context.Context) (*registrar.Target, *Handle, *Refusal) {
+	for {
+		answers := j.candidates(registrar.Answers, nil)
+		prompts := j.candidates(registrar.Prompts, j.call.Parts)
+		answer, ok := chooser.AnswerTarget(j.f.Zone, answers)
+		if !ok {
+			return nil, nil, j.noTarget()
+		}
+		prompt, ok := chooser.PromptTarget(&chooser.Prompt{Zone: j.f.Zone, Parts: j.call.Parts}, prompts)
+		if !ok {
+			return answer.Target, nil, nil
+		}
+		h, err := j.read(ctx, prompt)
+		if err == nil {
+			answer, ok = chooser.AnswerTarget(prompt.Target.Zone, j.candidates(registrar.Answers, nil))
+			if !ok {
+				j.free(h)
+				return nil, nil, j.noTarget()
+			}
+			return answer.Target, h, nil
+		}
+		j.f.Logger.Info("prompt target failed", zap.String("RequestID", string(j.call.ID)),
+			zap.String("Target", string(prompt.Target.ID)), zap.Duration("Predicted", prompt.Predicted), zap.Error(err))
+		j.f.Book.Failed(prompt.Target.ID, time.Now())
+		j.failed = append(j.failed, prompt.Target.ID)
+		switch {
+		case ctx.Err() != nil && !j.began:
+			return nil, nil, &Refusal{Status: http.StatusGatewayTimeout, Reason: "PromptTimeout", Err: err}
+		case !j.f.Budget.Take(j.target):
+			return nil, nil, notRun("PromptTargetFailed", comeBack, err)
+		}
+	}
+}
+
+// read has the prompt computed.
+func (j *job) read(ctx context.Context, v chooser.Verdict) (*Handle, error) {
+	end := j.f.Book.Begin(v.Target.ID, chooser.Load{PromptTokens: v.Fresh}, time.Now())
+	defer end()
+	started := time.Now()
+	h, err := j.f.Backend.ReadPrompt(ctx, j.call, j.send(v.Target, nil, ""))
+	if err != nil {
+		return nil, err
+	}
+	j.f.Book.Succeeded(v.Target.ID, time.Now())
+	j.f.Book.Read(v.Target.ID, j.call.Parts, time.Now())
+	j.f.Metrics.Timer("PromptRead").Record(time.Since(started))
+	return h, nil
+}
+
+// free gives a handle back without holding up the request.
+func (j *job) free(h *Handle) {
+	if h == nil {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+		defer cancel()
+		if err := j.f.Backend.Free(ctx, h); err != nil {
+			j.f.Logger.Info("handle not freed", zap.String("Target", string(h.Target.ID)), zap.Error(err))
+		}
+	}()
+}
+
+// generate runs the request on the answer target and relays its events.
+func (j *job) generate(ctx context.Context, s *stream, t *registrar.Target, source *Handle) error {
+	tokens := j.call.AnswerTokens
+	for _, part := range j.call.Parts {
+		tokens += part.Tokens
+	}
+	end := j.f.Book.Begin(t.ID, chooser.Load{Answers: 1, AnswerTokens: tokens}, time.Now())
+	defer end()
+	j.sends++
+	reply, err := j.f.Backend.Run(ctx, j.call, j.send(t, source, s.lastEvent))
+	if err != nil {
+		if errors.Is(err, ErrNotRun) {
+			j.free(source)
+		} else {
+			j.begin()
+		}
+		return err
+	}
+	defer reply.Body.Close()
+	if reply.Status != http.StatusOK {
+		j.begin()
+		return j.relayFailure(reply, s)
+	}
+	if err := s.relay(reply); err != nil {
+		return err
+	}
+	j.f.Book.Succeeded(t.ID, time.Now())
+	return nil
+}
+
+// relayFailure passes a target's own failure on, unless part of the answer went out already.
+func (j *job) relayFailure(reply *Reply, s *stream) error {
+	body, err := io.ReadAll(io.LimitReader(reply.Body, plainBodyBytes))
+	if err != nil {
+		return fmt.Errorf("%w: body: %w", ErrOpen, err)
+	}
+	if j.wrote || j.route.Resumable && j.sends < j.route.Attempts {
+		return fmt.Errorf("%w: status %d", ErrOpen, reply.Status)
+	}
+	j.writeWhole(reply, body)
+	return nil
+}
+
+// head sends the head of the first target's answer.
+func (j *job) head(reply *Reply) {
+	if j.wrote {
+		return
+	}
+	j.wrote = true
+	maps.Copy(j.w.Header(), reply.Header)
+	j.w.WriteHeader(reply.Status)
+}
--- /dev/null
+++ b/internal/orderkeeper/doc.go
@@ -0,0 +1,2 @@
+// Package orderkeeper carries out the orders of the lease holder, each under its fencing number.
+package orderkeeper
--- /dev/null
+++ b/internal/pooler/exchange.go
@@ -0,0 +1,213 @@
+package pooler
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// strayAnswers is how many answers to earlier requests are skipped on a connection before it is given up.
+const strayAnswers = 2
+
+// Request is sent as it stands; Header must hold no header that concerns one connection only.
+type Request struct {
+	Address string
+	Method  string
+	URI     string
+	Host    string
+	Header  http.Header
+	Body    []byte
+	// Freshness is how long ago a connection may have been used last; zero: a new connection.
+	Freshness time.Duration
+	// Belongs tells an answer to this request from one to another request on the same connection.
+	Belongs func(status int, h http.Header) bool
+}
+
+// Answer is the head of an answer and its body; Body must be closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+}
+
+type conn struct {
+	net.Conn
+	pool   *Pool
+	addr   string
+	r      *bufio.Reader
+	once   sync.Once
+	since  time.Time
+	until  time.Time
+	reused bool
+}
+
+func newConn(p *Pool, addr string, nc net.Conn) *conn {
+	return &conn{Conn: nc, pool: p, addr: addr, r: bufio.NewReaderSize(nc, readBufferBytes), until: time.Now().Add(defaultIdle)}
+}
+
+func (c *conn) close() {
+	c.once.Do(func() {
+		c.Conn.Close()
+		c.pool.release(c.addr)
+	})
+}
+
+// Do sends a request once and returns the head of its answer.
+//
+// The connection is closed when ctx ends, also while the body is being read.
+func (p *Pool) Do(ctx context.Context, r *Request) (*Answer, error) {
+	c, err := p.get(ctx, r.Address, r.Freshness)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, c.close)
+	x := &exchange{conn: c, stop: stop, sent: make(chan error, 1)}
+	head, err := r.head()
+	if err != nil {
+		x.abort()
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	go func() {
+		_, err := c.Write(append(head, r.Body...))
+		x.sent <- err
+	}()
+	answer, err := x.receive(r)
+	if err != nil {
+		x.abort()
+		return nil, err
+	}
+	return answer, nil
+}
+
+// head is the request line and headers.
+func (r *Request) head() ([]byte, error) {
+	if _, err := url.ParseRequestURI(r.URI); err != nil {
+		return nil, err
+	}
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
+	}
+	if err := r.Header.Write(&b); err != nil {
+		return nil, err
+	}
+	b.WriteString("\r\n")
+	return b.Bytes(), nil
+}
+
+// exchange is one request and its answer on a connection.
+type exchange struct {
+	conn *conn
+	stop func() bool
+	sent chan error
+	once sync.Once
+}
+
+// abort closes the connection.
+func (x *exchange) abort() {
+	x.once.Do(func() {
+		x.stop()
+		x.conn.close()
+	})
+}
+
+// finish keeps the connection if the whole request went out and nothing is left to read.
+func (x *exchange) finish(keep time.Duration) {
+	x.once.Do(func() {
+		whole := false
+		select {
+		case err := <-x.sent:
+			whole = err == nil
+		default:
+		}
+		if !x.stop() || !whole || keep <= 0 || x.conn.r.Buffered() > 0 {
+			x.conn.close()
+			return
+		}
+		x.conn.until = time.Now().Add(keep)
+		x.conn.pool.put(x.conn)
+	})
+}
+
+func (x *exchange) receive(r *Request) (*Answer, error) {
+	req := &http.Request{Method: r.Method}
+	for stray := 0; ; {
+		res, err := http.ReadResponse(x.conn.r, req)
+		if err != nil {
+			return nil, classify(err)
+		}
+		if res.StatusCode >= 100 && res.StatusCode < 200 && res.StatusCode != http.StatusSwitchingProtocols {
+			continue
+		}
+		if r.Belongs != nil && !r.Belongs(res.StatusCode, res.Header) {
+			if stray++; stray > strayAnswers || res.ContentLength < 0 {
+				return nil, fmt.Errorf("%w: status %d", ErrForeign, res.StatusCode)
+			}
+			if _, err := io.Copy(io.Discard, res.Body); err != nil {
+				return nil, classify(err)
+			}
+			continue
+		}
+		return &Answer{Status: res.StatusCode, Header: res.Header, Body: &body{res: res, x: x}}, nil
+	}
+}
+
+// classify tells bytes that are no HTTP from a connection that broke.
+func classify(err error) error {
+	var netErr net.Error
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) || errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	return fmt.Errorf("%w: %w", ErrForeign, err)
+}
+
+// body reads an answer's body and gives the connection back at its end.
+type body struct {
+	res *http.Response
+	x   *exchange
+}
+
+// Read returns io.EOF only after the whole body.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.res.Body.Read(p)
+	switch {
+	case err == io.EOF:
+		keep := time.Duration(0)
+		if !b.res.Close {
+			keep = keepAlive(b.res.Header)
+		}
+		b.x.finish(keep)
+	case err != nil:
+		b.x.abort()
+		err = classify(err)
+	}
+	return n, err
+}
+
+// Close closes the connection unless the whole body was read.
+func (b *body) Close() error {
+	b.x.abort()
+	return nil
+}
+
+// keepAlive is how long the target keeps the connection, less a margin.
+func keepAlive(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if n, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(n)*time.Second - idleMargin
+		}
+	}
+	return defaultIdle
+}
--- /dev/null
+++ b/internal/reporter/windows.go
@@ -0,0 +1,107 @@
+package reporter
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/elector"
+	"github.com/coltsfootscale/coltsfootscale/internal/sleeper"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+const (
+	// windowPause is how often windows are looked at.
+	windowPause = 250 * time.Millisecond
+	// gatherTime is how long after its end a window is closed: peers tell their counts within a few beats.
+	gatherTime = 1500 * time.Millisecond
+	// reportedKept is how many windows are remembered as reported.
+	reportedKept = 32
+)
+
+// Closer fixes figures under the lease.
+type Closer interface {
+	Authority() (identifier.Fence, error)
+	Do(ctx context.Context, send func(ctx context.Context, fence identifier.Fence) error) error
+	Close(ctx context.Context, window int64, figures elector.Figures) error
+	Closed() map[int64]elector.Figures
+}
+
+// UsagePlatform takes the figures of a window.
+type UsagePlatform interface {
+	ReportUsage(ctx context.Context, fence identifier.Fence, window int64, figures elector.Figures) error
+}
+
+// Windows closes usage windows in the log and reports what the log says; exported fields must be set.
+type Windows struct {
+	Duty     Closer
+	Platform UsagePlatform
+	Length   time.Duration
+	// Late is how long after its end a window may still be reported.
+	Late time.Duration
+	// Now is the true time.
+	Now    func() time.Time
+	Total  func(window int64) map[identifier.TeamID]uint64
+	Logger *zap.Logger
+
+	reported map[int64]bool
+	fenced   identifier.Fence
+}
+
+// Run closes and reports windows while the lease is held, until ctx ends.
+func (r *Windows) Run(ctx context.Context) {
+	r.reported = map[int64]bool{}
+	for sleeper.Sleep(ctx, windowPause) == nil {
+		// A number that was refused once is not used again.
+		if fence, err := r.Duty.Authority(); err != nil || fence == r.fenced {
+			clear(r.reported)
+			continue
+		}
+		r.step(ctx)
+	}
+}
+
+func (r *Windows) step(ctx context.Context) {
+	now := r.Now()
+	newest := now.Add(-gatherTime).UnixMilli()/r.Length.Milliseconds() - 1
+	oldest := now.Add(-r.Late).UnixMilli() / r.Length.Milliseconds()
+	for w := oldest; w <= newest; w++ {
+		if !r.reported[w] {
+			r.report(ctx, w)
+		}
+	}
+	for w := range r.reported {
+		if w < newest-reportedKept {
+			delete(r.reported, w)
+		}
+	}
+}
+
+func (r *Windows) report(ctx context.Context, window int64) {
+	figures, closed := r.Duty.Closed()[window]
+	if !closed {
+		total := r.Total(window)
+		if len(total) == 0 {
+			return
+		}
+		if err := r.Duty.Close(ctx, window, total); err != nil {
+			r.Logger.Info("window not closed", zap.Int64("Window", window), zap.Error(err))
+			return
+		}
+		if figures, closed = r.Duty.Closed()[window]; !closed {
+			return
+		}
+	}
+	var fence identifier.Fence
+	err := r.Duty.Do(ctx, func(ctx context.Context, f identifier.Fence) error {
+		fence = f
+		return r.Platform.ReportUsage(ctx, f, window, figures)
+	})
+	r.Logger.Info("window reported", zap.Int64("Window", window), zap.Uint64("Fence", uint64(fence)), zap.Any("Figures", figures), zap.Error(err))
+	r.reported[window] = err == nil
+	if errors.Is(err, elector.ErrFenced) {
+		r.fenced = fence
+	}
+}
--- a/internal/runner/core.go
+++ b/internal/runner/core.go
@@ -243,7 +243,7 @@
 
 // start runs each duty on a goroutine of its own.
 func (e *Entry) start(background, authority context.Context, peerLis net.Listener, group *sync.WaitGroup) {
-	peerServer := &exchanger.Server{Handler: peerHandler{e}, Logger: e.logger}
+	peerServer := exchanger.ForHandler(peerHandler{e}, e.logger)
 	for _, duty := range []func(context.Context){
 		e.config.Run, e.control.Run, e.usage.Run, e.journal.Run,
 		e.observer.Run, e.tracker.Run, e.committer.Run,
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -49,3 +49,12 @@
 	sum := sha256.Sum256([]byte(key))
 	return KeyHash(hex.EncodeToString(sum[:]))
 }
+
+// ServiceID names a service of alike targets.
+type ServiceID string
+
+// RouteID names a route.
+type RouteID string
+
+// PartID is a piece of a prompt that several requests may share.
+type PartID uint64
