--- a/internal/orderkeeper/orderkeeper.go
+++ b/internal/orderkeeper/orderkeeper.go
@@ -54,8 +54,10 @@
 	stepPause = 250 * time.Millisecond
 	// settleTime is how long an ordered target has to show its new stage before it is ordered again.
 	settleTime = 6 * time.Second
-	// startPause is how long a new holder waits, so that it has heard of the targets.
-	startPause = 500 * time.Millisecond
+	// quietTime is how long no target may have come or gone before stages are ordered, so that a fleet that starts, or
+	// is heard of bit by bit, is not rearranged more than once; longestUnrest bounds the wait.
+	quietTime     = 1500 * time.Millisecond
+	longestUnrest = 4 * time.Second
 )
 
 // Keeper keeps the stages of all model targets; exported fields must be set.
@@ -68,9 +70,34 @@
 	Logger    *zap.Logger
 
 	mu      sync.Mutex
-	ordered map[identifier.TargetID]time.Time
+	ordered map[identifier.TargetID]pending
 	heldAt  time.Time
 	fenced  identifier.Fence
+	unrest  unrest
+}
+
+// pending is an order that the target's entry may not show yet.
+type pending struct {
+	stage registrar.Stage
+	at    time.Time
+}
+
+// unrest tells since when the set of targets has been changing.
+type unrest struct {
+	count      int
+	changedAt  time.Time
+	restlessAt time.Time
+}
+
+// over notes the number of targets and tells whether it has been the same for long enough.
+func (u *unrest) over(count int, now time.Time) bool {
+	if count != u.count {
+		if now.Sub(u.changedAt) > quietTime {
+			u.restlessAt = now
+		}
+		u.count, u.changedAt = count, now
+	}
+	return now.Sub(u.changedAt) > quietTime || now.Sub(u.restlessAt) > longestUnrest
 }
 
 // Run orders stages while the lease is held, until ctx ends.
@@ -84,12 +111,25 @@
 		if k.heldAt.IsZero() {
 			k.heldAt = time.Now()
 		}
-		if table := k.Table(); table != nil && time.Since(k.heldAt) > startPause {
-			for i := range table.Services {
-				if s := &table.Services[i]; s.Engine != nil {
-					k.arrange(ctx, s)
-				}
-			}
+		if table := k.Table(); table != nil {
+			k.arrangeAll(ctx, table)
+		}
+	}
+}
+
+func (k *Keeper) arrangeAll(ctx context.Context, table *matcher.Table) {
+	count := 0
+	for i := range table.Services {
+		if table.Services[i].Engine != nil {
+			count += len(k.Targets(table.Services[i].ID))
+		}
+	}
+	if !k.unrest.over(count, time.Now()) {
+		return
+	}
+	for i := range table.Services {
+		if s := &table.Services[i]; s.Engine != nil {
+			k.arrange(ctx, s)
 		}
 	}
 }
@@ -104,7 +144,12 @@
 			continue
 		}
 		byID[t.ID] = t
-		engines = append(engines, placer.StageEngine{ID: t.ID, Zone: t.Zone, Stage: t.Stage, Cheap: t.Cheap, Busy: k.settling(t.ID)})
+		e := placer.StageEngine{ID: t.ID, Zone: t.Zone, Stage: t.Stage, Cheap: t.Cheap}
+		// The order counts as carried out until the entry has had time to show it.
+		if p, ordered := k.settling(t.ID); ordered {
+			e.Stage, e.Busy = p.stage, true
+		}
+		engines = append(engines, e)
 	}
 	placer.SortEngines(engines)
 	changes := placer.Split(engines, placer.Answerers(len(engines)))
@@ -115,20 +160,21 @@
 	group.Wait()
 }
 
-// settling tells that a target was ordered lately; the target counts with the stage that it shows.
-func (k *Keeper) settling(id identifier.TargetID) bool {
+// settling returns a target's order if it was sent lately.
+func (k *Keeper) settling(id identifier.TargetID) (pending, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return time.Since(k.ordered[id]) < settleTime
+	p, ok := k.ordered[id]
+	return p, ok && time.Since(p.at) < settleTime
 }
 
 func (k *Keeper) order(ctx context.Context, t *registrar.Target, stage registrar.Stage) {
 	k.mu.Lock()
 	if k.ordered == nil {
-		k.ordered = map[identifier.TargetID]time.Time{}
+		k.ordered = map[identifier.TargetID]pending{}
 	}
-	maps.DeleteFunc(k.ordered, func(_ identifier.TargetID, at time.Time) bool { return time.Since(at) > settleTime })
-	k.ordered[t.ID] = time.Now()
+	maps.DeleteFunc(k.ordered, func(_ identifier.TargetID, p pending) bool { return time.Since(p.at) > settleTime })
+	k.ordered[t.ID] = pending{stage, time.Now()}
 	k.mu.Unlock()
 	var sent Order
 	err := k.Duty.Do(ctx, func(ctx context.Context, fence identifier.Fence) error {
