--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -55,8 +55,9 @@
 	Duties        elector.Log
 	Backend       forwarder.Backend
 	Commander     orderkeeper.Commander
-	// Usage is nil where there are no duties.
-	Usage reporter.UsagePlatform
+	// Usage and Supply are nil where there are no duties.
+	Usage  reporter.UsagePlatform
+	Supply orderkeeper.TargetPlatform
 	// ConfigurationKey is the key of the configuration in its stream.
 	ConfigurationKey    string
 	DecodeConfiguration func(data []byte) (matcher.Configuration, error)
@@ -92,6 +93,7 @@
 	calls    *exchanger.Client
 	elector  *elector.Elector
 	keeper   *orderkeeper.Keeper
+	supplier *orderkeeper.Supplier
 	windows  *reporter.Windows
 	forward  *forwarder.Forwarder
 
@@ -155,6 +157,9 @@
 		Holder: c.self.ID, Duty: c.elector, Commander: c.platform.Commander,
 		Table: c.table.Load, Targets: c.registry.Of, Logger: c.logger,
 	}
+	c.supplier = &orderkeeper.Supplier{
+		Duty: c.elector, Platform: c.platform.Supply, Table: c.table.Load, Targets: c.registry.Of, Needed: needed, Logger: c.logger,
+	}
 	c.windows = &reporter.Windows{
 		Duty: c.elector, Platform: c.platform.Usage, Length: bounds.UsageWindow, Late: bounds.UsageLate,
 		Now: c.trueTime, Total: c.counts.Total, Logger: c.logger,
@@ -173,6 +178,9 @@
 	}
 }
 
+// needed returns how many targets a service should have.
+func needed(s *matcher.Service, _ int) int { return s.Scaling.Maximum * len(s.Scaling.Prices) }
+
 // Serve answers a client's call.
 func (c *Coordinator) Serve(ctx context.Context, w http.ResponseWriter, call *forwarder.Call) {
 	c.forward.Serve(ctx, w, call)
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -72,6 +72,7 @@
 	group.Go(func() { c.keeper.Run(duties) })
 	if c.platform.Usage != nil {
 		group.Go(func() { c.windows.Run(duties) })
+		group.Go(func() { c.supplier.Run(duties) })
 	}
 }
 
--- /dev/null
+++ b/internal/orderkeeper/supplier.go
@@ -0,0 +1,132 @@
+package orderkeeper
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
+	"github.com/coltsfootscale/coltsfootscale/internal/placer"
+	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/internal/sleeper"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// TargetPlatform takes orders for targets.
+type TargetPlatform interface {
+	OrderTargets(ctx context.Context, fence identifier.Fence, o Supply) error
+}
+
+const (
+	// supplyPause is how often the numbers of targets are looked at.
+	supplyPause = 500 * time.Millisecond
+	// arrivalSlack is what ordered targets may take to be seen, beyond their boot.
+	arrivalSlack = 3 * time.Second
+	// refusedPause is how long an order is not repeated where nothing was to be had.
+	refusedPause = 2 * time.Second
+)
+
+// Supplier keeps the numbers of targets of all services that can be ordered; exported fields must be set.
+type Supplier struct {
+	Duty     Duty
+	Platform TargetPlatform
+	Table    func() *matcher.Table
+	Targets  func(service identifier.ServiceID) []*registrar.Target
+	// Needed returns how many targets a service should have.
+	Needed func(s *matcher.Service, have int) int
+	Logger *zap.Logger
+
+	sent   map[lot]standing
+	unrest unrest
+}
+
+// lot is one kind of target in one availability zone.
+type lot struct {
+	service identifier.ServiceID
+	zone    identifier.ZoneID
+	cheap   bool
+}
+
+// standing is the last order for a lot.
+type standing struct {
+	count int
+	until time.Time
+}
+
+// Run orders targets while the lease is held, until ctx ends.
+func (s *Supplier) Run(ctx context.Context) {
+	for sleeper.Sleep(ctx, supplyPause) == nil {
+		if _, err := s.Duty.Authority(); err != nil {
+			s.sent, s.unrest = nil, unrest{}
+			continue
+		}
+		table := s.Table()
+		if table == nil {
+			continue
+		}
+		for i := range table.Services {
+			if service := &table.Services[i]; service.Scaling != nil {
+				s.supply(ctx, service)
+			}
+		}
+	}
+}
+
+// supply orders what one service lacks, or has too many of.
+func (s *Supplier) supply(ctx context.Context, service *matcher.Service) {
+	targets := s.Targets(service.ID)
+	if len(targets) == 0 || !s.unrest.over(len(targets), time.Now()) {
+		return
+	}
+	fleet := map[identifier.ZoneID]placer.ZoneFleet{}
+	for zone := range service.Scaling.Prices {
+		fleet[zone] = placer.ZoneFleet{Zone: zone}
+	}
+	for _, t := range targets {
+		z := fleet[t.Zone]
+		z.Zone = t.Zone
+		if t.Cheap {
+			z.Cheap++
+		} else {
+			z.Regular++
+		}
+		fleet[t.Zone] = z
+	}
+	situation := placer.FleetSituation{
+		Minimum: service.Scaling.Minimum, Maximum: service.Scaling.Maximum,
+		Needed: s.Needed(service, len(targets)), CheapPrice: service.Scaling.CheapPrice,
+	}
+	for _, z := range fleet {
+		situation.Zones = append(situation.Zones, z)
+	}
+	for _, w := range placer.Fleet(situation) {
+		have := fleet[w.Zone]
+		s.order(ctx, service, lot{service.ID, w.Zone, true}, have.Cheap, w.Cheap)
+		s.order(ctx, service, lot{service.ID, w.Zone, false}, have.Regular, w.Regular)
+	}
+}
+
+// order sends an order unless the same one stands and may still be on its way.
+func (s *Supplier) order(ctx context.Context, service *matcher.Service, l lot, have, want int) {
+	last, ordered := s.sent[l]
+	if have == want && (!ordered || last.count == want) {
+		return
+	}
+	if ordered && last.count == want && time.Now().Before(last.until) {
+		return
+	}
+	err := s.Duty.Do(ctx, func(ctx context.Context, fence identifier.Fence) error {
+		return s.Platform.OrderTargets(ctx, fence, Supply{Service: l.service, Zone: l.zone, Count: want, Cheap: l.cheap})
+	})
+	if s.sent == nil {
+		s.sent = map[lot]standing{}
+	}
+	wait := service.Scaling.Boot + arrivalSlack
+	if err != nil {
+		wait = refusedPause
+	}
+	s.sent[l] = standing{want, time.Now().Add(wait)}
+	s.Logger.Info("targets ordered", zap.String("Service", string(l.service)), zap.String("Zone", string(l.zone)),
+		zap.Bool("Cheap", l.cheap), zap.Int("Have", have), zap.Int("Want", want), zap.Error(err))
+}
