Order cheap targets as soon as the duties are held; change stages without waiting for quiet

Ruled out: the answer targets (first event 25 to 60 ms after the handle) and the restart of instances (in force 20 ms after the start).

--- a/internal/coordinator/beats.go
+++ b/internal/coordinator/beats.go
@@ -126,7 +126,7 @@
 
 // eligible lets the first instance claim at once, and the others only if it does not.
 func (c *Coordinator) eligible(since time.Duration) bool {
-	return c.Ready() && since >= time.Duration(c.rank())*claimDelay
+	return !c.leaving.Load() && c.table.Load() != nil && since >= time.Duration(c.rank())*claimDelay
 }
 
 // trueTime is the median of the times of day of all instances, so that a few that jump do not matter.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -78,6 +78,17 @@
 	began  bool
 	// wrote tells that the head of the answer went to the client.
 	wrote bool
+	trace trace
+}
+
+// trace is what decided a request, for the log.
+type trace struct {
+	promptTarget identifier.TargetID
+	answerTarget identifier.TargetID
+	predicted    time.Duration
+	fresh        identifier.Tokens
+	promptTook   time.Duration
+	firstEvent   time.Duration
 }
 
 // Serve answers a call.
@@ -101,6 +112,7 @@
 func (j *job) finish(ctx context.Context, refusal *Refusal) {
 	j.f.Metrics.Counter("Requests").Inc(1)
 	if refusal == nil {
+		j.logServed()
 		return
 	}
 	// A client that has left hears nothing; its connection is closed, so that no half answer looks whole.
@@ -116,6 +128,15 @@
 	refusal.write(j.w)
 }
 
+// logServed tells which targets served a request, and by which prediction.
+func (j *job) logServed() {
+	j.f.Logger.Info("request served",
+		zap.String("RequestID", string(j.call.ID)), zap.String("Route", string(j.route.ID)), zap.Duration("After", time.Since(j.start)),
+		zap.String("PromptTarget", string(j.trace.promptTarget)), zap.Duration("Predicted", j.trace.predicted),
+		zap.Int64("FreshTokens", int64(j.trace.fresh)), zap.Duration("PromptTook", j.trace.promptTook),
+		zap.String("AnswerTarget", string(j.trace.answerTarget)), zap.Duration("FirstEvent", j.trace.firstEvent), zap.Int("Sends", j.sends))
+}
+
 func (j *job) log(message string, r *Refusal) {
 	route := identifier.RouteID("")
 	if j.route != nil {
@@ -196,6 +217,7 @@
 func (j *job) begin() {
 	if !j.began {
 		j.began = true
+		j.trace.firstEvent = time.Since(j.start)
 		j.f.Began(j.teamID())
 	}
 }
--- a/internal/forwarder/prompted.go
+++ b/internal/forwarder/prompted.go
@@ -98,7 +98,8 @@
 	}
 	j.f.Book.Succeeded(v.Target.ID, time.Now())
 	j.f.Book.Read(v.Target.ID, j.call.Parts, time.Now())
-	j.f.Metrics.Timer("PromptRead").Record(time.Since(started))
+	j.trace.promptTarget, j.trace.predicted, j.trace.fresh, j.trace.promptTook = v.Target.ID, v.Predicted, v.Fresh, time.Since(started)
+	j.f.Metrics.Timer("PromptRead").Record(j.trace.promptTook)
 	return h, nil
 }
 
@@ -125,6 +126,7 @@
 	end := j.f.Book.Begin(t.ID, chooser.Load{Answers: 1, AnswerTokens: tokens}, time.Now())
 	defer end()
 	j.sends++
+	j.trace.answerTarget = t.ID
 	reply, err := j.f.Backend.Run(ctx, j.call, j.send(t, source, s.lastEvent))
 	if err != nil {
 		if errors.Is(err, ErrNotRun) {
--- a/internal/orderkeeper/orderkeeper.go
+++ b/internal/orderkeeper/orderkeeper.go
@@ -54,10 +54,9 @@
 	stepPause = 250 * time.Millisecond
 	// settleTime is how long an ordered target has to show its new stage before it is ordered again.
 	settleTime = 6 * time.Second
-	// quietTime is how long no target may have come or gone before stages are ordered, so that a fleet that starts, or
-	// is heard of bit by bit, is not rearranged more than once; longestUnrest bounds the wait.
-	quietTime     = 1500 * time.Millisecond
-	longestUnrest = 4 * time.Second
+	// quietTime is how long no target may have come before the first orders, so that a fleet that starts, or is heard of
+	// bit by bit, is not rearranged more than once: a fleet's entries come within one heartbeat.
+	quietTime = 700 * time.Millisecond
 )
 
 // Keeper keeps the stages of all model targets; exported fields must be set.
@@ -73,7 +72,7 @@
 	ordered map[identifier.TargetID]pending
 	heldAt  time.Time
 	fenced  identifier.Fence
-	unrest  unrest
+	arrival arrival
 }
 
 // pending is an order that the target's entry may not show yet.
@@ -82,22 +81,20 @@
 	at    time.Time
 }
 
-// unrest tells since when the set of targets has been changing.
-type unrest struct {
-	count      int
-	changedAt  time.Time
-	restlessAt time.Time
+// arrival tells whether the targets that were there at the start have been heard of.
+type arrival struct {
+	count     int
+	changedAt time.Time
+	over      bool
 }
 
-// over notes the number of targets and tells whether it has been the same for long enough.
-func (u *unrest) over(count int, now time.Time) bool {
-	if count != u.count {
-		if now.Sub(u.changedAt) > quietTime {
-			u.restlessAt = now
-		}
-		u.count, u.changedAt = count, now
+// done notes the number of targets and tells whether it once was the same for long enough.
+func (a *arrival) done(count int, now time.Time) bool {
+	if count != a.count {
+		a.count, a.changedAt = count, now
 	}
-	return now.Sub(u.changedAt) > quietTime || now.Sub(u.restlessAt) > longestUnrest
+	a.over = a.over || count > 0 && now.Sub(a.changedAt) > quietTime
+	return a.over
 }
 
 // Run orders stages while the lease is held, until ctx ends.
@@ -124,7 +121,7 @@
 			count += len(k.Targets(table.Services[i].ID))
 		}
 	}
-	if !k.unrest.over(count, time.Now()) {
+	if !k.arrival.done(count, time.Now()) {
 		return
 	}
 	for i := range table.Services {
--- a/internal/orderkeeper/supplier.go
+++ b/internal/orderkeeper/supplier.go
@@ -37,8 +37,8 @@
 	Needed func(s *matcher.Service, have int) int
 	Logger *zap.Logger
 
-	sent   map[lot]standing
-	unrest unrest
+	sent    map[lot]standing
+	arrival arrival
 }
 
 // lot is one kind of target in one availability zone.
@@ -58,7 +58,7 @@
 func (s *Supplier) Run(ctx context.Context) {
 	for sleeper.Sleep(ctx, supplyPause) == nil {
 		if _, err := s.Duty.Authority(); err != nil {
-			s.sent, s.unrest = nil, unrest{}
+			s.sent, s.arrival = nil, arrival{}
 			continue
 		}
 		table := s.Table()
@@ -76,9 +76,7 @@
 // supply orders what one service lacks, or has too many of.
 func (s *Supplier) supply(ctx context.Context, service *matcher.Service) {
 	targets := s.Targets(service.ID)
-	if len(targets) == 0 || !s.unrest.over(len(targets), time.Now()) {
-		return
-	}
+	settled := s.arrival.done(len(targets), time.Now())
 	fleet := map[identifier.ZoneID]placer.ZoneFleet{}
 	for zone := range service.Scaling.Prices {
 		fleet[zone] = placer.ZoneFleet{Zone: zone}
@@ -103,7 +101,10 @@
 	for _, w := range placer.Fleet(situation) {
 		have := fleet[w.Zone]
 		s.order(ctx, service, lot{service.ID, w.Zone, true}, have.Cheap, w.Cheap)
-		s.order(ctx, service, lot{service.ID, w.Zone, false}, have.Regular, w.Regular)
+		// Nothing is given back, and nothing dear ordered, before it is known what is there.
+		if settled {
+			s.order(ctx, service, lot{service.ID, w.Zone, false}, have.Regular, w.Regular)
+		}
 	}
 }
 
