--- a/internal/coordinator/beats.go
+++ b/internal/coordinator/beats.go
@@ -9,6 +9,8 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/elector"
 	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
 	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
+	"github.com/coltsfootscale/coltsfootscale/internal/orderkeeper"
+	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
@@ -36,6 +38,12 @@
 	for _, cell := range c.counts.Of(c.self.Incarnation) {
 		b.Counts = append(b.Counts, &gossiper.Count{Incarnation: cell.Incarnation, Window: cell.Window, Team: string(cell.Team), Requests: cell.Requests})
 	}
+	for service, rate := range c.demand.Own(now) {
+		b.Rates = append(b.Rates, &gossiper.Rate{Service: string(service), PromptTokensPerSecond: rate})
+	}
+	for _, p := range c.keeper.Pending() {
+		b.Orders = append(b.Orders, &gossiper.Order{Target: string(p.Target), Stage: int32(p.Stage), AgeMilliseconds: p.Age.Milliseconds()})
+	}
 	if s, ok := c.elector.Seen(); ok {
 		b.Lease = &gossiper.Lease{Holder: s.Holder, Fence: uint64(s.Fence), Offset: uint64(s.Next), AgeMilliseconds: s.Age.Milliseconds()}
 	}
@@ -49,6 +57,14 @@
 	return b
 }
 
+// announceOrders notes this instance's own orders and tells the peers.
+func (c *Coordinator) announceOrders() {
+	for _, p := range c.keeper.Pending() {
+		c.registry.Ordered(p.Target, p.Stage, time.Now().Add(orderkeeper.SettleTime-p.Age))
+	}
+	c.peers.Wake()
+}
+
 // partsFor returns the prompt parts that were read since the last beat to a peer.
 func (c *Coordinator) partsFor(peer string) []*gossiper.Part {
 	c.mu.Lock()
@@ -102,6 +118,13 @@
 		part := chooser.Part{ID: identifier.PartID(p.Part), Tokens: identifier.Tokens(p.Tokens)}
 		c.book.Learn(chooser.Sent{Target: identifier.TargetID(p.Target), Part: part}, now)
 	}
+	for _, o := range b.Orders {
+		left := orderkeeper.SettleTime - time.Duration(o.AgeMilliseconds)*time.Millisecond
+		c.registry.Ordered(identifier.TargetID(o.Target), registrar.Stage(o.Stage), now.Add(left))
+	}
+	for _, r := range b.Rates {
+		c.demand.Hear(b.Sender.ID, identifier.ServiceID(r.Service), r.PromptTokensPerSecond, now)
+	}
 	for _, n := range b.Counts {
 		c.counts.Merge(counter.Cell{Incarnation: n.Incarnation, Window: n.Window, Team: identifier.TeamID(n.Team), Requests: n.Requests})
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -15,6 +15,7 @@
 
 	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
 	"github.com/coltsfootscale/coltsfootscale/internal/counter"
+	"github.com/coltsfootscale/coltsfootscale/internal/demander"
 	"github.com/coltsfootscale/coltsfootscale/internal/elector"
 	"github.com/coltsfootscale/coltsfootscale/internal/exchanger"
 	"github.com/coltsfootscale/coltsfootscale/internal/exporter"
@@ -87,6 +88,7 @@
 	table    atomic.Pointer[matcher.Table]
 	registry registrar.Registrar
 	book     chooser.Book
+	demand   demander.Demand
 	counts   counter.Counter
 	budget   *retrier.Windowed
 	peers    *gossiper.Gossiper
@@ -155,10 +157,10 @@
 	}
 	c.keeper = &orderkeeper.Keeper{
 		Holder: c.self.ID, Duty: c.elector, Commander: c.platform.Commander,
-		Table: c.table.Load, Targets: c.registry.Of, Logger: c.logger,
+		Table: c.table.Load, Targets: c.registry.Staying, Announce: c.announceOrders, Logger: c.logger,
 	}
 	c.supplier = &orderkeeper.Supplier{
-		Duty: c.elector, Platform: c.platform.Supply, Table: c.table.Load, Targets: c.registry.Of, Needed: needed, Logger: c.logger,
+		Duty: c.elector, Platform: c.platform.Supply, Table: c.table.Load, Targets: c.registry.Staying, Load: c.demand.Peak, Logger: c.logger,
 	}
 	c.windows = &reporter.Windows{
 		Duty: c.elector, Platform: c.platform.Usage, Length: bounds.UsageWindow, Late: bounds.UsageLate,
@@ -174,13 +176,10 @@
 	}
 	c.forward = &forwarder.Forwarder{
 		Zone: identifier.ZoneID(c.self.Zone), Table: c.table.Load, TableAge: c.tableAge, Targets: c.registry.Of,
-		Book: &c.book, Backend: c.platform.Backend, Budget: c.budget, Began: c.began, Logger: c.logger, Metrics: c.metrics,
+		Book: &c.book, Backend: c.platform.Backend, Budget: c.budget, Began: c.began, Offered: c.demand.Add, Logger: c.logger, Metrics: c.metrics,
 	}
 }
 
-// needed returns how many targets a service should have.
-func needed(s *matcher.Service, _ int) int { return s.Scaling.Maximum * len(s.Scaling.Prices) }
-
 // Serve answers a client's call.
 func (c *Coordinator) Serve(ctx context.Context, w http.ResponseWriter, call *forwarder.Call) {
 	c.forward.Serve(ctx, w, call)
@@ -278,9 +277,12 @@
 		c.registry.Drop(id, time.Now())
 		return
 	}
-	c.registry.Put(t)
+	if !c.registry.Put(t, time.Now()) {
+		c.logger.Info("older target entry ignored", zap.String("Target", r.Key), zap.Uint64("Beat", t.Beat), zap.Uint64("Offset", uint64(r.Offset)))
+		return
+	}
 	c.logger.Info("target", zap.String("Target", r.Key), zap.String("Service", string(t.Service)), zap.String("Zone", string(t.Zone)),
-		zap.Stringer("Stage", t.Stage), zap.Bool("Leaving", t.Leaving), zap.Bool("Cheap", t.Cheap), zap.Uint64("Offset", uint64(r.Offset)))
+		zap.Stringer("Stage", t.Stage), zap.Bool("Leaving", t.Leaving), zap.Bool("Cheap", t.Cheap), zap.Uint64("Beat", t.Beat), zap.Uint64("Offset", uint64(r.Offset)))
 	c.peers.Wake()
 }
 
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -144,6 +144,7 @@
 	for sleeper.Sleep(ctx, tidyPause) == nil {
 		c.registry.Expire(time.Now())
 		c.book.Retain(c.registry.Targets())
+		c.demand.Sample(time.Now())
 		c.counts.Forget(c.trueTime().UnixMilli() / c.settings.Load().Bounds.UsageWindow.Milliseconds())
 	}
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -45,8 +45,9 @@
 	// Returned is called when a call succeeds after one had failed; it may be nil.
 	Returned func(now time.Time)
 
-	whole bool
-	away  bool
+	// expired tells that the records after the mirror's are gone, so that only the newest of each key can be read.
+	expired bool
+	away    bool
 }
 
 // Run follows the stream until ctx ends.
@@ -67,10 +68,11 @@
 // step makes one call to the store and applies its answer.
 func (f *Follower) step(ctx context.Context) error {
 	asked := time.Now()
-	records, next, err := f.call(ctx)
-	if errors.Is(err, ErrExpired) {
+	whole := f.expired || f.Mirror.Next() == 0
+	records, next, err := f.call(ctx, whole)
+	if errors.Is(err, ErrExpired) && !whole {
 		f.Logger.Info("records expired, reading the newest of each key", zap.String("Stream", f.Name), zap.Error(err))
-		f.whole = false
+		f.expired = true
 		return nil
 	}
 	if err != nil {
@@ -80,7 +82,7 @@
 		f.away = true
 		return err
 	}
-	f.whole = true
+	f.expired = false
 	if f.away {
 		f.away = false
 		f.Logger.Info("store regained", zap.String("Stream", f.Name))
@@ -88,22 +90,24 @@
 			f.Returned(time.Now())
 		}
 	}
-	f.Mirror.Apply(records, next, asked)
+	if whole {
+		f.Mirror.Replace(records, next, asked)
+	} else {
+		f.Mirror.Apply(records, next, asked)
+	}
 	return nil
 }
 
-func (f *Follower) call(ctx context.Context) ([]mirrorer.Record, identifier.Offset, error) {
-	// What peers passed on counts as much as what was read here.
-	if next := f.Mirror.Next(); f.whole || next > 0 {
-		wait := f.Wait
-		if _, known := f.Mirror.Age(time.Now()); !known {
-			wait = 0
-		}
-		ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
-		defer cancel()
-		return f.Stream.Read(ctx, next, wait)
+// call reads the newest of each key, or what came after the mirror's records, which peers may have passed on.
+func (f *Follower) call(ctx context.Context, whole bool) ([]mirrorer.Record, identifier.Offset, error) {
+	wait := f.Wait
+	if _, known := f.Mirror.Age(time.Now()); !known || whole {
+		wait = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
 	defer cancel()
-	return f.Stream.Newest(ctx)
+	if whole {
+		return f.Stream.Newest(ctx)
+	}
+	return f.Stream.Read(ctx, f.Mirror.Next(), wait)
 }
--- /dev/null
+++ b/internal/follower/follower_test.go
@@ -0,0 +1,154 @@
+package follower_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/follower"
+	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// stream is a keyed stream in memory.
+type stream struct {
+	mu      sync.Mutex
+	records []mirrorer.Record
+	first   identifier.Offset
+	calls   int
+	away    bool
+}
+
+func (s *stream) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = append(s.records, mirrorer.Record{Key: key, Value: []byte(value), Offset: identifier.Offset(len(s.records))})
+}
+
+// compact drops the history; the newest record of each key stays readable.
+func (s *stream) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.first = identifier.Offset(len(s.records))
+}
+
+func (s *stream) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+func (s *stream) Newest(context.Context) ([]mirrorer.Record, identifier.Offset, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.away {
+		return nil, 0, context.DeadlineExceeded
+	}
+	newest := map[string]mirrorer.Record{}
+	for _, r := range s.records {
+		newest[r.Key] = r
+	}
+	var list []mirrorer.Record
+	for _, r := range newest {
+		if len(r.Value) > 0 {
+			list = append(list, r)
+		}
+	}
+	return list, identifier.Offset(len(s.records)), nil
+}
+
+func (s *stream) Read(_ context.Context, from identifier.Offset, _ time.Duration) ([]mirrorer.Record, identifier.Offset, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.away {
+		return nil, 0, context.DeadlineExceeded
+	}
+	if from < s.first {
+		return nil, 0, follower.ErrExpired
+	}
+	return s.records[from:], identifier.Offset(len(s.records)), nil
+}
+
+const maximumAge = 300 * time.Millisecond
+
+// follow runs a follower for some time of the test's clock while f acts, and returns its mirror.
+func follow(t *testing.T, s *stream, f func(m *mirrorer.Mirror)) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &mirrorer.Mirror{}
+		ctx, cancel := context.WithCancel(context.Background())
+		fl := &follower.Follower{Name: "Targets", Stream: s, Mirror: m, Logger: zap.NewNop(), MaximumAge: func() time.Duration { return maximumAge }}
+		done := make(chan struct{})
+		go func() { defer close(done); fl.Run(ctx) }()
+		time.Sleep(time.Second)
+		f(m)
+		cancel()
+		<-done
+	})
+}
+
+func value(m *mirrorer.Mirror, key string) string {
+	r, _ := m.Get(key)
+	return string(r.Value)
+}
+
+func TestCompactionLosesNothing(t *testing.T) {
+	s := &stream{}
+	s.put("a", "1")
+	s.put("gone", "1")
+	follow(t, s, func(m *mirrorer.Mirror) {
+		quicktest.Assert(t, value(m, "gone"), quicktest.Equals, "1")
+		// What happens in the gap is told by the newest records alone: one changed, one left without a trace.
+		s.put("a", "2")
+		s.put("gone", "")
+		s.compact()
+		s.mu.Lock()
+		s.calls = 0
+		s.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		quicktest.Check(t, value(m, "a"), quicktest.Equals, "2")
+		quicktest.Check(t, value(m, "gone"), quicktest.Equals, "")
+		quicktest.Check(t, s.calls < 12, quicktest.IsTrue, quicktest.Commentf("%d calls in 2 s", s.calls))
+		s.put("gone", "back")
+		time.Sleep(time.Second)
+		quicktest.Check(t, value(m, "gone"), quicktest.Equals, "back")
+	})
+}
+
+func TestOutageIsNotPressed(t *testing.T) {
+	s := &stream{}
+	s.put("a", "1")
+	follow(t, s, func(m *mirrorer.Mirror) {
+		s.setAway(true)
+		s.mu.Lock()
+		s.calls = 0
+		s.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		quicktest.Check(t, s.calls <= 25, quicktest.IsTrue, quicktest.Commentf("%d calls in 10 s", s.calls))
+		s.setAway(false)
+		s.put("a", "2")
+		time.Sleep(time.Second)
+		quicktest.Check(t, value(m, "a"), quicktest.Equals, "2")
+	})
+}
+
+func TestPeersSpareTheStore(t *testing.T) {
+	s := &stream{}
+	s.put("a", "1")
+	follow(t, s, func(m *mirrorer.Mirror) {
+		s.mu.Lock()
+		s.calls = 0
+		s.mu.Unlock()
+		for range 50 {
+			m.Apply(nil, 1, time.Now())
+			time.Sleep(100 * time.Millisecond)
+		}
+		quicktest.Check(t, s.calls, quicktest.Equals, 0)
+	})
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -53,10 +53,12 @@
 	Zone     identifier.ZoneID
 	Table    func() *matcher.Table
 	TableAge func() time.Duration
-	Targets  func(service identifier.ServiceID) []*registrar.Target
+	Targets  func(service identifier.ServiceID, now time.Time) []*registrar.Target
 	Book     *chooser.Book
 	Backend  Backend
 	Budget   Budget
+	// Offered notes prompt tokens that a request would have computed.
+	Offered func(service identifier.ServiceID, tokens identifier.Tokens, now time.Time)
 	// Began counts a request that began to run now.
 	Began   func(team identifier.TeamID)
 	Logger  *zap.Logger
@@ -74,6 +76,7 @@
 	due    time.Time
 	start  time.Time
 	sends  int
+	reads  int
 	failed []identifier.TargetID
 	began  bool
 	// wrote tells that the head of the answer went to the client.
@@ -201,7 +204,7 @@
 
 // candidates are the targets of a stage that have not failed this request.
 func (j *job) candidates(stage registrar.Stage, parts []chooser.Part) []chooser.Candidate {
-	targets := j.f.Targets(j.target)
+	targets := j.f.Targets(j.target, time.Now())
 	targets = slices.DeleteFunc(targets, func(t *registrar.Target) bool {
 		return t.Stage != stage || slices.Contains(j.failed, t.ID)
 	})
--- a/internal/forwarder/prompted.go
+++ b/internal/forwarder/prompted.go
@@ -15,6 +15,9 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
 )
 
+// mostReads is how many targets are tried for one prompt.
+const mostReads = 3
+
 // freeTimeout bounds giving back a handle; an unused one lapses by itself.
 const freeTimeout = time.Second
 
@@ -65,6 +68,14 @@
 		if !ok {
 			return answer.Target, nil, nil
 		}
+		if j.sends == 0 && len(j.failed) == 0 {
+			j.f.Offered(j.target, prompt.Fresh, time.Now())
+		}
+		// The first prompt that is read for a request is free of the budget.
+		if j.reads > 0 && !j.f.Budget.Take(j.target) {
+			return nil, nil, j.givenUp(notRun("RetryBudgetSpent", comeBack, nil))
+		}
+		j.reads++
 		h, err := j.read(ctx, prompt)
 		if err == nil {
 			answer, ok = chooser.AnswerTarget(prompt.Target.Zone, j.candidates(registrar.Answers, nil))
@@ -79,14 +90,22 @@
 		j.f.Book.Failed(prompt.Target.ID, time.Now())
 		j.failed = append(j.failed, prompt.Target.ID)
 		switch {
-		case ctx.Err() != nil && !j.began:
+		case ctx.Err() != nil:
 			return nil, nil, &Refusal{Status: http.StatusGatewayTimeout, Reason: "PromptTimeout", Err: err}
-		case !j.f.Budget.Take(j.target):
-			return nil, nil, notRun("PromptTargetFailed", comeBack, err)
+		case j.reads >= mostReads:
+			return nil, nil, j.givenUp(notRun("PromptTargetsFailed", comeBack, err))
 		}
 	}
 }
 
+// givenUp turns a refusal that says not run into one that leaves it open, if a target may have run the request.
+func (j *job) givenUp(r *Refusal) *Refusal {
+	if j.began {
+		return &Refusal{Status: http.StatusBadGateway, Reason: r.Reason, Err: r.Err}
+	}
+	return r
+}
+
 // read has the prompt computed.
 func (j *job) read(ctx context.Context, v chooser.Verdict) (*Handle, error) {
 	end := j.f.Book.Begin(v.Target.ID, chooser.Load{PromptTokens: v.Fresh}, time.Now())
--- a/internal/mirrorer/mirror.go
+++ b/internal/mirrorer/mirror.go
@@ -43,6 +43,22 @@
 	}
 }
 
+// Replace takes the newest records of all keys; keys that are not among them were dropped before next.
+func (m *Mirror) Replace(records []Record, next identifier.Offset, asOf time.Time) {
+	there := map[string]bool{}
+	for _, r := range records {
+		there[r.Key] = true
+	}
+	m.mu.Lock()
+	for key, r := range m.records {
+		if !there[key] && len(r.Value) > 0 && r.Offset < next {
+			records = append(records, Record{Key: key, Offset: next - 1})
+		}
+	}
+	m.mu.Unlock()
+	m.Apply(records, next, asOf)
+}
+
 func (m *Mirror) merge(records []Record, next identifier.Offset, asOf time.Time) []Record {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/orderkeeper/orderkeeper.go
+++ b/internal/orderkeeper/orderkeeper.go
@@ -50,10 +50,12 @@
 }
 
 const (
+	// announceTime is what the other instances take to hear of an order.
+	announceTime = 30 * time.Millisecond
 	// stepPause is how often the fleet is looked at.
 	stepPause = 250 * time.Millisecond
-	// settleTime is how long an ordered target has to show its new stage before it is ordered again.
-	settleTime = 6 * time.Second
+	// SettleTime is how long an ordered target has to show its new stage before it is ordered again.
+	SettleTime = 6 * time.Second
 	// quietTime is how long no target may have come before the first orders, so that a fleet that starts, or is heard of
 	// bit by bit, is not rearranged more than once: a fleet's entries come within one heartbeat.
 	quietTime = 700 * time.Millisecond
@@ -66,7 +68,9 @@
 	Commander Commander
 	Table     func() *matcher.Table
 	Targets   func(service identifier.ServiceID) []*registrar.Target
-	Logger    *zap.Logger
+	// Announce tells the other instances of Pending at once.
+	Announce func()
+	Logger   *zap.Logger
 
 	mu      sync.Mutex
 	ordered map[identifier.TargetID]pending
@@ -157,12 +161,32 @@
 	group.Wait()
 }
 
+// Pending is an order that was sent lately.
+type Pending struct {
+	Target identifier.TargetID
+	Stage  registrar.Stage
+	Age    time.Duration
+}
+
+// Pending returns the orders that the targets' entries may not show yet.
+func (k *Keeper) Pending() []Pending {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var list []Pending
+	for id, p := range k.ordered {
+		if age := time.Since(p.at); age < SettleTime {
+			list = append(list, Pending{Target: id, Stage: p.stage, Age: age})
+		}
+	}
+	return list
+}
+
 // settling returns a target's order if it was sent lately.
 func (k *Keeper) settling(id identifier.TargetID) (pending, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p, ok := k.ordered[id]
-	return p, ok && time.Since(p.at) < settleTime
+	return p, ok && time.Since(p.at) < SettleTime
 }
 
 func (k *Keeper) order(ctx context.Context, t *registrar.Target, stage registrar.Stage) {
@@ -170,9 +194,14 @@
 	if k.ordered == nil {
 		k.ordered = map[identifier.TargetID]pending{}
 	}
-	maps.DeleteFunc(k.ordered, func(_ identifier.TargetID, p pending) bool { return time.Since(p.at) > settleTime })
+	maps.DeleteFunc(k.ordered, func(_ identifier.TargetID, p pending) bool { return time.Since(p.at) > SettleTime })
 	k.ordered[t.ID] = pending{stage, time.Now()}
 	k.mu.Unlock()
+	// All instances stop using the target before it refuses their requests.
+	k.Announce()
+	if sleeper.Sleep(ctx, announceTime) != nil {
+		return
+	}
 	var sent Order
 	err := k.Duty.Do(ctx, func(ctx context.Context, fence identifier.Fence) error {
 		expected, err := k.Commander.Accepted(ctx, t)
--- a/internal/orderkeeper/supplier.go
+++ b/internal/orderkeeper/supplier.go
@@ -33,8 +33,8 @@
 	Platform TargetPlatform
 	Table    func() *matcher.Table
 	Targets  func(service identifier.ServiceID) []*registrar.Target
-	// Needed returns how many targets a service should have.
-	Needed func(s *matcher.Service, have int) int
+	// Load returns the highest demand of late for a service, in engines; zero: not known yet.
+	Load   func(service identifier.ServiceID) float64
 	Logger *zap.Logger
 
 	sent    map[lot]standing
@@ -93,7 +93,7 @@
 	}
 	situation := placer.FleetSituation{
 		Minimum: service.Scaling.Minimum, Maximum: service.Scaling.Maximum,
-		Needed: s.Needed(service, len(targets)), CheapPrice: service.Scaling.CheapPrice,
+		Load: s.Load(service.ID), CheapPrice: service.Scaling.CheapPrice,
 	}
 	for _, z := range fleet {
 		situation.Zones = append(situation.Zones, z)
--- a/internal/placer/fleet.go
+++ b/internal/placer/fleet.go
@@ -2,18 +2,22 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
-// Cheap targets cost a fraction of the others and may be reclaimed, all of an availability zone at once. The fleet is
-// therefore cheap targets in every zone, enough that the loss of one zone's leaves what is needed, and a few others,
-// which no reclaim takes: they answer, and they keep the service up where nothing cheap can be had. The others are
-// given back only as far as cheap ones have come.
+// Cheap targets cost a fraction of the others and may be reclaimed, all of an availability zone at once, and a second
+// zone before the first has any again. The fleet is therefore cheap targets in every zone, and as many others as keep
+// the load served while two zones lack their cheap ones. Others are given back only as far as cheap ones have come.
 
-// regularBase is how many targets of each availability zone are not cheap.
-const regularBase = 4
+// headroom is how many engines a load of one engine takes to be served in time: prompts come in bursts, and the longest
+// of them hold an engine for most of the promised latency.
+const headroom = 3.0
+
+// cheapHeadroom is the same with cheap ones, which cost so little that bursts are served without a wait.
+const cheapHeadroom = 6
 
 // ZoneFleet is what one availability zone has.
 type ZoneFleet struct {
@@ -29,8 +33,8 @@
 	// Minimum and Maximum bound the targets of both kinds together in each zone.
 	Minimum int
 	Maximum int
-	// Needed is how many targets all zones together should have.
-	Needed int
+	// Load is the highest demand of late, in engines that are busy all the time; zero: not known yet.
+	Load float64
 	// CheapPrice is what a cheap target costs of the price of another; zero or less: none can be had.
 	CheapPrice float64
 }
@@ -46,23 +50,40 @@
 func Fleet(s FleetSituation) []ZoneWant {
 	zones := slices.Clone(s.Zones)
 	slices.SortFunc(zones, func(a, b ZoneFleet) int { return cmp.Compare(a.Zone, b.Zone) })
-	if len(zones) == 0 {
-		return nil
-	}
-	perZone := (s.Needed + len(zones) - 1) / len(zones)
-	perZone = min(s.Maximum, max(perZone, s.Minimum, 1))
 	wants := make([]ZoneWant, 0, len(zones))
 	for _, z := range zones {
-		w := ZoneWant{Zone: z.Zone, Regular: perZone}
-		if s.CheapPrice > 0 && s.CheapPrice < 1 {
-			base := min(regularBase, perZone)
-			w.Regular = max(base, z.Regular)
-			if 2*z.Cheap >= perZone-base {
-				w.Regular = base
-			}
-			w.Cheap = min(perZone-base, s.Maximum-w.Regular)
+		w := ZoneWant{Zone: z.Zone, Regular: max(z.Regular, s.Minimum)}
+		switch cheap := s.CheapPrice > 0 && s.CheapPrice < 1; {
+		case s.Load <= 0 && cheap:
+			w.Cheap = max(0, s.Maximum-max(w.Regular, s.Maximum/2))
+		case s.Load > 0 && cheap:
+			w = mixed(s, z, len(zones))
+		case s.Load > 0:
+			w.Regular = inBounds(s, math.Ceil(s.Load*headroom/float64(len(zones))))
 		}
 		wants = append(wants, w)
 	}
 	return wants
 }
+
+// mixed returns the fewest regular targets that carry the load without the cheap ones of two zones, and cheap ones
+// that carry it without those of one.
+func mixed(s FleetSituation, z ZoneFleet, zones int) ZoneWant {
+	needed := s.Load * headroom
+	n, rest := float64(zones), float64(max(0, zones-2))
+	base := max(1, s.Minimum)
+	for base < s.Maximum && n*float64(base)+rest*float64(s.Maximum-base) < needed {
+		base++
+	}
+	all := inBounds(s, math.Ceil(s.Load*cheapHeadroom/max(1, n-1)))
+	// More regular targets are not ordered where cheap ones do the work: they would stay after the burst.
+	base = min(base, max(z.Regular, s.Minimum, 1))
+	w := ZoneWant{Zone: z.Zone, Regular: max(base, z.Regular), Cheap: max(1, all-base)}
+	if 2*z.Cheap >= w.Cheap {
+		w.Regular = base
+	}
+	w.Cheap = max(0, min(w.Cheap, s.Maximum-w.Regular))
+	return w
+}
+
+func inBounds(s FleetSituation, n float64) int { return max(s.Minimum, 1, min(s.Maximum, int(n))) }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -41,6 +42,8 @@
 	Cold time.Duration
 	// Born is its start; another one means that everything it held is gone.
 	Born time.Time
+	// Beat numbers what the target said of itself since its start.
+	Beat uint64
 	// Cheap targets may be reclaimed at short notice.
 	Cheap bool
 }
@@ -48,6 +51,23 @@
 // reappearance is how long a lapsed target may take to be back after the store was away.
 const reappearance = 2 * time.Second
 
+// last is the newest of what one incarnation of a target said; it outlives the target's entry.
+type last struct {
+	born    time.Time
+	beat    uint64
+	leaving bool
+	at      time.Time
+}
+
+// lastLife is how long it is kept: entries that were held up come within seconds.
+const lastLife = time.Minute
+
+// order is a stage that a target was told to change to.
+type order struct {
+	stage Stage
+	until time.Time
+}
+
 // Registrar folds target entries into a list; the zero value is empty.
 type Registrar struct {
 	// StoreReturned answers when the store last came back after an outage; zero: never away.
@@ -56,19 +76,31 @@
 	mu     sync.Mutex
 	byID   map[identifier.TargetID]*Target
 	lapsed map[identifier.TargetID]time.Time
+	orders map[identifier.TargetID]order
+	last   map[identifier.TargetID]last
 	list   atomic.Pointer[[]*Target]
 }
 
-// Put adds or replaces a target.
-func (r *Registrar) Put(t Target) {
+// Put adds or replaces a target, unless the entry is older than what is known of the same incarnation; it reports
+// whether the entry was taken.
+func (r *Registrar) Put(t Target, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	l := r.last[t.ID]
+	if same := l.born.Equal(t.Born) && !l.at.IsZero(); same && (t.Beat < l.beat || l.leaving && !t.Leaving) {
+		return false
+	}
+	if r.last == nil {
+		r.last = map[identifier.TargetID]last{}
+	}
+	r.last[t.ID] = last{born: t.Born, beat: t.Beat, leaving: t.Leaving, at: now}
 	if r.byID == nil {
 		r.byID = map[identifier.TargetID]*Target{}
 	}
 	delete(r.lapsed, t.ID)
 	r.byID[t.ID] = &t
 	r.publish()
+	return true
 }
 
 // Drop removes a target: at once, or, around an outage of the store, unless it is back soon.
@@ -94,6 +126,12 @@
 func (r *Registrar) Expire(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	maps.DeleteFunc(r.orders, func(_ identifier.TargetID, o order) bool { return now.After(o.until) })
+	for id, l := range r.last {
+		if r.byID[id] == nil && now.Sub(l.at) > lastLife {
+			delete(r.last, id)
+		}
+	}
 	for id, since := range r.lapsed {
 		if now.Sub(since) >= reappearance {
 			delete(r.lapsed, id)
@@ -112,8 +150,8 @@
 	return *list
 }
 
-// Of returns the targets of a service that take new work.
-func (r *Registrar) Of(service identifier.ServiceID) []*Target {
+// Staying returns the targets of a service that do not leave.
+func (r *Registrar) Staying(service identifier.ServiceID) []*Target {
 	var list []*Target
 	for _, t := range r.Targets() {
 		if t.Service == service && !t.Leaving {
@@ -123,6 +161,28 @@
 	return list
 }
 
+// Of returns the targets of a service that take new work: they do not leave, and change no stage.
+func (r *Registrar) Of(service identifier.ServiceID, now time.Time) []*Target {
+	list := r.Staying(service)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.DeleteFunc(list, func(t *Target) bool {
+		o, ordered := r.orders[t.ID]
+		return ordered && now.Before(o.until) && o.stage != t.Stage
+	})
+}
+
+// Ordered notes that a target was told to change its stage; it counts as changing until its entry shows the stage, at
+// the latest until the given time.
+func (r *Registrar) Ordered(id identifier.TargetID, stage Stage, until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.orders == nil {
+		r.orders = map[identifier.TargetID]order{}
+	}
+	r.orders[id] = order{stage, until}
+}
+
 func (r *Registrar) publish() {
 	list := make([]*Target, 0, len(r.byID))
 	for _, t := range r.byID {
