--- a/internal/chooser/book.go
+++ b/internal/chooser/book.go
@@ -17,6 +17,8 @@
 	defaultCacheTokens = 300_000
 	// sickHalfLife is how fast failures are forgotten.
 	sickHalfLife = 2 * time.Second
+	// retellTime is how often peers hear again of a part that stays in use.
+	retellTime = 3 * time.Second
 	// keptSent is how many parts are kept for peers that have not heard of them.
 	keptSent = 256
 	// peerLoadLife is how long a peer's load counts without news of it.
@@ -57,6 +59,7 @@
 type held struct {
 	tokens identifier.Tokens
 	used   time.Time
+	told   time.Time
 }
 
 // Candidates describes targets for a choice; parts may be empty.
@@ -98,11 +101,18 @@
 	defer b.mu.Unlock()
 	p := b.page(id, now)
 	for _, part := range parts {
-		p.hold(part, now)
-		b.sent = append(b.sent, Sent{Target: id, Part: part})
-		b.sentNext++
+		b.note(p, Sent{Target: id, Part: part}, now)
 	}
-	if len(b.sent) > keptSent {
+}
+
+// note keeps a part and, unless that is known of late, remembers to tell peers.
+func (b *Book) note(p *page, s Sent, now time.Time) {
+	if !p.hold(s.Part, now) {
+		return
+	}
+	b.sent = append(b.sent, s)
+	b.sentNext++
+	if len(b.sent) > 2*keptSent {
 		b.sent = slices.Clone(b.sent[len(b.sent)-keptSent:])
 	}
 }
@@ -111,7 +121,7 @@
 func (b *Book) Learn(s Sent, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.page(s.Target, now).hold(s.Part, now)
+	b.note(b.page(s.Target, now), s, now)
 }
 
 // SentSince returns the parts read from a number on, as far as they are kept, and the number to go on with.
@@ -232,20 +242,25 @@
 	return total
 }
 
-// hold adds a part; the least recently used ones yield.
-func (p *page) hold(part Part, now time.Time) {
+// hold adds a part, or notes its use; the least recently used ones yield. It reports what others should hear.
+func (p *page) hold(part Part, now time.Time) bool {
 	if p.parts == nil {
 		p.parts = map[identifier.PartID]*held{}
 	}
 	if h := p.parts[part.ID]; h != nil {
+		news := now.Sub(h.told) > retellTime
 		h.used = now
-		return
+		if news {
+			h.told = now
+		}
+		return news
 	}
-	p.parts[part.ID] = &held{tokens: part.Tokens, used: now}
+	p.parts[part.ID] = &held{tokens: part.Tokens, used: now, told: now}
 	p.tokens += part.Tokens
 	for float64(p.tokens) > cachePart*defaultCacheTokens && len(p.parts) > 1 {
 		p.evict()
 	}
+	return true
 }
 
 func (p *page) evict() {
--- a/internal/coordinator/beats.go
+++ b/internal/coordinator/beats.go
@@ -18,51 +18,43 @@
 	return map[string]*mirrorer.Mirror{streamConfiguration: &c.config, streamTargets: &c.targets, streamMembers: &c.members}
 }
 
-// compose makes the beat for a peer by what its last beat said it knows; last is nil for a peer not heard yet.
-func (c *Coordinator) compose(last *gossiper.Beat) *gossiper.Beat {
-	now := time.Now()
-	b := &gossiper.Beat{Sender: c.self, Ready: c.Ready(), Leaving: c.leaving.Load(), UnixMilliseconds: now.UnixMilli()}
-	known := map[string]uint64{}
-	for _, s := range last.GetStreams() {
-		known[s.Name] = s.Next
-	}
-	for name, m := range c.mirrors() {
-		b.Streams = append(b.Streams, describe(name, m, identifier.Offset(known[name]), now))
-	}
+// status is what this instance says of itself.
+func (c *Coordinator) status(now time.Time) *gossiper.Status {
+	s := &gossiper.Status{Ready: c.Ready(), Leaving: c.leaving.Load(), UnixMilliseconds: now.UnixMilli()}
 	for id, load := range c.book.Own() {
-		b.Loads = append(b.Loads, &gossiper.Load{
+		s.Loads = append(s.Loads, &gossiper.Load{
 			Target: string(id), PromptTokens: uint64(max(0, load.PromptTokens)),
 			Answers: uint32(max(0, load.Answers)), AnswerTokens: uint64(max(0, load.AnswerTokens)),
 		})
 	}
 	for _, cell := range c.counts.Of(c.self.Incarnation) {
-		b.Counts = append(b.Counts, &gossiper.Count{Incarnation: cell.Incarnation, Window: cell.Window, Team: string(cell.Team), Requests: cell.Requests})
+		s.Counts = append(s.Counts, &gossiper.Count{Incarnation: cell.Incarnation, Window: cell.Window, Team: string(cell.Team), Requests: cell.Requests})
 	}
 	for service, rate := range c.demand.Own(now) {
-		b.Rates = append(b.Rates, &gossiper.Rate{Service: string(service), PromptTokensPerSecond: rate})
+		s.Rates = append(s.Rates, &gossiper.Rate{Service: string(service), PromptTokensPerSecond: rate})
 	}
-	for _, p := range c.keeper.Pending() {
-		b.Orders = append(b.Orders, &gossiper.Order{Target: string(p.Target), Stage: int32(p.Stage), AgeMilliseconds: p.Age.Milliseconds()})
+	return s
+}
+
+// complete adds to a beat what the peer lacks by its last one; last is nil for a peer not heard yet.
+func (c *Coordinator) complete(b, last *gossiper.Beat) {
+	now := time.Now()
+	known := map[string]uint64{}
+	for _, s := range last.GetStreams() {
+		known[s.Name] = s.Next
+	}
+	for name, m := range c.mirrors() {
+		b.Streams = append(b.Streams, describe(name, m, identifier.Offset(known[name]), now))
+	}
+	for _, o := range c.registry.Orders(now) {
+		b.Orders = append(b.Orders, &gossiper.Order{Target: string(o.Target), Stage: int32(o.Stage), AgeMilliseconds: (orderkeeper.SettleTime - o.Left).Milliseconds()})
 	}
 	if s, ok := c.elector.Seen(); ok {
 		b.Lease = &gossiper.Lease{Holder: s.Holder, Fence: uint64(s.Fence), Offset: uint64(s.Next), AgeMilliseconds: s.Age.Milliseconds()}
 	}
-	if last == nil {
-		for _, p := range c.peers.Alive(now) {
-			b.Heard = append(b.Heard, p.Member)
-		}
-		return b
+	if last != nil {
+		b.Parts = c.partsFor(last.Statuses[0].Member.ID)
 	}
-	b.Parts = c.partsFor(last.GetSender().GetID())
-	return b
-}
-
-// announceOrders notes this instance's own orders and tells the peers.
-func (c *Coordinator) announceOrders() {
-	for _, p := range c.keeper.Pending() {
-		c.registry.Ordered(p.Target, p.Stage, time.Now().Add(orderkeeper.SettleTime-p.Age))
-	}
-	c.peers.Wake()
 }
 
 // partsFor returns the prompt parts that were read since the last beat to a peer.
@@ -78,6 +70,14 @@
 	return parts
 }
 
+// announceOrders notes this instance's own orders and tells the peers.
+func (c *Coordinator) announceOrders() {
+	for _, p := range c.keeper.Pending() {
+		c.registry.Ordered(p.Target, p.Stage, time.Now().Add(orderkeeper.SettleTime-p.Age))
+	}
+	c.peers.Wake()
+}
+
 func describe(name string, m *mirrorer.Mirror, from identifier.Offset, now time.Time) *gossiper.Stream {
 	s := &gossiper.Stream{Name: name, Next: uint64(m.Next()), AgeMilliseconds: -1}
 	if age, known := m.Age(now); known {
@@ -89,31 +89,31 @@
 	return s
 }
 
-// heard takes what a peer's beat says.
-func (c *Coordinator) heard(b *gossiper.Beat, now time.Time) {
-	mirrors := c.mirrors()
-	for _, s := range b.Streams {
-		m := mirrors[s.Name]
-		if m == nil {
-			continue // A newer version's stream.
-		}
-		records := make([]mirrorer.Record, 0, len(s.Records))
-		for _, r := range s.Records {
-			records = append(records, mirrorer.Record{Key: r.Key, Value: r.Value, Offset: identifier.Offset(r.Offset)})
-		}
-		asOf := time.Time{}
-		if s.AgeMilliseconds >= 0 {
-			asOf = now.Add(-time.Duration(s.AgeMilliseconds) * time.Millisecond)
-		}
-		m.Apply(records, identifier.Offset(s.Next), asOf)
-	}
+// heard takes what another instance says of itself.
+func (c *Coordinator) heard(s *gossiper.Status, now time.Time) {
 	loads := map[identifier.TargetID]chooser.Load{}
-	for _, l := range b.Loads {
+	for _, l := range s.Loads {
 		loads[identifier.TargetID(l.Target)] = chooser.Load{
 			PromptTokens: identifier.Tokens(l.PromptTokens), Answers: int(l.Answers), AnswerTokens: identifier.Tokens(l.AnswerTokens),
 		}
 	}
-	c.book.Hear(b.Sender.ID, loads, now)
+	c.book.Hear(s.Member.ID, loads, now)
+	for _, n := range s.Counts {
+		c.counts.Merge(counter.Cell{Incarnation: n.Incarnation, Window: n.Window, Team: identifier.TeamID(n.Team), Requests: n.Requests})
+	}
+	for _, r := range s.Rates {
+		c.demand.Hear(s.Member.ID, identifier.ServiceID(r.Service), r.PromptTokensPerSecond, now)
+	}
+}
+
+// learned takes what came with a peer's beat.
+func (c *Coordinator) learned(b *gossiper.Beat, now time.Time) {
+	mirrors := c.mirrors()
+	for _, s := range b.Streams {
+		if m := mirrors[s.Name]; m != nil {
+			learnStream(m, s, now)
+		}
+	}
 	for _, p := range b.Parts {
 		part := chooser.Part{ID: identifier.PartID(p.Part), Tokens: identifier.Tokens(p.Tokens)}
 		c.book.Learn(chooser.Sent{Target: identifier.TargetID(p.Target), Part: part}, now)
@@ -122,12 +122,6 @@
 		left := orderkeeper.SettleTime - time.Duration(o.AgeMilliseconds)*time.Millisecond
 		c.registry.Ordered(identifier.TargetID(o.Target), registrar.Stage(o.Stage), now.Add(left))
 	}
-	for _, r := range b.Rates {
-		c.demand.Hear(b.Sender.ID, identifier.ServiceID(r.Service), r.PromptTokensPerSecond, now)
-	}
-	for _, n := range b.Counts {
-		c.counts.Merge(counter.Cell{Incarnation: n.Incarnation, Window: n.Window, Team: identifier.TeamID(n.Team), Requests: n.Requests})
-	}
 	if l := b.Lease; l != nil {
 		c.elector.Hear(elector.Sighting{
 			Holder: l.Holder, Fence: identifier.Fence(l.Fence), Next: identifier.Offset(l.Offset),
@@ -136,6 +130,18 @@
 	}
 }
 
+func learnStream(m *mirrorer.Mirror, s *gossiper.Stream, now time.Time) {
+	records := make([]mirrorer.Record, 0, len(s.Records))
+	for _, r := range s.Records {
+		records = append(records, mirrorer.Record{Key: r.Key, Value: r.Value, Offset: identifier.Offset(r.Offset)})
+	}
+	asOf := time.Time{}
+	if s.AgeMilliseconds >= 0 {
+		asOf = now.Add(-time.Duration(s.AgeMilliseconds) * time.Millisecond)
+	}
+	m.Apply(records, identifier.Offset(s.Next), asOf)
+}
+
 // rank is the position of this instance among those that are alive and ready.
 func (c *Coordinator) rank() int {
 	n := 0
--- a/internal/coordinator/constants.go
+++ b/internal/coordinator/constants.go
@@ -14,6 +14,11 @@
 	readerAge = 300 * time.Millisecond
 	rankDelay = 500 * time.Millisecond
 	mostDelay = 1000 * time.Millisecond
+	// mostDelayLarge is the most in a fleet in which beats are passed on by hubs.
+	mostDelayLarge = 1700 * time.Millisecond
+	// gatherTime is how long after its start an instance looks for members at every gatherAge.
+	gatherTime = 6 * time.Second
+	gatherAge  = 700 * time.Millisecond
 	// memberAge is the same for the list of members, which rarely changes.
 	memberAge = 5 * time.Second
 	// claimDelay is how much later each further instance claims duties that nobody holds.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -146,7 +146,7 @@
 	c.calls = &exchanger.Client{Logger: c.logger, Dial: func(ctx context.Context, addr string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 	}}
-	c.peers = &gossiper.Gossiper{Self: c.self, Caller: c.calls, Logger: c.logger, Compose: c.compose, Heard: c.heard}
+	c.peers = &gossiper.Gossiper{Self: c.self, Caller: c.calls, Logger: c.logger, Status: c.status, Complete: c.complete, Heard: c.heard, Learned: c.learned}
 }
 
 func (c *Coordinator) wireDuties() {
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -63,7 +63,7 @@
 		c.peers.Run, c.contactSeeds, c.register, c.tidy, c.watchSettings,
 		c.follow(streamConfiguration, c.platform.Configuration, &c.config, c.readAge).Run,
 		c.follow(streamTargets, c.platform.Targets, &c.targets, c.readAge).Run,
-		c.follow(streamMembers, c.platform.Members, &c.members, func() time.Duration { return memberAge + c.delay() }).Run,
+		c.follow(streamMembers, c.platform.Members, &c.members, c.memberAge).Run,
 		func(ctx context.Context) { peerServer.Serve(ctx, peerLis) },
 	} {
 		group.Go(func() { duty(background) })
@@ -86,8 +86,20 @@
 // readAge is how old this instance lets its copies grow: the first of all reads the store, the others wait for its beats.
 func (c *Coordinator) readAge() time.Duration { return readerAge + c.delay() }
 
+// memberAge is the same for the list of members, which fills in the first seconds and rarely changes later.
+func (c *Coordinator) memberAge() time.Duration {
+	if gossiper.Steady(time.Now()) < gatherTime {
+		return gatherAge
+	}
+	return memberAge + c.delay()
+}
+
 func (c *Coordinator) delay() time.Duration {
-	return min(mostDelay, time.Duration(c.rank())*rankDelay)
+	most := mostDelay
+	if c.peers.Large() {
+		most = mostDelayLarge
+	}
+	return min(most, time.Duration(c.rank())*rankDelay)
 }
 
 // contactSeeds makes this instance known to those that its settings name, until one is heard.
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -123,7 +123,7 @@
 func (e *Elector) Seen() (Sighting, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return Sighting{Holder: e.fold.Holder, Fence: e.fold.Fence, Next: e.fold.Next, Age: e.Now() - e.seenAt}, e.read
+	return Sighting{Holder: e.fold.Holder, Fence: e.fold.Fence, Next: max(e.fold.Next, e.heard), Age: e.Now() - e.seenAt}, e.read
 }
 
 // Hear takes what a peer knows of the log, so that contenders need not read it.
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -11,22 +11,25 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/sleeper"
-	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
 const (
-	// Interval is the time between two beats to a peer; loads that peers report are that old on average.
-	Interval = 250 * time.Millisecond
+	// meshInterval and relayInterval are the times between two beats to a peer, in a small fleet and in a large one.
+	meshInterval  = 250 * time.Millisecond
+	relayInterval = 500 * time.Millisecond
 	// exchangeTimeout bounds one exchange, so that a silent connection is found within a second.
 	exchangeTimeout = 800 * time.Millisecond
-	// aliveTime is how long a peer counts as alive after it was last heard.
-	aliveTime = 1500 * time.Millisecond
+	// meshAlive and relayAlive are how long a peer counts as alive after its last status was made.
+	meshAlive  = 1500 * time.Millisecond
+	relayAlive = 3 * time.Second
 	// retryPause is the pause after an exchange that failed; gonePause the one for a peer that is long silent.
 	retryPause = 500 * time.Millisecond
 	gonePause  = 3 * time.Second
 	goneTime   = 15 * time.Second
-	// waitForSmaller is how long an instance waits to hear a peer that should call it, before it calls itself.
-	waitForSmaller = 3 * Interval
+	// strangerPause is how often it is looked at whether a peer has become a partner.
+	strangerPause = time.Second
+	// wakePause gathers changes that come together.
+	wakePause = 10 * time.Millisecond
 )
 
 // Caller exchanges one message with a peer.
@@ -34,38 +37,51 @@
 	Exchange(ctx context.Context, addr string, req, reply proto.Message) error
 }
 
-// Peer is another entry instance as it was last heard.
+// Peer is another entry instance as it was last heard, directly or from others.
 type Peer struct {
 	Member  *Member
 	Ready   bool
 	Leaving bool
+	// HeardAt is when its last status was made.
 	HeardAt time.Time
 	// ClockAhead is how much its time of day is ahead of the steady clock here.
 	ClockAhead time.Duration
 }
 
-// Gossiper keeps one exchange running with each known peer; exported fields must be set before Run.
+// Gossiper exchanges beats with its partners; exported fields must be set before Run.
 //
-// Of a pair the instance with the smaller id calls, and both learn from each exchange. The other one calls only
-// while it is not called.
+// Of two partners the one with the smaller id calls, and both learn from each exchange. The other one calls only while
+// it is not called. Who is whose partner is decided in topology.go.
 type Gossiper struct {
 	Self   *Member
 	Caller Caller
 	Logger *zap.Logger
-	// Compose returns the beat for a peer, by what the peer last said it knows; nil: nothing yet.
-	Compose func(last *Beat) *Beat
-	// Heard takes a peer's beat.
-	Heard func(b *Beat, now time.Time)
+	// Status returns what this instance says of itself.
+	Status func(now time.Time) *Status
+	// Complete adds what goes with the statuses to a beat, by what the peer last said it knows; last may be nil.
+	Complete func(b, last *Beat)
+	// Heard takes a status that is newer than the one before, and Learned what came with a beat.
+	Heard   func(s *Status, now time.Time)
+	Learned func(b *Beat, now time.Time)
 
-	mu    sync.Mutex
-	ctx   context.Context
-	peers map[string]*peer
-	group sync.WaitGroup
+	mu       sync.Mutex
+	ctx      context.Context
+	peers    map[string]*peer
+	hubs     map[string]bool
+	hubsAt   time.Time
+	sequence uint64
+	group    sync.WaitGroup
 }
 
 type peer struct {
 	Peer
-	last   *Beat
+	status *Status
+	// last is the newest beat that the peer sent itself, at directAt; failedAt is when an exchange with it last failed.
+	last     *Beat
+	directAt time.Time
+	failedAt time.Time
+	// told are the sequences of other instances' statuses that were sent to the peer.
+	told   map[string]uint64
 	cancel context.CancelFunc
 	wake   chan struct{}
 }
@@ -99,8 +115,9 @@
 	if old != nil && old.cancel != nil {
 		old.cancel()
 	}
-	p := &peer{Peer: Peer{Member: m}, wake: make(chan struct{}, 1)}
+	p := &peer{Peer: Peer{Member: m}, told: map[string]uint64{}, wake: make(chan struct{}, 1)}
 	g.peers[m.ID] = p
+	g.hubsAt = time.Time{}
 	if g.ctx != nil {
 		g.launch(p)
 	}
@@ -111,7 +128,7 @@
 	reply := &Beat{}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	if err := g.Caller.Exchange(ctx, addr, g.Compose(nil), reply); err != nil {
+	if err := g.Caller.Exchange(ctx, addr, g.compose(nil), reply); err != nil {
 		return err
 	}
 	g.hear(reply)
@@ -120,8 +137,8 @@
 
 // Answer takes a peer's beat and returns the one for it.
 func (g *Gossiper) Answer(b *Beat) *Beat {
-	g.hear(b)
-	return g.Compose(b)
+	p := g.hear(b)
+	return g.compose(p)
 }
 
 // Wake sends the next beats at once.
@@ -136,48 +153,94 @@
 	}
 }
 
-// Peers returns all known peers in the order of their ids.
-func (g *Gossiper) Peers() []Peer {
+// Alive returns the peers whose status is recent, in the order of their ids.
+func (g *Gossiper) Alive(now time.Time) []Peer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	life := g.aliveTime()
 	list := make([]Peer, 0, len(g.peers))
 	for _, p := range g.peers {
-		list = append(list, p.Peer)
+		if now.Sub(p.HeardAt) <= life {
+			list = append(list, p.Peer)
+		}
 	}
 	slices.SortFunc(list, func(a, b Peer) int { return strings.Compare(a.Member.ID, b.Member.ID) })
 	return list
 }
 
-// Alive returns the peers that were heard lately.
-func (g *Gossiper) Alive(now time.Time) []Peer {
-	return slices.DeleteFunc(g.Peers(), func(p Peer) bool { return now.Sub(p.HeardAt) > aliveTime })
-}
-
-// AliveIn returns the peers of an availability zone that were heard lately.
-func (g *Gossiper) AliveIn(zone identifier.ZoneID, now time.Time) []Peer {
-	return slices.DeleteFunc(g.Alive(now), func(p Peer) bool { return p.Member.Zone != string(zone) })
+// hear takes a beat and returns the peer that sent it, or nil.
+func (g *Gossiper) hear(b *Beat) *peer {
+	if len(b.Statuses) == 0 || b.Statuses[0].GetMember().GetID() == "" {
+		return nil
+	}
+	now := time.Now()
+	for _, m := range b.Members {
+		g.Know(m)
+	}
+	for _, s := range b.Statuses {
+		if g.update(s, now) {
+			g.Heard(s, now)
+		}
+	}
+	g.Learned(b, now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.peers[b.Statuses[0].Member.ID]
+	if p != nil {
+		p.last, p.directAt, p.failedAt = b, now, time.Time{}
+	}
+	return p
 }
 
-func (g *Gossiper) hear(b *Beat) {
-	m := b.GetSender()
+// update takes a status if it is newer than what is known.
+func (g *Gossiper) update(s *Status, now time.Time) bool {
+	m := s.GetMember()
 	if m.GetID() == "" || m.ID == g.Self.ID {
-		return
+		return false
+	}
+	made := now.Add(-time.Duration(s.AgeMilliseconds) * time.Millisecond)
+	g.mu.Lock()
+	p := g.peers[m.ID]
+	// An old status of an incarnation that was replaced must not bring it back.
+	stale := p != nil && p.Member.Incarnation != m.Incarnation && made.Before(p.HeardAt)
+	g.mu.Unlock()
+	if stale {
+		return false
 	}
 	g.Know(m)
-	for _, other := range b.Heard {
-		g.Know(other)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p = g.peers[m.ID]
+	if p == nil || p.Member.Incarnation != m.Incarnation || p.status != nil && s.Sequence <= p.status.Sequence {
+		return false
 	}
+	p.status, p.Ready, p.Leaving, p.HeardAt = s, s.Ready, s.Leaving, made
+	p.ClockAhead = time.Duration(s.UnixMilliseconds)*time.Millisecond - Steady(made)
+	return true
+}
+
+// compose makes the beat for a peer; nil stands for one that has not been heard yet.
+func (g *Gossiper) compose(p *peer) *Beat {
 	now := time.Now()
+	own := g.Status(now)
+	own.Member = g.Self
+	b := &Beat{Statuses: []*Status{own}}
 	g.mu.Lock()
-	p := g.peers[m.ID]
-	if p == nil || p.Member.Incarnation != m.Incarnation {
-		g.mu.Unlock()
-		return
+	g.sequence++
+	own.Sequence = g.sequence
+	var last *Beat
+	if p != nil {
+		last = p.last
+		b.Statuses = append(b.Statuses, g.relayed(p, now)...)
+	}
+	if last == nil {
+		for _, other := range g.peers {
+			b.Members = append(b.Members, other.Member)
+		}
 	}
-	p.Ready, p.Leaving, p.HeardAt, p.last = b.Ready, b.Leaving, now, b
-	p.ClockAhead = time.Duration(b.UnixMilliseconds)*time.Millisecond - time.Duration(now.Sub(steadyStart))
 	g.mu.Unlock()
-	g.Heard(b, now)
+	g.Complete(b, last)
+	return b
 }
 
 // steadyStart is the origin of this process's steady clock.
@@ -199,11 +262,11 @@
 func (g *Gossiper) exchange(ctx context.Context, p *peer) {
 	lost := false
 	for ctx.Err() == nil {
-		pause := Interval
-		if g.myTurn(p) {
+		turn, pause := g.turn(p, time.Now())
+		if turn {
 			err := g.once(ctx, p)
 			if err != nil {
-				pause = g.pause(p)
+				pause = g.failed(p, time.Now())
 			}
 			if (err != nil) != lost && ctx.Err() == nil {
 				lost = err != nil
@@ -213,43 +276,31 @@
 		select {
 		case <-ctx.Done():
 		case <-p.wake:
-			// Changes that come together go out together.
-			sleeper.Sleep(ctx, wakePause)
+			if sleeper.Sleep(ctx, wakePause) != nil {
+				return
+			}
 		case <-time.After(pause):
 		}
 	}
 }
 
-// wakePause gathers changes that come together.
-const wakePause = 10 * time.Millisecond
-
-// myTurn tells whether this instance calls: it has the smaller id, or was not called for a while.
-func (g *Gossiper) myTurn(p *peer) bool {
-	if g.Self.ID < p.Member.ID {
-		return true
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return time.Since(p.HeardAt) > waitForSmaller
-}
-
-func (g *Gossiper) pause(p *peer) time.Duration {
+// failed notes a failed exchange and returns the pause before the next one.
+func (g *Gossiper) failed(p *peer, now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if time.Since(p.HeardAt) > goneTime {
+	p.failedAt = now
+	g.hubsAt = time.Time{}
+	if now.Sub(p.HeardAt) > goneTime {
 		return gonePause
 	}
 	return retryPause
 }
 
 func (g *Gossiper) once(ctx context.Context, p *peer) error {
-	g.mu.Lock()
-	last := p.last
-	g.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	reply := &Beat{}
-	if err := g.Caller.Exchange(ctx, p.Member.PeerAddress, g.Compose(last), reply); err != nil {
+	if err := g.Caller.Exchange(ctx, p.Member.PeerAddress, g.compose(p), reply); err != nil {
 		return err
 	}
 	g.hear(reply)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -172,6 +172,26 @@
 	})
 }
 
+// Order is a change of stage that is not over yet.
+type Order struct {
+	Target identifier.TargetID
+	Stage  Stage
+	Left   time.Duration
+}
+
+// Orders returns the changes of stages that are not over yet.
+func (r *Registrar) Orders(now time.Time) []Order {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []Order
+	for id, o := range r.orders {
+		if t := r.byID[id]; now.Before(o.until) && t != nil && t.Stage != o.stage {
+			list = append(list, Order{Target: id, Stage: o.stage, Left: o.until.Sub(now)})
+		}
+	}
+	return list
+}
+
 // Ordered notes that a target was told to change its stage; it counts as changing until its entry shows the stage, at
 // the latest until the given time.
 func (r *Registrar) Ordered(id identifier.TargetID, stage Stage, until time.Time) {
--- a/internal/reporter/windows.go
+++ b/internal/reporter/windows.go
@@ -16,7 +16,7 @@
 	// windowPause is how often windows are looked at.
 	windowPause = 250 * time.Millisecond
 	// gatherTime is how long after its end a window is closed: peers tell their counts within a few beats.
-	gatherTime = 1500 * time.Millisecond
+	gatherTime = 2500 * time.Millisecond
 	// reportedKept is how many windows are remembered as reported.
 	reportedKept = 32
 )
