--- a/internal/chooser/book.go
+++ b/internal/chooser/book.go
@@ -35,14 +35,16 @@
 type Book struct {
 	mu      sync.Mutex
 	targets map[identifier.TargetID]*page
+	peers   map[string]report
 	// sent holds the last parts that were read for this instance; the last one has the number sentNext-1.
 	sent     []Sent
 	sentNext uint64
 }
 
 type page struct {
-	own     Load
-	peers   map[string]peerLoad
+	own Load
+	// peers sums the loads that peers reported.
+	peers   Load
 	parts   map[identifier.PartID]*held
 	tokens  identifier.Tokens
 	sick    float64
@@ -51,9 +53,10 @@
 	born    time.Time
 }
 
-type peerLoad struct {
-	load Load
-	at   time.Time
+// report is what a peer last told of its loads.
+type report struct {
+	loads map[identifier.TargetID]Load
+	at    time.Time
 }
 
 type held struct {
@@ -73,7 +76,7 @@
 			p.parts, p.tokens, p.born = nil, 0, t.Born
 		}
 		list = append(list, Candidate{
-			Target: t, Load: p.load(now), Cached: p.cached(parts), Sick: p.sickness(now), Age: now.Sub(p.firstAt),
+			Target: t, Load: p.load(), Cached: p.cached(parts), Sick: p.sickness(now), Age: now.Sub(p.firstAt),
 		})
 	}
 	return list
@@ -89,10 +92,7 @@
 func (b *Book) add(id identifier.TargetID, work Load, sign int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p := b.page(id, now)
-	p.own.PromptTokens += identifier.Tokens(sign) * work.PromptTokens
-	p.own.Answers += sign * work.Answers
-	p.own.AnswerTokens += identifier.Tokens(sign) * work.AnswerTokens
+	b.page(id, now).own.add(work, sign)
 }
 
 // Read notes that a target holds the parts of a prompt, and remembers to tell peers.
@@ -177,28 +177,41 @@
 func (b *Book) Hear(peer string, loads map[identifier.TargetID]Load, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, p := range b.targets {
-		delete(p.peers, peer)
+	b.drop(peer)
+	if b.peers == nil {
+		b.peers = map[string]report{}
 	}
+	b.peers[peer] = report{loads, now}
 	for id, load := range loads {
-		p := b.page(id, now)
-		if p.peers == nil {
-			p.peers = map[string]peerLoad{}
+		b.page(id, now).peers.add(load, 1)
+	}
+}
+
+// drop takes a peer's loads out of the sums.
+func (b *Book) drop(peer string) {
+	for id, load := range b.peers[peer].loads {
+		if p := b.targets[id]; p != nil {
+			p.peers.add(load, -1)
 		}
-		p.peers[peer] = peerLoad{load, now}
 	}
+	delete(b.peers, peer)
 }
 
-// Retain drops all targets but the given ones, unless this instance has work there.
-func (b *Book) Retain(targets []*registrar.Target) {
+// Retain drops all targets but the given ones, unless there is work on them, and the loads of peers without news.
+func (b *Book) Retain(targets []*registrar.Target, now time.Time) {
 	keep := map[identifier.TargetID]bool{}
 	for _, t := range targets {
 		keep[t.ID] = true
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	for peer, r := range b.peers {
+		if now.Sub(r.at) > peerLoadLife {
+			b.drop(peer)
+		}
+	}
 	for id, p := range b.targets {
-		if !keep[id] && p.own == (Load{}) {
+		if !keep[id] && p.own == (Load{}) && p.peers == (Load{}) {
 			delete(b.targets, id)
 		}
 	}
@@ -216,19 +229,18 @@
 	return p
 }
 
-func (p *page) load(now time.Time) Load {
+func (p *page) load() Load {
 	total := p.own
-	for _, peer := range p.peers {
-		if now.Sub(peer.at) > peerLoadLife {
-			continue
-		}
-		total.PromptTokens += peer.load.PromptTokens
-		total.Answers += peer.load.Answers
-		total.AnswerTokens += peer.load.AnswerTokens
-	}
+	total.add(p.peers, 1)
 	return total
 }
 
+func (l *Load) add(other Load, sign int) {
+	l.PromptTokens += identifier.Tokens(sign) * other.PromptTokens
+	l.Answers += sign * other.Answers
+	l.AnswerTokens += identifier.Tokens(sign) * other.AnswerTokens
+}
+
 // cached sums the leading parts that the target holds.
 func (p *page) cached(parts []Part) identifier.Tokens {
 	total := identifier.Tokens(0)
--- a/internal/coordinator/beats.go
+++ b/internal/coordinator/beats.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -146,7 +147,8 @@
 func (c *Coordinator) rank() int {
 	n := 0
 	for _, p := range c.peers.Alive(time.Now()) {
-		if p.Ready && !p.Leaving && p.Member.ID < c.self.ID {
+		stronger := cmp.Or(cmp.Compare(c.self.Capacity, p.Member.Capacity), cmp.Compare(p.Member.ID, c.self.ID)) < 0
+		if p.Ready && !p.Leaving && stronger {
 			n++
 		}
 	}
--- a/internal/coordinator/constants.go
+++ b/internal/coordinator/constants.go
@@ -5,10 +5,6 @@
 const (
 	// defaultBodyBytes bounds bodies before the first configuration.
 	defaultBodyBytes = 4 << 20
-	// nearEnough is how many instances of the client's own availability zone are named without others.
-	nearEnough = 2
-	// mostAddresses is how many addresses a client takes.
-	mostAddresses = 64
 	// readerAge is how old the first reader lets its copies of configuration and targets grow before it reads the store;
 	// the others wait for its beats, and read by themselves if these do not come.
 	readerAge = 300 * time.Millisecond
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
 	"github.com/coltsfootscale/coltsfootscale/internal/counter"
 	"github.com/coltsfootscale/coltsfootscale/internal/demander"
+	"github.com/coltsfootscale/coltsfootscale/internal/director"
 	"github.com/coltsfootscale/coltsfootscale/internal/elector"
 	"github.com/coltsfootscale/coltsfootscale/internal/exchanger"
 	"github.com/coltsfootscale/coltsfootscale/internal/exporter"
@@ -120,7 +122,7 @@
 	c.metrics, c.closer = scope, closer.Close
 	c.self = &gossiper.Member{
 		ID: string(settings.Instance), Incarnation: uuid.NewString(), Zone: string(settings.Zone),
-		ClientAddress: settings.Listen, PeerAddress: settings.PeerListen,
+		ClientAddress: settings.Listen, PeerAddress: settings.PeerListen, Capacity: capacity(settings.Bounds),
 	}
 	c.wireViews()
 	c.wirePeers()
@@ -198,27 +200,27 @@
 	return defaultBodyBytes
 }
 
+// capacity compares instances: thousandths of a core, or tens of kilobits a second where the link is the bottleneck.
+func capacity(b parser.EntryBounds) uint32 {
+	return uint32(min(b.Cores*1000, b.LinkMegabits*10))
+}
+
 // Addresses returns where a client of an availability zone may connect: instances that are known to be alive and ready.
 func (c *Coordinator) Addresses(zone identifier.ZoneID) []string {
-	var near, all []string
-	add := func(m *gossiper.Member) {
-		all = append(all, m.ClientAddress)
-		if m.Zone == string(zone) {
-			near = append(near, m.ClientAddress)
-		}
-	}
+	var ready []*gossiper.Member
 	if c.Ready() {
-		add(c.self)
+		ready = append(ready, c.self)
 	}
 	for _, p := range c.peers.Alive(time.Now()) {
 		if p.Ready && !p.Leaving {
-			add(p.Member)
+			ready = append(ready, p.Member)
 		}
 	}
-	if len(near) >= nearEnough {
-		return near
+	var addresses []string
+	for _, m := range director.Choose(ready, zone, rand.Float64) {
+		addresses = append(addresses, m.ClientAddress)
 	}
-	return all[:min(len(all), mostAddresses)]
+	return addresses
 }
 
 func (c *Coordinator) tableAge() time.Duration {
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -155,7 +155,7 @@
 func (c *Coordinator) tidy(ctx context.Context) {
 	for sleeper.Sleep(ctx, tidyPause) == nil {
 		c.registry.Expire(time.Now())
-		c.book.Retain(c.registry.Targets())
+		c.book.Retain(c.registry.Targets(), time.Now())
 		c.demand.Sample(time.Now())
 		c.counts.Forget(c.trueTime().UnixMilli() / c.settings.Load().Bounds.UsageWindow.Milliseconds())
 	}
--- a/internal/gossiper/topology.go
+++ b/internal/gossiper/topology.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -82,7 +83,7 @@
 	}
 	g.hubs, g.hubsAt = map[string]bool{}, now
 	for _, ids := range byZone {
-		slices.Sort(ids)
+		slices.SortFunc(ids, func(a, b string) int { return g.compare(a, b) })
 		for _, id := range ids[:min(len(ids), hubsPerZone)] {
 			g.hubs[id] = true
 		}
@@ -90,6 +91,18 @@
 	return g.hubs
 }
 
+// compare orders instances: the stronger first, then by id; the caller holds the lock.
+func (g *Gossiper) compare(a, b string) int {
+	return cmp.Or(cmp.Compare(g.capacity(b), g.capacity(a)), cmp.Compare(a, b))
+}
+
+func (g *Gossiper) capacity(id string) uint32 {
+	if p := g.peers[id]; p != nil {
+		return p.Member.Capacity
+	}
+	return g.Self.Capacity
+}
+
 // relayed returns the statuses of others that a partner may lack; the caller holds the lock.
 func (g *Gossiper) relayed(p *peer, now time.Time) []*Status {
 	if !g.large() || !g.currentHubs(now)[g.Self.ID] {
--- a/internal/parser/entry.go
+++ b/internal/parser/entry.go
@@ -38,6 +38,10 @@
 	AddressLifetime    time.Duration
 	Descriptors        int
 	MemoryMegabytes    int64
+	// Cores is the share of a processor core, or the number of cores, that the process has.
+	Cores float64
+	// LinkMegabits is the bandwidth of the machine's link.
+	LinkMegabits float64
 }
 
 const (
@@ -53,6 +57,7 @@
 	defaultEntryLifetime    = 5.0
 	defaultEntryDescriptors = 1024
 	defaultEntryMemory      = 256
+	defaultEntryLink        = 1000
 	maximumSeconds          = 86_400
 )
 
@@ -116,6 +121,8 @@
 		RetryWindow:        s.orSeconds("RetryWindowSeconds", defaultEntryRetryWindow),
 		AddressLifetime:    s.orSeconds("AddressLifetimeSeconds", defaultEntryLifetime),
 		Descriptors:        int(s.orNumber("Descriptors", defaultEntryDescriptors, 64, maximumConnections)),
+		Cores:              s.orNumber("CPUShare", 1, 0.001, maximumConnections) * s.orNumber("CPUs", 1, 1, maximumConnections),
+		LinkMegabits:       s.orNumber("LinkMegabits", defaultEntryLink, 0.1, maximumBytes),
 		MemoryMegabytes:    int64(s.orNumber("MemoryMegabytes", defaultEntryMemory, 16, maximumBytes)),
 	}
 }
