--- a/internal/coordinator/beats.go
+++ b/internal/coordinator/beats.go
@@ -28,9 +28,6 @@
 			Answers: uint32(max(0, load.Answers)), AnswerTokens: uint64(max(0, load.AnswerTokens)),
 		})
 	}
-	for _, cell := range c.counts.Of(c.self.Incarnation) {
-		s.Counts = append(s.Counts, &gossiper.Count{Incarnation: cell.Incarnation, Window: cell.Window, Team: string(cell.Team), Requests: cell.Requests})
-	}
 	for service, rate := range c.demand.Own(now) {
 		s.Rates = append(s.Rates, &gossiper.Rate{Service: string(service), PromptTokensPerSecond: rate})
 	}
@@ -54,21 +51,39 @@
 		b.Lease = &gossiper.Lease{Holder: s.Holder, Fence: uint64(s.Fence), Offset: uint64(s.Next), AgeMilliseconds: s.Age.Milliseconds()}
 	}
 	if last != nil {
-		b.Parts = c.partsFor(last.Statuses[0].Member.ID)
+		c.addNews(b, last.Statuses[0].Member.ID)
 	}
 }
 
-// partsFor returns the prompt parts that were read since the last beat to a peer.
-func (c *Coordinator) partsFor(peer string) []*gossiper.Part {
+// cursor is how far a peer has been told of something. What the last two beats told is told again, because a beat may
+// be lost.
+type cursor struct{ before, last uint64 }
+
+func (c *cursor) advance(next uint64) { c.before, c.last = c.last, next }
+
+// told is how far a peer has been told of prompt parts and counts.
+type told struct{ parts, counts cursor }
+
+// addNews adds the prompt parts that were read and the counts that changed since the beat before the last one.
+func (c *Coordinator) addNews(b *gossiper.Beat, peer string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	sent, next := c.book.SentSince(c.cursors[peer])
-	c.cursors[peer] = next
-	var parts []*gossiper.Part
+	t := c.told[peer]
+	if t == nil {
+		t = &told{}
+		c.told[peer] = t
+	}
+	// A part that is not told costs a prompt that is read twice at worst, so it is told once.
+	sent, next := c.book.SentSince(t.parts.last)
+	t.parts.advance(next)
 	for _, s := range sent {
-		parts = append(parts, &gossiper.Part{Target: string(s.Target), Part: uint64(s.Part.ID), Tokens: uint32(s.Part.Tokens)})
+		b.Parts = append(b.Parts, &gossiper.Part{Target: string(s.Target), Part: uint64(s.Part.ID), Tokens: uint32(s.Part.Tokens)})
+	}
+	cells, next := c.counts.ChangedSince(t.counts.before)
+	t.counts.advance(next)
+	for _, cell := range cells {
+		b.Counts = append(b.Counts, &gossiper.Count{Incarnation: cell.Incarnation, Window: cell.Window, Team: string(cell.Team), Requests: cell.Requests})
 	}
-	return parts
 }
 
 // announceOrders notes this instance's own orders and tells the peers.
@@ -99,9 +114,6 @@
 		}
 	}
 	c.book.Hear(s.Member.ID, loads, now)
-	for _, n := range s.Counts {
-		c.counts.Merge(counter.Cell{Incarnation: n.Incarnation, Window: n.Window, Team: identifier.TeamID(n.Team), Requests: n.Requests})
-	}
 	for _, r := range s.Rates {
 		c.demand.Hear(s.Member.ID, identifier.ServiceID(r.Service), r.PromptTokensPerSecond, now)
 	}
@@ -119,6 +131,9 @@
 		part := chooser.Part{ID: identifier.PartID(p.Part), Tokens: identifier.Tokens(p.Tokens)}
 		c.book.Learn(chooser.Sent{Target: identifier.TargetID(p.Target), Part: part}, now)
 	}
+	for _, n := range b.Counts {
+		c.counts.Merge(counter.Cell{Incarnation: n.Incarnation, Window: n.Window, Team: identifier.TeamID(n.Team), Requests: n.Requests})
+	}
 	for _, o := range b.Orders {
 		left := orderkeeper.SettleTime - time.Duration(o.AgeMilliseconds)*time.Millisecond
 		c.registry.Ordered(identifier.TargetID(o.Target), registrar.Stage(o.Stage), now.Add(left))
--- a/internal/coordinator/constants.go
+++ b/internal/coordinator/constants.go
@@ -35,6 +35,8 @@
 	memoryPart = 0.7
 	// reservedDescriptors are not for connections of clients.
 	reservedDescriptors = 600
+	// incarnationDigits is how much of a random id tells the incarnations of an instance apart; beats carry many of them.
+	incarnationDigits = 8
 	// AddressLifetime is how long clients may keep an answer of the directory, at most as long as the site counts.
 	AddressLifetime = 1500 * time.Millisecond
 )
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -110,18 +110,18 @@
 	returned atomic.Pointer[time.Time]
 	inFlight atomic.Int64
 
-	mu      sync.Mutex
-	cursors map[string]uint64
+	mu   sync.Mutex
+	told map[string]*told
 }
 
 // New prepares an entry instance; reload reads the settings again.
 func New(settings *parser.EntrySettings, p Platform, faces Faces, reload func() (*parser.EntrySettings, error), logger *zap.Logger) *Coordinator {
-	c := &Coordinator{platform: p, faces: faces, logger: logger, reload: reload, Exporter: &exporter.Exporter{}, cursors: map[string]uint64{}}
+	c := &Coordinator{platform: p, faces: faces, logger: logger, reload: reload, Exporter: &exporter.Exporter{}, told: map[string]*told{}}
 	c.settings.Store(settings)
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{Reporter: c.Exporter, OmitCardinalityMetrics: true}, time.Second)
 	c.metrics, c.closer = scope, closer.Close
 	c.self = &gossiper.Member{
-		ID: string(settings.Instance), Incarnation: uuid.NewString(), Zone: string(settings.Zone),
+		ID: string(settings.Instance), Incarnation: uuid.NewString()[:incarnationDigits], Zone: string(settings.Zone),
 		ClientAddress: settings.Listen, PeerAddress: settings.PeerListen, Capacity: capacity(settings.Bounds),
 	}
 	c.wireViews()
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -18,12 +18,18 @@
 // keptWindows is how many windows are kept after the newest.
 const keptWindows = 6
 
+// keptChanges is how many changes are kept for peers: some seconds of a large fleet.
+const keptChanges = 4096
+
 // Counter holds the counts of all incarnations; the zero value is ready.
 //
 // A count only rises, so cells may come in any order and more than once.
 type Counter struct {
 	mu    sync.Mutex
 	cells map[key]uint64
+	// changes are the keys of the last changed cells; the last one has the number next-1.
+	changes []key
+	next    uint64
 }
 
 type key struct {
@@ -39,7 +45,8 @@
 func (c *Counter) Add(incarnation string, window int64, team identifier.TeamID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.set(key{incarnation, window, team}, c.cells[key{incarnation, window, team}]+1)
+	k := key{incarnation, window, team}
+	c.set(k, c.cells[k]+1)
 }
 
 // Merge takes a cell of a peer.
@@ -57,19 +64,30 @@
 		c.cells = map[key]uint64{}
 	}
 	c.cells[k] = n
+	c.changes = append(c.changes, k)
+	c.next++
+	if len(c.changes) > 2*keptChanges {
+		c.changes = append([]key(nil), c.changes[len(c.changes)-keptChanges:]...)
+	}
 }
 
-// Of returns the cells of one incarnation.
-func (c *Counter) Of(incarnation string) []Cell {
+// ChangedSince returns the cells that changed from a number on, each once, and the number to go on with.
+func (c *Counter) ChangedSince(from uint64) ([]Cell, uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	first := c.next - uint64(len(c.changes))
+	from = min(max(from, first), c.next)
+	seen := map[key]bool{}
 	var cells []Cell
-	for k, n := range c.cells {
-		if k.incarnation == incarnation {
-			cells = append(cells, Cell{Incarnation: k.incarnation, Window: k.window, Team: k.team, Requests: n})
+	for _, k := range c.changes[from-first:] {
+		n, kept := c.cells[k]
+		if seen[k] || !kept {
+			continue
 		}
+		seen[k] = true
+		cells = append(cells, Cell{Incarnation: k.incarnation, Window: k.window, Team: k.team, Requests: n})
 	}
-	return cells
+	return cells, c.next
 }
 
 // Total sums a window over all incarnations.
