--- /dev/null
+++ b/internal/counter/counter_test.go
@@ -0,0 +1,54 @@
+package counter_test
+
+import (
+	"testing"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/counter"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// TestCopiesComeInAnyOrder tells cells of three instances to a fourth, some of them twice and late.
+func TestCopiesComeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var total counter.Counter
+		var cells []counter.Cell
+		want := map[identifier.TeamID]uint64{}
+		for _, incarnation := range []string{"a", "b", "c"} {
+			var own counter.Counter
+			next := uint64(0)
+			for range rapid.IntRange(0, 30).Draw(t, "requests") {
+				team := identifier.TeamID(rapid.SampledFrom([]string{"x", "y"}).Draw(t, "team"))
+				own.Add(incarnation, 1, team)
+				want[team]++
+				if rapid.Bool().Draw(t, "beat") {
+					var changed []counter.Cell
+					changed, next = own.ChangedSince(next)
+					cells = append(cells, changed...)
+				}
+			}
+			changed, _ := own.ChangedSince(next)
+			cells = append(cells, changed...)
+		}
+		for _, cell := range rapid.Permutation(append(cells, cells...)).Draw(t, "order") {
+			total.Merge(cell)
+		}
+		got := total.Total(1)
+		for team, n := range want {
+			if got[team] != n {
+				t.Fatalf("team %s: %d of %d", team, got[team], n)
+			}
+		}
+	})
+}
+
+func TestForget(t *testing.T) {
+	var c counter.Counter
+	c.Add("a", 1, "x")
+	c.Add("a", 9, "x")
+	c.Forget(9)
+	quicktest.Assert(t, c.Total(1), quicktest.HasLen, 0)
+	quicktest.Assert(t, c.Total(9)["x"], quicktest.Equals, uint64(1))
+}
--- /dev/null
+++ b/internal/elector/elector_test.go
@@ -0,0 +1,212 @@
+package elector_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/elector"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+const lease = 3 * time.Second
+
+var (
+	seedFlag      = flag.Uint64("elector.seed", 1, "first seed of the random schedules")
+	schedulesFlag = flag.Int("elector.schedules", 300, "number of random schedules")
+)
+
+// log is the store's log with answers that get lost, calls that are carried out late, and outages.
+type log struct {
+	mu      sync.Mutex
+	records [][]byte
+	rng     *rand.Rand
+	trouble float64
+	away    map[string]bool
+}
+
+var errLost = errors.New("answer lost")
+
+// view is the log as one instance reaches it.
+type view struct {
+	*log
+	name string
+}
+
+func (v view) roll() float64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.away[v.name] {
+		return 2
+	}
+	return v.rng.Float64() / max(v.trouble, 1e-9)
+}
+
+func (v view) apply(end identifier.Offset, record []byte) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if int(end) != len(v.records) {
+		return elector.ErrMoved
+	}
+	v.records = append(v.records, record)
+	return nil
+}
+
+func (v view) Append(ctx context.Context, end identifier.Offset, record []byte) error {
+	time.Sleep(4 * time.Millisecond)
+	switch r := v.roll(); {
+	case r == 2:
+		<-ctx.Done()
+		return errLost
+	case r < 0.25:
+		return elector.ErrRefused
+	case r < 0.5:
+		if err := v.apply(end, record); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return errLost
+	case r < 0.75:
+		go func() {
+			time.Sleep(4 * time.Second)
+			v.apply(end, record)
+		}()
+		<-ctx.Done()
+		return errLost
+	case r < 1:
+		time.Sleep(700 * time.Millisecond)
+	}
+	return v.apply(end, record)
+}
+
+func (v view) Read(ctx context.Context, from identifier.Offset) ([][]byte, identifier.Offset, error) {
+	time.Sleep(4 * time.Millisecond)
+	if r := v.roll(); r == 2 || r < 0.3 {
+		<-ctx.Done()
+		return nil, 0, errLost
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.records[from:], identifier.Offset(len(v.records)), nil
+}
+
+// contend runs n electors under a schedule of the seed and reports what went wrong.
+func contend(t *testing.T, seed uint64, trouble float64, drift float64) (faults []string, claims int) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &log{rng: rand.New(rand.NewPCG(seed, 1)), trouble: trouble, away: map[string]bool{}}
+		schedule := rand.New(rand.NewPCG(seed, 2))
+		start := time.Now()
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		var electors []*elector.Elector
+		for i := range 3 {
+			name := fmt.Sprint("entry-", i)
+			rate := 1 + drift*float64(i-1)
+			e := &elector.Elector{
+				Holder: name, Log: view{l, name}, Lease: lease, Logger: zap.NewNop(),
+				Now:      func() time.Duration { return time.Duration(float64(time.Since(start)+time.Second) * rate) },
+				Eligible: func(since time.Duration) bool { return since > time.Duration(i)*700*time.Millisecond },
+			}
+			electors = append(electors, e)
+			group.Go(func() { e.Run(ctx) })
+		}
+		var last identifier.Fence
+		used := map[identifier.Fence]int{}
+		for range 600 {
+			time.Sleep(50 * time.Millisecond)
+			if schedule.Float64() < 0.02 {
+				l.mu.Lock()
+				name := fmt.Sprint("entry-", schedule.IntN(3))
+				l.away[name] = !l.away[name]
+				l.mu.Unlock()
+			}
+			holders := 0
+			for i, e := range electors {
+				fence, err := e.Authority()
+				if err != nil {
+					continue
+				}
+				holders++
+				if by, seen := used[fence]; seen && by != i {
+					faults = append(faults, fmt.Sprintf("fence %d used by %d and %d", fence, by, i))
+				}
+				used[fence] = i
+				if fence < last {
+					faults = append(faults, fmt.Sprintf("fence %d after %d", fence, last))
+				}
+				last = max(last, fence)
+				if schedule.Float64() < 0.05 {
+					e.Close(ctx, int64(schedule.IntN(10)), elector.Figures{"team": uint64(schedule.IntN(1000))})
+				}
+			}
+			if holders > 1 {
+				faults = append(faults, fmt.Sprintf("%d holders", holders))
+			}
+		}
+		cancel()
+		group.Wait()
+		// What was on its way may still come.
+		time.Sleep(5 * time.Second)
+		claims = len(used)
+	})
+	return faults, claims
+}
+
+// TestRandomSchedules claims, renews and closes while answers are lost, calls come late and instances are cut off.
+func TestRandomSchedules(t *testing.T) {
+	total := 0
+	for i := range *schedulesFlag {
+		seed := *seedFlag + uint64(i)
+		faults, claims := contend(t, seed, 0.02+0.3*float64(i%10)/10, 0.02)
+		if len(faults) > 0 {
+			t.Fatalf("seed %d: %v", seed, faults[0])
+		}
+		total += claims
+	}
+	quicktest.Assert(t, total >= *schedulesFlag, quicktest.IsTrue, quicktest.Commentf("%d claims in %d schedules", total, *schedulesFlag))
+}
+
+// TestDriftBeyondTheMargin shows that the schedules find two holders where clocks run apart by more than contenders allow for.
+func TestDriftBeyondTheMargin(t *testing.T) {
+	found := 0
+	for seed := range uint64(20) {
+		faults, _ := contend(t, seed, 0.1, 0.4)
+		found += len(faults)
+	}
+	quicktest.Assert(t, found > 0, quicktest.IsTrue)
+}
+
+func TestFirstFiguresStand(t *testing.T) {
+	f := &elector.Fold{}
+	add := func(d *elector.Duty) {
+		record, err := proto.Marshal(d)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		f.Apply(record)
+	}
+	claim := func(holder string) *elector.Duty {
+		return &elector.Duty{Body: &elector.Duty_Claim{Claim: &elector.Claim{Holder: holder}}}
+	}
+	closing := func(fence uint64, n uint64) *elector.Duty {
+		return &elector.Duty{Body: &elector.Duty_Close{Close: &elector.Close{Fence: fence, Window: 7, Requests: map[string]uint64{"a": n}}}}
+	}
+	add(claim("one"))
+	add(claim("two"))
+	add(closing(1, 10))
+	quicktest.Assert(t, f.Closed, quicktest.HasLen, 0, quicktest.Commentf("a holder that was superseded closed a window"))
+	add(closing(2, 20))
+	add(closing(2, 30))
+	quicktest.Assert(t, f.Closed[7], quicktest.DeepEquals, elector.Figures{"a": 20})
+	f.Apply([]byte("not a record"))
+	quicktest.Assert(t, f.Next, quicktest.Equals, identifier.Offset(6))
+	quicktest.Assert(t, f.Fence, quicktest.Equals, identifier.Fence(2))
+}
