--- a/internal/forwarder/prompted.go
+++ b/internal/forwarder/prompted.go
@@ -65,6 +65,9 @@
 			return nil, nil, j.noTarget()
 		}
 		prompt, ok := chooser.PromptTarget(&chooser.Prompt{Zone: j.f.Zone, Parts: j.call.Parts}, prompts)
+		if !ok && j.reads > 0 {
+			return nil, nil, j.givenUp(notRun("PromptTargetsFailed", comeBack, nil))
+		}
 		if !ok {
 			return answer.Target, nil, nil
 		}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -233,7 +233,8 @@
 		last = p.last
 		b.Statuses = append(b.Statuses, g.relayed(p, now)...)
 	}
-	if last == nil {
+	b.Known = uint32(len(g.peers) + 1)
+	if last.GetKnown() < b.Known {
 		for _, other := range g.peers {
 			b.Members = append(b.Members, other.Member)
 		}
--- /dev/null
+++ b/internal/gossiper/gossiper_test.go
@@ -0,0 +1,154 @@
+package gossiper_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
+)
+
+var errCut = errors.New("no way")
+
+// fleet is a network of gossipers in one process.
+type fleet struct {
+	mu        sync.Mutex
+	nodes     map[string]*node
+	exchanges int
+}
+
+type node struct {
+	*gossiper.Gossiper
+	fleet  *fleet
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func (n *node) Exchange(_ context.Context, addr string, req, reply proto.Message) error {
+	n.fleet.mu.Lock()
+	to := n.fleet.nodes[addr]
+	n.fleet.exchanges++
+	n.fleet.mu.Unlock()
+	if to == nil {
+		return errCut
+	}
+	time.Sleep(time.Millisecond)
+	proto.Merge(reply, to.Answer(proto.Clone(req).(*gossiper.Beat)))
+	return nil
+}
+
+// start adds an instance that knows one other.
+func (f *fleet) start(i, zones int, incarnation string) {
+	id := fmt.Sprintf("entry-%02d", i)
+	self := &gossiper.Member{ID: id, Incarnation: incarnation, Zone: fmt.Sprint("zone-", i%zones), PeerAddress: id, Capacity: 400}
+	n := &node{fleet: f, done: make(chan struct{})}
+	n.Gossiper = &gossiper.Gossiper{
+		Self: self, Caller: n, Logger: zap.NewNop(),
+		Status: func(now time.Time) *gossiper.Status {
+			return &gossiper.Status{Ready: true, UnixMilliseconds: now.UnixMilli()}
+		},
+		Complete: func(_, _ *gossiper.Beat) {}, Heard: func(*gossiper.Status, time.Time) {}, Learned: func(*gossiper.Beat, time.Time) {},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	f.mu.Lock()
+	if f.nodes == nil {
+		f.nodes = map[string]*node{}
+	}
+	f.nodes[id] = n
+	f.mu.Unlock()
+	go func() { defer close(n.done); n.Run(ctx) }()
+	go func() {
+		for len(n.Alive(time.Now())) == 0 && ctx.Err() == nil {
+			n.Contact(ctx, "entry-00")
+			time.Sleep(500 * time.Millisecond)
+		}
+	}()
+}
+
+func (f *fleet) stop(id string) {
+	f.mu.Lock()
+	n := f.nodes[id]
+	delete(f.nodes, id)
+	f.mu.Unlock()
+	n.cancel()
+	<-n.done
+}
+
+// unaware returns an instance that does not see so many live peers, or none.
+func (f *fleet) unaware(want int) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, n := range f.nodes {
+		if got := len(n.Alive(time.Now())); got != want {
+			return fmt.Sprintf("%s sees %d of %d", id, got, want)
+		}
+	}
+	return ""
+}
+
+func run(t *testing.T, size int, f func(fl *fleet)) {
+	synctest.Test(t, func(*testing.T) {
+		fl := &fleet{}
+		for i := range size {
+			fl.start(i, 3, "first")
+		}
+		time.Sleep(8 * time.Second)
+		f(fl)
+		for id := range fl.nodes {
+			fl.stop(id)
+		}
+	})
+}
+
+func TestAllSeeAll(t *testing.T) {
+	for _, size := range []int{2, 8, 30, 63} {
+		run(t, size, func(fl *fleet) {
+			quicktest.Check(t, fl.unaware(size-1), quicktest.Equals, "", quicktest.Commentf("%d instances", size))
+		})
+	}
+}
+
+// TestBeatsDoNotGrowWithTheSquare bounds the exchanges of an instance in a second: two hubs a zone, twice a second, and
+// an allowance for those that become partners.
+func TestBeatsDoNotGrowWithTheSquare(t *testing.T) {
+	run(t, 63, func(fl *fleet) {
+		fl.mu.Lock()
+		fl.exchanges = 0
+		fl.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		fl.mu.Lock()
+		perSecond := float64(fl.exchanges) / 10 / 63
+		fl.mu.Unlock()
+		quicktest.Check(t, perSecond < 6, quicktest.IsTrue, quicktest.Commentf("%.1f exchanges of an instance in a second", perSecond))
+	})
+}
+
+// TestLostHubs kills both hubs of a zone: the dead are forgotten within seconds, and the living see each other again.
+func TestLostHubs(t *testing.T) {
+	run(t, 30, func(fl *fleet) {
+		fl.stop("entry-01")
+		fl.stop("entry-04")
+		time.Sleep(8 * time.Second)
+		quicktest.Check(t, fl.unaware(27), quicktest.Equals, "")
+		fl.start(1, 3, "second")
+		time.Sleep(4 * time.Second)
+		quicktest.Check(t, fl.unaware(28), quicktest.Equals, "")
+	})
+}
+
+func TestDeadAreForgottenSoon(t *testing.T) {
+	run(t, 8, func(fl *fleet) {
+		fl.stop("entry-03")
+		time.Sleep(2 * time.Second)
+		quicktest.Check(t, fl.unaware(6), quicktest.Equals, "")
+	})
+}
--- a/internal/gossiper/topology.go
+++ b/internal/gossiper/topology.go
@@ -113,7 +113,7 @@
 		if id == p.Member.ID || other.status == nil || now.Sub(other.HeardAt) > relayAlive {
 			continue
 		}
-		key := other.Member.Incarnation
+		key := id + "/" + other.Member.Incarnation
 		if p.told[key] >= other.status.Sequence {
 			continue
 		}
--- /dev/null
+++ b/internal/pooler/pooler_test.go
@@ -0,0 +1,193 @@
+package pooler_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/pooler"
+)
+
+// answer is how a target treats one connection's requests: it gets the request's number on the connection.
+type answer func(conn net.Conn, r *http.Request, n int)
+
+// target listens on loopback and counts connections and requests.
+type target struct {
+	addr     string
+	conns    atomic.Int64
+	requests atomic.Int64
+}
+
+func listen(t *testing.T, f answer) *target {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	t.Cleanup(func() { lis.Close() })
+	tg := &target{addr: lis.Addr().String()}
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			tg.conns.Add(1)
+			go tg.serve(conn, f)
+		}
+	}()
+	return tg
+}
+
+func (tg *target) serve(conn net.Conn, f answer) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for n := 0; ; n++ {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, req.Body)
+		tg.requests.Add(1)
+		f(conn, req, n)
+	}
+}
+
+func reply(conn net.Conn, id, body string) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func send(p *pooler.Pool, tg *target, id string, freshness time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	a, err := p.Do(ctx, &pooler.Request{
+		Address: tg.addr, Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{"X-Id": {id}}, Body: []byte("body"), Freshness: freshness,
+		Belongs: func(_ int, h http.Header) bool { return h.Get("X-Id") == id },
+	})
+	if err != nil {
+		return "", err
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(a.Body)
+	return string(body), err
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	tg := listen(t, func(conn net.Conn, r *http.Request, _ int) { reply(conn, r.Header.Get("X-Id"), "ok") })
+	p := &pooler.Pool{}
+	for i := range 3 {
+		body, err := send(p, tg, fmt.Sprint(i), time.Minute)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, body, quicktest.Equals, "ok")
+	}
+	quicktest.Assert(t, tg.conns.Load(), quicktest.Equals, int64(1))
+	_, err := send(p, tg, "fresh", 0)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, tg.conns.Load(), quicktest.Equals, int64(2), quicktest.Commentf("a request that runs once goes on a new connection"))
+}
+
+func TestClosedConnectionIsNotUsed(t *testing.T) {
+	tg := listen(t, func(conn net.Conn, r *http.Request, _ int) {
+		reply(conn, r.Header.Get("X-Id"), "ok")
+		conn.Close()
+	})
+	p := &pooler.Pool{}
+	for i := range 3 {
+		_, err := send(p, tg, fmt.Sprint(i), time.Minute)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		time.Sleep(20 * time.Millisecond)
+	}
+	quicktest.Assert(t, tg.requests.Load(), quicktest.Equals, int64(3))
+}
+
+func TestLateAnswerGoesToNobody(t *testing.T) {
+	// Each answer but the first is preceded by a second copy of the one before.
+	last := ""
+	tg := listen(t, func(conn net.Conn, r *http.Request, n int) {
+		if n > 0 {
+			reply(conn, last, "late")
+		}
+		last = r.Header.Get("X-Id")
+		reply(conn, last, "own "+last)
+	})
+	p := &pooler.Pool{}
+	for _, id := range []string{"a", "b", "c"} {
+		body, err := send(p, tg, id, time.Minute)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, body, quicktest.Equals, "own "+id)
+	}
+}
+
+func TestForeignAnswers(t *testing.T) {
+	for name, tc := range map[string]struct {
+		bytes string
+		want  error
+	}{
+		"no HTTP":              {"\x00\x01garbage\r\n\r\n", pooler.ErrForeign},
+		"closed at once":       {"", pooler.ErrBroken},
+		"another's answer":     {"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n", pooler.ErrBroken},
+		"another's, no length": {"HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\nbytes", pooler.ErrForeign},
+		"body cut":             {"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 10\r\n\r\nhalf", pooler.ErrBroken},
+		"chunk cut":            {"HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", pooler.ErrBroken},
+	} {
+		tg := listen(t, func(conn net.Conn, _ *http.Request, _ int) {
+			io.WriteString(conn, tc.bytes)
+			conn.Close()
+		})
+		_, err := send(&pooler.Pool{}, tg, "a", 0)
+		quicktest.Check(t, err, quicktest.ErrorIs, tc.want, quicktest.Commentf(name))
+		quicktest.Check(t, tg.requests.Load(), quicktest.Equals, int64(1), quicktest.Commentf("%s: sent again", name))
+	}
+}
+
+func TestNothingListens(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	lis.Close()
+	_, err = send(&pooler.Pool{}, &target{addr: lis.Addr().String()}, "a", 0)
+	quicktest.Assert(t, err, quicktest.ErrorIs, pooler.ErrNotSent)
+}
+
+func TestClientLeaves(t *testing.T) {
+	closed := make(chan struct{})
+	tg := listen(t, func(conn net.Conn, _ *http.Request, _ int) {
+		conn.Read(make([]byte, 1))
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := (&pooler.Pool{}).Do(ctx, &pooler.Request{Address: tg.addr, Method: http.MethodGet, URI: "/", Host: "h"})
+	quicktest.Assert(t, err, quicktest.ErrorIs, pooler.ErrBroken)
+	select {
+	case <-closed:
+	case <-time.After(400 * time.Millisecond):
+		t.Fatal("the target still works for a client that has left")
+	}
+}
+
+func TestLimit(t *testing.T) {
+	release := make(chan struct{})
+	tg := listen(t, func(conn net.Conn, r *http.Request, _ int) {
+		<-release
+		reply(conn, r.Header.Get("X-Id"), "ok")
+	})
+	p := &pooler.Pool{Limit: func(string) int { return 1 }}
+	done := make(chan error)
+	go func() {
+		_, err := send(p, tg, "a", 0)
+		done <- err
+	}()
+	for tg.requests.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := send(p, tg, "b", 0)
+	quicktest.Check(t, err, quicktest.ErrorIs, pooler.ErrFull)
+	quicktest.Check(t, err, quicktest.ErrorIs, pooler.ErrNotSent)
+	close(release)
+	quicktest.Check(t, <-done, quicktest.IsNil)
+}
