--- /dev/null
+++ b/internal/chooser/chooser_test.go
@@ -0,0 +1,131 @@
+package chooser_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
+	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+var now = time.Unix(1000, 0)
+
+func targets(n int, stage registrar.Stage) []*registrar.Target {
+	var list []*registrar.Target
+	for i := range n {
+		list = append(list, &registrar.Target{
+			ID: identifier.TargetID(fmt.Sprint("t", i)), Zone: identifier.ZoneID(fmt.Sprint("z", i%3)), Stage: stage, Slots: 64,
+		})
+	}
+	return list
+}
+
+func parts(shared, own identifier.PartID) []chooser.Part {
+	return []chooser.Part{{ID: shared, Tokens: 13_300}, {ID: own, Tokens: 3_700}}
+}
+
+// TestInstancesAgree sends the same new shared part from instances that have not heard of each other.
+func TestInstancesAgree(t *testing.T) {
+	list := targets(9, registrar.Prompts)
+	chosen := map[identifier.TargetID]int{}
+	for _, zone := range []identifier.ZoneID{"z0", "z1", "z2"} {
+		var book chooser.Book
+		v, ok := chooser.PromptTarget(&chooser.Prompt{Zone: zone, Parts: parts(7, 8)}, book.Candidates(list, parts(7, 8), now))
+		quicktest.Assert(t, ok, quicktest.IsTrue)
+		chosen[v.Target.ID]++
+	}
+	quicktest.Assert(t, chosen, quicktest.HasLen, 1)
+}
+
+// TestAffinityAgainstLoad answers a burst on one shared part: its holder is used until the queue there costs more than
+// to read the part again.
+func TestAffinityAgainstLoad(t *testing.T) {
+	list := targets(6, registrar.Prompts)
+	var book chooser.Book
+	book.Read("t3", parts(1, 2)[:1], now)
+	choose := func() chooser.Verdict {
+		v, _ := chooser.PromptTarget(&chooser.Prompt{Zone: "z0", Parts: parts(1, 9)}, book.Candidates(list, parts(1, 9), now))
+		return v
+	}
+	v := choose()
+	quicktest.Assert(t, v.Target.ID, quicktest.Equals, identifier.TargetID("t3"))
+	quicktest.Assert(t, int(v.Fresh), quicktest.Equals, 3_700)
+	book.Begin("t3", chooser.Load{PromptTokens: 8_000}, now)
+	quicktest.Assert(t, choose().Target.ID, quicktest.Equals, identifier.TargetID("t3"))
+	end := book.Begin("t3", chooser.Load{PromptTokens: 20_000}, now)
+	quicktest.Assert(t, choose().Target.ID, quicktest.Not(quicktest.Equals), identifier.TargetID("t3"))
+	end()
+	end()
+	quicktest.Assert(t, choose().Target.ID, quicktest.Equals, identifier.TargetID("t3"), quicktest.Commentf("work that has ended counts no more, however often it ends"))
+}
+
+func TestRestartedTargetsHoldNothing(t *testing.T) {
+	list := targets(1, registrar.Prompts)
+	var book chooser.Book
+	book.Candidates(list, nil, now)
+	book.Read("t0", parts(1, 2), now)
+	quicktest.Assert(t, int(book.Candidates(list, parts(1, 2), now)[0].Cached), quicktest.Equals, 17_000)
+	quicktest.Assert(t, int(book.Candidates(list, parts(5, 2), now)[0].Cached), quicktest.Equals, 0, quicktest.Commentf("a part counts only if all before it are held"))
+	again := *list[0]
+	again.Born = now
+	quicktest.Assert(t, int(book.Candidates([]*registrar.Target{&again}, parts(1, 2), now)[0].Cached), quicktest.Equals, 0)
+}
+
+func TestPeersLoads(t *testing.T) {
+	list := targets(2, registrar.Answers)
+	var book chooser.Book
+	load := func() chooser.Load { return book.Candidates(list, nil, now)[0].Load }
+	book.Hear("peer", map[identifier.TargetID]chooser.Load{"t0": {Answers: 5}}, now)
+	book.Hear("other", map[identifier.TargetID]chooser.Load{"t0": {Answers: 1}}, now)
+	quicktest.Assert(t, load().Answers, quicktest.Equals, 6)
+	book.Hear("peer", map[identifier.TargetID]chooser.Load{"t1": {Answers: 2}}, now)
+	quicktest.Assert(t, load().Answers, quicktest.Equals, 1)
+	v, _ := chooser.AnswerTarget("z0", book.Candidates(list, nil, now))
+	quicktest.Assert(t, v.Target.ID, quicktest.Equals, identifier.TargetID("t0"))
+	book.Retain(list, now.Add(time.Minute))
+	quicktest.Assert(t, load(), quicktest.Equals, chooser.Load{}, quicktest.Commentf("a peer without news does no work"))
+}
+
+// TestSickTargetsRest sends to a target that fails only until it has failed, and again after a while.
+func TestSickTargetsRest(t *testing.T) {
+	list := targets(3, registrar.AnyStage)
+	var book chooser.Book
+	choose := func(at time.Time) identifier.TargetID {
+		v, _ := chooser.PlainTarget("z0", 20*time.Millisecond, book.Candidates(list, nil, at))
+		return v.Target.ID
+	}
+	quicktest.Assert(t, choose(now), quicktest.Equals, identifier.TargetID("t0"))
+	book.Failed("t0", now)
+	quicktest.Assert(t, choose(now), quicktest.Not(quicktest.Equals), identifier.TargetID("t0"))
+	quicktest.Assert(t, choose(now.Add(20*time.Second)), quicktest.Equals, identifier.TargetID("t0"))
+}
+
+func TestPartsAreToldOnce(t *testing.T) {
+	var book, peer chooser.Book
+	book.Read("t0", parts(1, 2), now)
+	book.Read("t0", parts(1, 3), now.Add(time.Second))
+	sent, next := book.SentSince(0)
+	quicktest.Assert(t, sent, quicktest.HasLen, 3, quicktest.Commentf("the shared part is no news the second time"))
+	for range 2 {
+		for _, s := range sent {
+			peer.Learn(s, now)
+		}
+	}
+	relayed, _ := peer.SentSince(0)
+	quicktest.Assert(t, relayed, quicktest.HasLen, 3, quicktest.Commentf("what is passed on does not come back for ever"))
+	sent, _ = book.SentSince(next)
+	quicktest.Assert(t, sent, quicktest.HasLen, 0)
+}
+
+func BenchmarkPromptTarget(b *testing.B) {
+	list := targets(720, registrar.Prompts)
+	var book chooser.Book
+	p := &chooser.Prompt{Zone: "z0", Parts: parts(1, 2)}
+	for b.Loop() {
+		chooser.PromptTarget(p, book.Candidates(list, p.Parts, now))
+	}
+}
--- /dev/null
+++ b/internal/demander/demander_test.go
@@ -0,0 +1,32 @@
+package demander_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/demander"
+)
+
+// TestPeak follows a burst: the demand of this instance and of a peer, remembered while it fades.
+func TestPeak(t *testing.T) {
+	var d demander.Demand
+	now := time.Unix(1000, 0)
+	quicktest.Assert(t, d.Peak("s"), quicktest.Equals, 0.0)
+	for range 10 {
+		now = now.Add(time.Second)
+		d.Add("s", 36_700, now)
+		d.Hear("peer", "s", 36_700, now)
+		d.Sample(now)
+	}
+	peak := d.Peak("s")
+	quicktest.Assert(t, peak > 1.8 && peak < 2.6, quicktest.IsTrue, quicktest.Commentf("%.2f engines for a demand of two", peak))
+	for range 60 {
+		now = now.Add(time.Second)
+		d.Sample(now)
+	}
+	faded := d.Peak("s")
+	quicktest.Assert(t, faded > 0.4*peak && faded < 0.6*peak, quicktest.IsTrue, quicktest.Commentf("%.2f a minute later", faded))
+	quicktest.Assert(t, d.Own(now), quicktest.HasLen, 0)
+}
--- /dev/null
+++ b/internal/reporter/windows_test.go
@@ -0,0 +1,102 @@
+package reporter_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/elector"
+	"github.com/coltsfootscale/coltsfootscale/internal/reporter"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// duty is a lease whose holder may change, with the closed windows of the log.
+type duty struct {
+	fence  identifier.Fence
+	closed map[int64]elector.Figures
+}
+
+func (d *duty) Authority() (identifier.Fence, error) {
+	if d.fence == 0 {
+		return 0, elector.ErrNotHolder
+	}
+	return d.fence, nil
+}
+
+func (d *duty) Do(ctx context.Context, send func(context.Context, identifier.Fence) error) error {
+	if d.fence == 0 {
+		return elector.ErrNotHolder
+	}
+	return send(ctx, d.fence)
+}
+
+func (d *duty) Close(_ context.Context, window int64, figures elector.Figures) error {
+	if _, closed := d.closed[window]; !closed {
+		d.closed[window] = figures
+	}
+	return nil
+}
+
+func (d *duty) Closed() map[int64]elector.Figures { return d.closed }
+
+// platform keeps reports and fails as told.
+type platform struct {
+	reports map[int64][]elector.Figures
+	err     error
+	calls   int
+}
+
+func (p *platform) ReportUsage(_ context.Context, _ identifier.Fence, window int64, figures elector.Figures) error {
+	p.calls++
+	if p.err == nil {
+		p.reports[window] = append(p.reports[window], figures)
+	}
+	return p.err
+}
+
+func TestWindows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &duty{fence: 1, closed: map[int64]elector.Figures{}}
+		p := &platform{reports: map[int64][]elector.Figures{}}
+		count := uint64(10)
+		w := &reporter.Windows{
+			Duty: d, Platform: p, Length: 5 * time.Second, Late: 10 * time.Second, Now: time.Now, Logger: zap.NewNop(),
+			Total: func(int64) map[identifier.TeamID]uint64 { return map[identifier.TeamID]uint64{"team": count} },
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); w.Run(ctx) }()
+		start := time.Now().UnixMilli() / 5000
+		time.Sleep(8 * time.Second)
+		quicktest.Assert(t, p.reports[start], quicktest.DeepEquals, []elector.Figures{{"team": 10}})
+
+		// Counts that come later change nothing: what was closed is reported, also by the next holder.
+		count = 99
+		d.fence = 0
+		time.Sleep(time.Second)
+		d.fence = 5
+		time.Sleep(2 * time.Second)
+		for window, reports := range p.reports {
+			for _, figures := range reports {
+				quicktest.Check(t, figures, quicktest.DeepEquals, reports[0], quicktest.Commentf("window %d", window))
+			}
+		}
+
+		// A report that fails is tried again; one that was fenced off is not, with the same number.
+		p.err = errors.New("silent")
+		time.Sleep(5 * time.Second)
+		quicktest.Check(t, p.calls > 5, quicktest.IsTrue)
+		p.err = elector.ErrFenced
+		time.Sleep(time.Second)
+		p.calls = 0
+		time.Sleep(10 * time.Second)
+		quicktest.Check(t, p.calls, quicktest.Equals, 0)
+		cancel()
+		<-done
+	})
+}
--- /dev/null
+++ b/internal/retrier/windowed_test.go
@@ -0,0 +1,50 @@
+package retrier_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/retrier"
+)
+
+// TestWindowed has eight instances retry as often as they may, at a steady load, and counts in every window.
+func TestWindowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const members, ratio, slack = 8, 0.2, 56.0
+		var all []*retrier.Windowed
+		for range members {
+			all = append(all, &retrier.Windowed{Ratio: ratio, Slack: slack, Window: 10 * time.Second, Members: func() int { return members }})
+		}
+		var requests, retries []int
+		for tick := range 600 {
+			requests, retries = append(requests, 0), append(retries, 0)
+			for _, w := range all {
+				if tick%2 == 0 {
+					w.Note("s")
+					requests[tick]++
+				}
+				for w.Take("s") {
+					retries[tick]++
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		sum := func(list []int) (n int) {
+			for _, v := range list {
+				n += v
+			}
+			return n
+		}
+		total := 0
+		for from := 0; from+100 <= len(retries); from++ {
+			allowed := ratio*float64(sum(requests[from:from+100])) + slack
+			got := sum(retries[from : from+100])
+			quicktest.Assert(t, float64(got) <= allowed, quicktest.IsTrue, quicktest.Commentf("%d retries in the window from %d, %.0f allowed", got, from, allowed))
+			total = max(total, got)
+		}
+		quicktest.Assert(t, total > 50, quicktest.IsTrue, quicktest.Commentf("the budget is used: %d", total))
+	})
+}
