--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -106,8 +106,10 @@
 	}
 	f := &forwarder.Forwarder{
 		Table: func() *matcher.Table { return table }, TableAge: func() time.Duration { return 0 },
-		Targets: func(identifier.ServiceID, time.Time) []*registrar.Target { return append([]*registrar.Target(nil), targets...) },
-		Book:    &chooser.Book{}, Backend: b, Budget: &budget{retries},
+		Targets: func(identifier.ServiceID, time.Time) []*registrar.Target {
+			return append([]*registrar.Target(nil), targets...)
+		},
+		Book: &chooser.Book{}, Backend: b, Budget: &budget{retries},
 		Offered: func(identifier.ServiceID, identifier.Tokens, time.Time) {},
 		Began:   func(identifier.TeamID) { out.began++ },
 		Logger:  zap.NewNop(), Metrics: tally.NoopScope,
--- a/internal/forwarder/prompted.go
+++ b/internal/forwarder/prompted.go
@@ -81,7 +81,7 @@
 		j.reads++
 		h, err := j.read(ctx, prompt)
 		if err == nil {
-			answer, ok = chooser.AnswerTarget(prompt.Target.Zone, j.candidates(registrar.Answers, nil))
+			answer, ok = chooser.AnswerTarget(j.f.Zone, j.candidates(registrar.Answers, nil))
 			if !ok {
 				j.free(h)
 				return nil, nil, j.noTarget()
