--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -21,8 +21,11 @@
 	promptSetup = 25 * time.Millisecond
 	// zoneCost weighs bytes between availability zones against time.
 	zoneCost = 40 * time.Millisecond
-	// strayCost is what a target other than the hashed one costs for parts that nobody holds.
-	strayCost = 60 * time.Millisecond
+	// strayPart is what a target other than the hashed one costs for shared parts that nobody holds, and rereadPart what
+	// one costs for parts that another target holds, as a part of the time that it takes to compute them: they then
+	// take up memory twice and push others out.
+	strayPart  = 1.0
+	rereadPart = 1.0
 	// answerCost is what one more answer in the batch costs the others.
 	answerCost = 8 * time.Millisecond
 	// coldCost is what a target costs right after its start, less as it warms up.
@@ -71,6 +74,22 @@
 	return total
 }
 
+// shared sums the parts but the last one, which belongs to the request or its session.
+func (p *Prompt) shared() identifier.Tokens {
+	if len(p.Parts) == 0 {
+		return 0
+	}
+	return p.Tokens() - p.Parts[len(p.Parts)-1].Tokens
+}
+
+func mostCached(candidates []Candidate) identifier.Tokens {
+	most := identifier.Tokens(0)
+	for i := range candidates {
+		most = max(most, candidates[i].Cached)
+	}
+	return most
+}
+
 // Verdict is a choice with the prediction that decided it.
 type Verdict struct {
 	Target    *registrar.Target
@@ -85,13 +104,16 @@
 	var bestCost time.Duration
 	total := p.Tokens()
 	home := homeOf(p, candidates)
+	held := mostCached(candidates)
+	shared := p.shared()
 	for i := range candidates {
 		c := &candidates[i]
 		v := Verdict{Target: c.Target, Fresh: max(0, total-c.Cached)}
 		v.Predicted = promptSetup + promptTime(c.Load.PromptTokens+v.Fresh)
 		cost := v.Predicted + handicap(c, p.Zone)
+		cost += time.Duration(rereadPart * float64(promptTime(held-c.Cached)))
 		if c.Cached == 0 && i != home {
-			cost += strayCost
+			cost += time.Duration(strayPart * float64(promptTime(max(0, shared-held))))
 		}
 		if best.Target == nil || cost < bestCost {
 			best, bestCost = v, cost
