Choose a prompt's home by all its shared parts, and spread choices by the age of what peers know

The home of a prompt was hashed from its first part alone, and all night summaries have one of four of these; and all instances that saw the same idle targets took the same one. Two tests of these patterns failed before (81 of 200 sessions at one of 20 targets).

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -24,8 +24,8 @@
 	// strayPart is what a target other than the hashed one costs for shared parts that nobody holds, and rereadPart what
 	// one costs for parts that another target holds, as a part of the time that it takes to compute them: they then
 	// take up memory twice and push others out.
-	strayPart  = 1.0
-	rereadPart = 1.0
+	strayPart  = 1.3
+	rereadPart = 0.5
 	// answerCost is what one more answer in the batch costs the others.
 	answerCost = 8 * time.Millisecond
 	// coldCost is what a target costs right after its start, less as it warms up.
@@ -59,10 +59,25 @@
 	Age time.Duration
 }
 
+// Draw spreads the choices of instances that have seen the same loads, which are old by a beat or two: each adds a
+// chance of up to Spread to a target's cost.
+type Draw struct {
+	Seed   uint64
+	Spread time.Duration
+}
+
+func (d Draw) chance(t *registrar.Target) time.Duration {
+	if d.Spread <= 0 {
+		return 0
+	}
+	return time.Duration(mix(d.Seed^xxhash.Sum64String(string(t.ID))) % uint64(d.Spread))
+}
+
 // Prompt is what the choice of a prompt target depends on.
 type Prompt struct {
 	Zone  identifier.ZoneID
 	Parts []Part
+	Draw  Draw
 }
 
 // Tokens sums the parts.
@@ -111,10 +126,14 @@
 		v := Verdict{Target: c.Target, Fresh: max(0, total-c.Cached)}
 		v.Predicted = promptSetup + promptTime(c.Load.PromptTokens+v.Fresh)
 		cost := v.Predicted + handicap(c, p.Zone)
-		cost += time.Duration(rereadPart * float64(promptTime(held-c.Cached)))
-		if c.Cached == 0 && i != home {
-			cost += time.Duration(strayPart * float64(promptTime(max(0, shared-held))))
+		// A holder of only the first parts, which are common to most requests, is no reason not to read them at home.
+		if held >= shared {
+			cost += time.Duration(rereadPart * float64(promptTime(held-c.Cached)))
+		}
+		if i != home {
+			cost += time.Duration(strayPart * float64(promptTime(max(0, shared-c.Cached))))
 		}
+		cost += p.Draw.chance(c.Target)
 		if best.Target == nil || cost < bestCost {
 			best, bestCost = v, cost
 		}
@@ -123,12 +142,12 @@
 }
 
 // AnswerTarget returns the target whose batch suffers least, or false without candidates.
-func AnswerTarget(zone identifier.ZoneID, candidates []Candidate) (Verdict, bool) {
+func AnswerTarget(zone identifier.ZoneID, draw Draw, candidates []Candidate) (Verdict, bool) {
 	var best Verdict
 	var bestCost time.Duration
 	for i := range candidates {
 		c := &candidates[i]
-		cost := time.Duration(c.Load.Answers)*answerCost + handicap(c, zone)
+		cost := time.Duration(c.Load.Answers)*answerCost + handicap(c, zone) + draw.chance(c.Target)
 		if c.Target.Slots > 0 && c.Load.Answers >= c.Target.Slots {
 			cost += time.Second
 		}
@@ -171,14 +190,19 @@
 	return cost
 }
 
-// homeOf is the candidate that rendezvous hashing gives for the first part.
+// homeOf is the candidate that rendezvous hashing gives for all shared parts: the first ones alone may be common to
+// most requests, and would lead them to few targets.
 func homeOf(p *Prompt, candidates []Candidate) int {
-	if len(p.Parts) == 0 {
+	if len(p.Parts) < 2 {
 		return -1
 	}
+	chain := uint64(0)
+	for _, part := range p.Parts[:len(p.Parts)-1] {
+		chain = mix(chain ^ uint64(part.ID))
+	}
 	best, highest := -1, uint64(0)
 	for i := range candidates {
-		weight := mix(uint64(p.Parts[0].ID) ^ xxhash.Sum64String(string(candidates[i].Target.ID)))
+		weight := mix(chain ^ xxhash.Sum64String(string(candidates[i].Target.ID)))
 		if best < 0 || weight > highest {
 			best, highest = i, weight
 		}
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -84,7 +84,7 @@
 	quicktest.Assert(t, load().Answers, quicktest.Equals, 6)
 	book.Hear("peer", map[identifier.TargetID]chooser.Load{"t1": {Answers: 2}}, now)
 	quicktest.Assert(t, load().Answers, quicktest.Equals, 1)
-	v, _ := chooser.AnswerTarget("z0", book.Candidates(list, nil, now))
+	v, _ := chooser.AnswerTarget("z0", chooser.Draw{}, book.Candidates(list, nil, now))
 	quicktest.Assert(t, v.Target.ID, quicktest.Equals, identifier.TargetID("t0"))
 	book.Retain(list, now.Add(time.Minute))
 	quicktest.Assert(t, load(), quicktest.Equals, chooser.Load{}, quicktest.Commentf("a peer without news does no work"))
@@ -129,3 +129,36 @@
 		chooser.PromptTarget(p, book.Candidates(list, p.Parts, now))
 	}
 }
+
+// TestCommonFirstPart spreads sessions that share a short first part, as most requests of a kind do, over all targets.
+func TestCommonFirstPart(t *testing.T) {
+	list := targets(20, registrar.Prompts)
+	var book chooser.Book
+	chosen := map[identifier.TargetID]int{}
+	const sessions = 200
+	for i := range identifier.PartID(sessions) {
+		parts := []chooser.Part{{ID: 1, Tokens: 2500}, {ID: 1000 + i, Tokens: 3800}, {ID: 5000 + i, Tokens: 2900}}
+		v, _ := chooser.PromptTarget(&chooser.Prompt{Zone: "z0", Parts: parts}, book.Candidates(list, parts, now))
+		book.Read(v.Target.ID, parts, now)
+		chosen[v.Target.ID]++
+	}
+	for id, n := range chosen {
+		quicktest.Check(t, n < sessions/4, quicktest.IsTrue, quicktest.Commentf("%s got %d of %d", id, n, sessions))
+	}
+	quicktest.Check(t, len(chosen) >= 15, quicktest.IsTrue, quicktest.Commentf("%d targets used", len(chosen)))
+}
+
+// TestIdleTargetsShareABurst sends from many instances that all see the same idle targets.
+func TestIdleTargetsShareABurst(t *testing.T) {
+	list := targets(12, registrar.Answers)
+	var book chooser.Book
+	chosen := map[identifier.TargetID]int{}
+	for i := range uint64(120) {
+		v, _ := chooser.AnswerTarget("z0", chooser.Draw{Seed: i, Spread: 80 * time.Millisecond}, book.Candidates(list, nil, now))
+		chosen[v.Target.ID]++
+	}
+	for id, n := range chosen {
+		quicktest.Check(t, n < 50, quicktest.IsTrue, quicktest.Commentf("%s got %d of 120", id, n))
+	}
+	quicktest.Check(t, len(chosen) >= 4, quicktest.IsTrue)
+}
--- a/internal/coordinator/constants.go
+++ b/internal/coordinator/constants.go
@@ -11,7 +11,10 @@
 	rankDelay = 500 * time.Millisecond
 	mostDelay = 1000 * time.Millisecond
 	// mostDelayLarge is the most in a fleet in which beats are passed on by hubs.
-	mostDelayLarge = 1700 * time.Millisecond
+	mostDelayLarge = 1200 * time.Millisecond
+	// spreadSmall and spreadLarge are how far predictions may be off in a mesh and with hubs.
+	spreadSmall = 10 * time.Millisecond
+	spreadLarge = 80 * time.Millisecond
 	// gatherTime is how long after its start an instance looks for members at every gatherAge.
 	gatherTime = 6 * time.Second
 	gatherAge  = 700 * time.Millisecond
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -178,10 +178,18 @@
 	}
 	c.forward = &forwarder.Forwarder{
 		Zone: identifier.ZoneID(c.self.Zone), Table: c.table.Load, TableAge: c.tableAge, Targets: c.registry.Of,
-		Book: &c.book, Backend: c.platform.Backend, Budget: c.budget, Began: c.began, Offered: c.demand.Add, Logger: c.logger, Metrics: c.metrics,
+		Book: &c.book, Backend: c.platform.Backend, Spread: c.spread, Budget: c.budget, Began: c.began, Offered: c.demand.Add, Logger: c.logger, Metrics: c.metrics,
 	}
 }
 
+// spread is how far apart the predictions of two instances may be, by the age of what they know of each other.
+func (c *Coordinator) spread() time.Duration {
+	if c.peers.Large() {
+		return spreadLarge
+	}
+	return spreadSmall
+}
+
 // Serve answers a client's call.
 func (c *Coordinator) Serve(ctx context.Context, w http.ResponseWriter, call *forwarder.Call) {
 	c.forward.Serve(ctx, w, call)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -57,6 +57,8 @@
 	Book     *chooser.Book
 	Backend  Backend
 	Budget   Budget
+	// Spread is how far apart the predictions of two instances may be.
+	Spread func() time.Duration
 	// Offered notes prompt tokens that a request would have computed.
 	Offered func(service identifier.ServiceID, tokens identifier.Tokens, now time.Time)
 	// Began counts a request that began to run now.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -111,6 +111,7 @@
 		},
 		Book: &chooser.Book{}, Backend: b, Budget: &budget{retries},
 		Offered: func(identifier.ServiceID, identifier.Tokens, time.Time) {},
+		Spread:  func() time.Duration { return 0 },
 		Began:   func(identifier.TeamID) { out.began++ },
 		Logger:  zap.NewNop(), Metrics: tally.NoopScope,
 	}
--- a/internal/forwarder/prompted.go
+++ b/internal/forwarder/prompted.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -60,11 +61,11 @@
 	for {
 		answers := j.candidates(registrar.Answers, nil)
 		prompts := j.candidates(registrar.Prompts, j.call.Parts)
-		answer, ok := chooser.AnswerTarget(j.f.Zone, answers)
+		answer, ok := chooser.AnswerTarget(j.f.Zone, j.draw(), answers)
 		if !ok {
 			return nil, nil, j.noTarget()
 		}
-		prompt, ok := chooser.PromptTarget(&chooser.Prompt{Zone: j.f.Zone, Parts: j.call.Parts}, prompts)
+		prompt, ok := chooser.PromptTarget(&chooser.Prompt{Zone: j.f.Zone, Parts: j.call.Parts, Draw: j.draw()}, prompts)
 		if !ok && j.reads > 0 {
 			return nil, nil, j.givenUp(notRun("PromptTargetsFailed", comeBack, nil))
 		}
@@ -81,7 +82,7 @@
 		j.reads++
 		h, err := j.read(ctx, prompt)
 		if err == nil {
-			answer, ok = chooser.AnswerTarget(j.f.Zone, j.candidates(registrar.Answers, nil))
+			answer, ok = chooser.AnswerTarget(j.f.Zone, j.draw(), j.candidates(registrar.Answers, nil))
 			if !ok {
 				j.free(h)
 				return nil, nil, j.noTarget()
@@ -101,6 +102,9 @@
 	}
 }
 
+// draw spreads this request's choices by as much as the loads that are known of peers may be off.
+func (j *job) draw() chooser.Draw { return chooser.Draw{Seed: rand.Uint64(), Spread: j.f.Spread()} }
+
 // givenUp turns a refusal that says not run into one that leaves it open, if a target may have run the request.
 func (j *job) givenUp(r *Refusal) *Refusal {
 	if j.began {
