Go on with the next target where one could not be reached

A send that never left is no attempt and takes nothing from the retry budget; a prompt that was read is answered by another target. Two tests failed before.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -79,8 +79,12 @@
 	start  time.Time
 	sends  int
 	reads  int
-	failed []identifier.TargetID
-	began  bool
+	// kept is the handle of a prompt that was read and not yet used.
+	kept *Handle
+	// promptsFailed tells that a prompt target was tried in vain.
+	promptsFailed bool
+	failed        []identifier.TargetID
+	began         bool
 	// wrote tells that the head of the answer went to the client.
 	wrote bool
 	trace trace
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -32,8 +32,9 @@
 }
 
 var (
-	notRun = step{err: fmt.Errorf("%w: full", forwarder.ErrNotRun)}
-	broken = step{err: fmt.Errorf("%w: reset", forwarder.ErrOpen)}
+	notRun  = step{err: fmt.Errorf("%w: full", forwarder.ErrNotRun)}
+	notSent = step{err: fmt.Errorf("%w: connection refused", forwarder.ErrNotSent)}
+	broken  = step{err: fmt.Errorf("%w: reset", forwarder.ErrOpen)}
 )
 
 // backend plays scripted steps, one for each send.
@@ -151,6 +152,7 @@
 		"unsafe, never again after a broken connection": {matcher.Unsafe, []step{broken, done}, 502, "TargetFailed\n", 1, 1},
 		"unsafe, never again after a torn body":         {matcher.Unsafe, []step{{status: 200, body: "o", torn: true}, done}, 502, "TargetFailed\n", 1, 1},
 		"unsafe, again where it has not run":            {matcher.Unsafe, []step{notRun, done}, 200, "ok", 2, 1},
+		"unsafe, the first target cannot be reached":    {matcher.Unsafe, []step{notSent, done}, 200, "ok", 2, 1},
 		"refused by all":                                {matcher.Unsafe, []step{notRun, notRun}, 503, "TargetsFull\n", 2, 0},
 	} {
 		b := &backend{runs: tc.runs}
@@ -191,6 +193,8 @@
 		"prompt refused by all":                  {false, 1, []step{notRun}, nil, 9, 503, "", false, 2, 0},
 		"answer target full, one attempt":        {false, 1, nil, []step{notRun, whole}, 9, 503, "AnswerTargetFull\n", false, 1, 1},
 		"answer target full, two attempts":       {false, 2, nil, []step{notRun, whole}, 9, 200, first + second + third, false, 2, 2},
+		"answer target not reached, one attempt": {false, 1, nil, []step{notSent, whole}, 0, 200, first + second + third, false, 1, 2},
+		"prompt target not reached, no budget":   {false, 1, []step{notSent, {}}, []step{whole}, 0, 200, first + second + third, false, 2, 1},
 		"connection lost before the first event": {false, 2, nil, []step{broken, whole}, 9, 502, "StreamBroken\n", false, 1, 1},
 		"resumable: lost before the first event": {true, 2, nil, []step{broken, whole}, 9, 200, first + second + third, false, 2, 2},
 		"a target's own failure is passed on":    {false, 1, nil, []step{{status: 500, body: "bad"}}, 9, 500, "bad", false, 1, 1},
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -31,7 +31,7 @@
 		case err == nil && !j.mayRepeat():
 			j.writeWhole(reply, body)
 			return nil
-		case err == nil:
+		case err == nil, errors.Is(err, ErrNotSent) && ctx.Err() == nil:
 		case errors.Is(err, ErrNotRun):
 			if !j.mayRepeat() {
 				return notRun("TargetsFull", comeBack, err)
@@ -57,6 +57,17 @@
 	return j.route.Kind == matcher.Safe && r.Status >= http.StatusInternalServerError
 }
 
+// account notes what a failed send means for the request: one that did not leave is no send, and one whose outcome is
+// open counts as run.
+func (j *job) account(err error) {
+	switch {
+	case errors.Is(err, ErrNotSent):
+		j.sends--
+	case !errors.Is(err, ErrNotRun):
+		j.begin()
+	}
+}
+
 // sendPlain sends once and reads the whole answer, so that nothing incomplete reaches the client.
 func (j *job) sendPlain(ctx context.Context, t *registrar.Target) (*Reply, []byte, error) {
 	end := j.f.Book.Begin(t.ID, chooser.Load{Answers: 1}, time.Now())
@@ -64,9 +75,7 @@
 	j.sends++
 	reply, err := j.f.Backend.Run(ctx, j.call, j.send(t, nil, j.call.LastEvent))
 	if err != nil {
-		if !errors.Is(err, ErrNotRun) {
-			j.begin()
-		}
+		j.account(err)
 		return nil, nil, err
 	}
 	j.begin()
--- a/internal/forwarder/port.go
+++ b/internal/forwarder/port.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -16,6 +17,8 @@
 var (
 	// ErrNotRun is returned when the target has not run the request and never will.
 	ErrNotRun = errors.New("target did not run the request")
+	// ErrNotSent is returned when the target could not be reached; it is an ErrNotRun that no target has seen.
+	ErrNotSent = fmt.Errorf("%w: not sent", ErrNotRun)
 	// ErrOpen is returned when the target may have run the request.
 	ErrOpen = errors.New("target may have run the request")
 )
--- a/internal/forwarder/prompted.go
+++ b/internal/forwarder/prompted.go
@@ -44,6 +44,7 @@
 		switch {
 		case ctx.Err() != nil:
 			return open(ctx, "Interrupted", err)
+		case errors.Is(err, ErrNotSent):
 		case errors.Is(err, ErrNotRun) && !j.mayRepeat():
 			if j.began {
 				return open(ctx, "StreamBroken", err)
@@ -59,6 +60,10 @@
 // prepare chooses the answer target and has the prompt computed for it where there are targets for prompts.
 func (j *job) prepare(ctx context.Context) (*registrar.Target, *Handle, *Refusal) {
 	for {
+		if h := j.kept; h != nil {
+			j.kept = nil
+			return j.pair(h)
+		}
 		answers := j.candidates(registrar.Answers, nil)
 		prompts := j.candidates(registrar.Prompts, j.call.Parts)
 		answer, ok := chooser.AnswerTarget(j.f.Zone, j.draw(), answers)
@@ -66,7 +71,7 @@
 			return nil, nil, j.noTarget()
 		}
 		prompt, ok := chooser.PromptTarget(&chooser.Prompt{Zone: j.f.Zone, Parts: j.call.Parts, Draw: j.draw()}, prompts)
-		if !ok && j.reads > 0 {
+		if !ok && j.promptsFailed {
 			return nil, nil, j.givenUp(notRun("PromptTargetsFailed", comeBack, nil))
 		}
 		if !ok {
@@ -82,26 +87,34 @@
 		j.reads++
 		h, err := j.read(ctx, prompt)
 		if err == nil {
-			answer, ok = chooser.AnswerTarget(j.f.Zone, j.draw(), j.candidates(registrar.Answers, nil))
-			if !ok {
-				j.free(h)
-				return nil, nil, j.noTarget()
-			}
-			return answer.Target, h, nil
+			return j.pair(h)
 		}
 		j.f.Logger.Info("prompt target failed", zap.String("RequestID", string(j.call.ID)),
 			zap.String("Target", string(prompt.Target.ID)), zap.Duration("Predicted", prompt.Predicted), zap.Error(err))
+		j.promptsFailed = true
 		j.f.Book.Failed(prompt.Target.ID, time.Now())
 		j.failed = append(j.failed, prompt.Target.ID)
 		switch {
 		case ctx.Err() != nil:
 			return nil, nil, &Refusal{Status: http.StatusGatewayTimeout, Reason: "PromptTimeout", Err: err}
+		case errors.Is(err, ErrNotSent):
+			j.reads--
 		case j.reads >= mostReads:
 			return nil, nil, j.givenUp(notRun("PromptTargetsFailed", comeBack, err))
 		}
 	}
 }
 
+// pair chooses the answer target for a prompt that was read.
+func (j *job) pair(h *Handle) (*registrar.Target, *Handle, *Refusal) {
+	answer, ok := chooser.AnswerTarget(j.f.Zone, j.draw(), j.candidates(registrar.Answers, nil))
+	if !ok {
+		j.free(h)
+		return nil, nil, j.noTarget()
+	}
+	return answer.Target, h, nil
+}
+
 // draw spreads this request's choices by as much as the loads that are known of peers may be off.
 func (j *job) draw() chooser.Draw { return chooser.Draw{Seed: rand.Uint64(), Spread: j.f.Spread()} }
 
@@ -155,11 +168,13 @@
 	j.trace.answerTarget = t.ID
 	reply, err := j.f.Backend.Run(ctx, j.call, j.send(t, source, s.lastEvent))
 	if err != nil {
-		if errors.Is(err, ErrNotRun) {
+		switch {
+		case errors.Is(err, ErrNotSent):
+			j.kept = source
+		case errors.Is(err, ErrNotRun):
 			j.free(source)
-		} else {
-			j.begin()
 		}
+		j.account(err)
 		return err
 	}
 	defer reply.Body.Close()
