--- a/internal/chooser/book.go
+++ b/internal/chooser/book.go
@@ -133,15 +133,6 @@
 	return slices.Clone(b.sent[from-first:]), b.sentNext
 }
 
-// Forget drops what a target was thought to hold.
-func (b *Book) Forget(id identifier.TargetID) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if p := b.targets[id]; p != nil {
-		p.parts, p.tokens = nil, 0
-	}
-}
-
 // Failed counts a failure of a target.
 func (b *Book) Failed(id identifier.TargetID, now time.Time) {
 	b.mu.Lock()
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -56,7 +56,7 @@
 		body = io.MultiReader(body, errorReader{})
 	}
 	h := http.Header{"X-Test-Seal": {string(s.Target.ID)}}
-	return &forwarder.Reply{Status: st.status, Header: h, Body: io.NopCloser(body), Sealed: true}, nil
+	return &forwarder.Reply{Status: st.status, Header: h, Body: io.NopCloser(body)}, nil
 }
 
 func (b *backend) ReadPrompt(_ context.Context, _ *forwarder.Call, s *forwarder.Send) (*forwarder.Handle, error) {
--- a/internal/forwarder/port.go
+++ b/internal/forwarder/port.go
@@ -68,8 +68,6 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
-	// Sealed tells that the answer bears the target's proof that it is its own.
-	Sealed bool
 }
 
 // Backend sends calls to targets, each exactly once.
--- a/internal/orderkeeper/orderkeeper.go
+++ b/internal/orderkeeper/orderkeeper.go
@@ -220,12 +220,3 @@
 		k.fenced = sent.Fence
 	}
 }
-
-// Stages counts the targets of each stage, for logs and metrics.
-func Stages(targets []*registrar.Target) map[string]int {
-	n := map[string]int{}
-	for _, t := range targets {
-		n[t.Stage.String()]++
-	}
-	return n
-}
--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -166,17 +166,6 @@
 	return out
 }
 
-// Forget closes the idle connections to an address, because its target is gone.
-func (p *Pool) Forget(addr string) {
-	p.mu.Lock()
-	list := p.idle[addr]
-	delete(p.idle, addr)
-	p.mu.Unlock()
-	for _, c := range list {
-		c.close()
-	}
-}
-
 // quiet tells that an idle connection is open and that nothing was sent on it unasked.
 func (c *conn) quiet() bool {
 	sc, ok := c.Conn.(syscall.Conn)
