--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,7 @@
 fuzz:
 	@for p in authorizer:FuzzApply configurator:FuzzApply journaler:FuzzApply accounter:FuzzApply chatter:FuzzEventReader chatter:FuzzParseRequest parser:FuzzParse; do \
 		go test ./internal/$${p%%:*} -run xxx -fuzz "^$${p#*:}$$" -fuzztime $(FUZZTIME) || exit 1; done
+	go test ./platform -run xxx -fuzz '^FuzzDecode$$' -fuzztime $(FUZZTIME)
 
 race:
 	go test -race ./internal/runner ./internal/relayer ./internal/holder ./internal/orderer ./internal/committer ./internal/tailer -timeout 10m
