--- a/internal/forwarder/prompted.go
+++ b/internal/forwarder/prompted.go
@@ -75,6 +75,7 @@
 			return nil, nil, j.givenUp(notRun("PromptTargetsFailed", comeBack, nil))
 		}
 		if !ok {
+			// No engine computes prompts apart, so the one that answers does both.
 			return answer.Target, nil, nil
 		}
 		if j.sends == 0 && len(j.failed) == 0 {
