Keep a lapsed target only until two seconds after the store's return

It is kept until two seconds after the return now, and only an outage of two seconds counts, since entries lapse after three heartbeats. Ruled out: late news (all instances heard of it 0.3 s after the store).

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -28,6 +28,9 @@
 	callTimeout = time.Second
 	// retryPause is the pause after a failed call, so that a store in trouble is not pressed.
 	retryPause = 400 * time.Millisecond
+	// shortestOutage is the least time without an answer in which entries of live writers may lapse: they lapse after
+	// three heartbeats of about a second.
+	shortestOutage = 2 * time.Second
 	// checkPause is how often the age of the mirror is looked at.
 	checkPause = 50 * time.Millisecond
 )
@@ -42,12 +45,13 @@
 	MaximumAge func() time.Duration
 	// Wait is how long a read may wait at the store; zero: reads return at once.
 	Wait time.Duration
-	// Returned is called when a call succeeds after one had failed; it may be nil.
+	// Returned is called when a call succeeds after an outage; it may be nil.
 	Returned func(now time.Time)
 
 	// expired tells that the records after the mirror's are gone, so that only the newest of each key can be read.
 	expired bool
 	away    bool
+	awayAt  time.Time
 }
 
 // Run follows the stream until ctx ends.
@@ -79,6 +83,9 @@
 		if !f.away && ctx.Err() == nil {
 			f.Logger.Warn("store lost", zap.String("Stream", f.Name), zap.Error(err))
 		}
+		if !f.away {
+			f.awayAt = asked
+		}
 		f.away = true
 		return err
 	}
@@ -86,7 +93,8 @@
 	if f.away {
 		f.away = false
 		f.Logger.Info("store regained", zap.String("Stream", f.Name))
-		if f.Returned != nil {
+		// Entries lapse only after a few heartbeats; a call that failed by itself is no outage.
+		if f.Returned != nil && time.Since(f.awayAt) > shortestOutage {
 			f.Returned(time.Now())
 		}
 	}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -48,7 +48,7 @@
 	Cheap bool
 }
 
-// reappearance is how long a lapsed target may take to be back after the store was away.
+// reappearance is how long a lapsed target may take to be back after the store's return.
 const reappearance = 2 * time.Second
 
 // last is the newest of what one incarnation of a target said; it outlives the target's entry.
@@ -111,12 +111,14 @@
 	if t == nil {
 		return
 	}
-	if !t.Leaving && r.StoreReturned != nil && now.Sub(r.StoreReturned()) < reappearance {
-		if r.lapsed == nil {
-			r.lapsed = map[identifier.TargetID]time.Time{}
+	if !t.Leaving && r.StoreReturned != nil {
+		if until := r.StoreReturned().Add(reappearance); now.Before(until) {
+			if r.lapsed == nil {
+				r.lapsed = map[identifier.TargetID]time.Time{}
+			}
+			r.lapsed[id] = until
+			return
 		}
-		r.lapsed[id] = now
-		return
 	}
 	delete(r.byID, id)
 	r.publish()
@@ -132,8 +134,8 @@
 			delete(r.last, id)
 		}
 	}
-	for id, since := range r.lapsed {
-		if now.Sub(since) >= reappearance {
+	for id, until := range r.lapsed {
+		if !now.Before(until) {
 			delete(r.lapsed, id)
 			delete(r.byID, id)
 			r.publish()
