Keep a connection whose writer reports late

Ruled out: the target closing the connection; the count was of dials. Before: the new test, with a writer that reports 20 ms late, dials for each request. Conclusion: the end of an answer waits up to 100 ms for its writer.

--- a/internal/pooler/exchange.go
+++ b/internal/pooler/exchange.go
@@ -19,6 +19,10 @@
 // strayAnswers is how many answers to earlier requests are skipped on a connection before it is given up.
 const strayAnswers = 2
 
+// writerWait is how long the end of an answer waits for the writer of its request: longer than a goroutine waits for a
+// processor, and short against any deadline, because a target may answer before it reads a long body.
+const writerWait = 100 * time.Millisecond
+
 // Request is sent as it stands; Header must hold no header that concerns one connection only.
 type Request struct {
 	Address string
@@ -125,13 +129,7 @@
 // finish keeps the connection if the whole request went out and nothing is left to read.
 func (x *exchange) finish(keep time.Duration) {
 	x.once.Do(func() {
-		whole := false
-		select {
-		case err := <-x.sent:
-			whole = err == nil
-		default:
-		}
-		if !x.stop() || !whole || keep <= 0 || x.conn.r.Buffered() > 0 {
+		if !x.stop() || keep <= 0 || x.conn.r.Buffered() > 0 || !x.written() {
 			x.conn.close()
 			return
 		}
@@ -140,6 +138,16 @@
 	})
 }
 
+// written tells whether the whole request went out; its writer may report that a little after the answer's end was read.
+func (x *exchange) written() bool {
+	select {
+	case err := <-x.sent:
+		return err == nil
+	case <-time.After(writerWait):
+		return false
+	}
+}
+
 func (x *exchange) receive(r *Request) (*Answer, error) {
 	req := &http.Request{Method: r.Method}
 	for stray := 0; ; {
--- a/internal/pooler/pooler_test.go
+++ b/internal/pooler/pooler_test.go
@@ -91,6 +91,28 @@
 	quicktest.Assert(t, tg.conns.Load(), quicktest.Equals, int64(2), quicktest.Commentf("a request that runs once goes on a new connection"))
 }
 
+// lateWriter reports each write some time after its bytes went out, as a goroutine that waits for a processor does.
+type lateWriter struct{ net.Conn }
+
+func (c lateWriter) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	time.Sleep(20 * time.Millisecond)
+	return n, err
+}
+
+func TestConnectionIsKeptWhenItsWriterReportsLate(t *testing.T) {
+	tg := listen(t, func(conn net.Conn, r *http.Request, _ int) { reply(conn, r.Header.Get("X-Id"), "ok") })
+	p := &pooler.Pool{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		return lateWriter{conn}, err
+	}}
+	for i := range 3 {
+		_, err := send(p, tg, fmt.Sprint(i), time.Minute)
+		quicktest.Assert(t, err, quicktest.IsNil)
+	}
+	quicktest.Assert(t, tg.conns.Load(), quicktest.Equals, int64(1))
+}
+
 func TestClosedConnectionIsNotUsed(t *testing.T) {
 	tg := listen(t, func(conn net.Conn, r *http.Request, _ int) {
 		reply(conn, r.Header.Get("X-Id"), "ok")
