Count an outage of the store by the news, not by a failed call

Cause: each stream's follower took the time from its failed call to its next good one for an outage. The list of members is read every five seconds, by few instances, so one refused call made an outage of many seconds, although peers brought the news all the while. Conclusion: the mirror knows when news came after a gap, from whomever.

--- a/internal/coordinator/constants.go
+++ b/internal/coordinator/constants.go
@@ -15,6 +15,9 @@
 	// spreadSmall and spreadLarge are how far predictions may be off in a mesh and with hubs.
 	spreadSmall = 10 * time.Millisecond
 	spreadLarge = 80 * time.Millisecond
+	// shortestOutage is the least time without news in which entries of live targets may lapse: they lapse after three
+	// heartbeats of about a second.
+	shortestOutage = 2 * time.Second
 	// gatherTime is how long after its start an instance looks for members at every gatherAge.
 	gatherTime = 6 * time.Second
 	gatherAge  = 700 * time.Millisecond
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -107,7 +107,6 @@
 	closer   func() error
 
 	leaving  atomic.Bool
-	returned atomic.Pointer[time.Time]
 	inFlight atomic.Int64
 
 	mu   sync.Mutex
@@ -136,12 +135,8 @@
 	c.targets.Changed = c.targetChanged
 	c.targets.Same = c.platform.SameTarget
 	c.members.Changed = c.memberChanged
-	c.registry.StoreReturned = func() time.Time {
-		if at := c.returned.Load(); at != nil {
-			return *at
-		}
-		return time.Time{}
-	}
+	c.targets.Outage = shortestOutage
+	c.registry.StoreReturned = c.targets.Regained
 }
 
 func (c *Coordinator) wirePeers() {
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -79,7 +79,6 @@
 func (c *Coordinator) follow(name string, s follower.Stream, m *mirrorer.Mirror, age func() time.Duration) *follower.Follower {
 	return &follower.Follower{
 		Name: name, Stream: s, Mirror: m, Logger: c.logger, MaximumAge: age,
-		Returned: func(now time.Time) { c.returned.Store(&now) },
 	}
 }
 
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -28,14 +28,11 @@
 	callTimeout = time.Second
 	// retryPause is the pause after a failed call, so that a store in trouble is not pressed.
 	retryPause = 400 * time.Millisecond
-	// shortestOutage is the least time without an answer in which entries of live writers may lapse: they lapse after
-	// three heartbeats of about a second.
-	shortestOutage = 2 * time.Second
 	// checkPause is how often the age of the mirror is looked at.
 	checkPause = 50 * time.Millisecond
 )
 
-// Follower reads a stream into a mirror; all fields but Returned must be set.
+// Follower reads a stream into a mirror; all fields must be set, but Wait.
 type Follower struct {
 	Name   string
 	Stream Stream
@@ -45,13 +42,10 @@
 	MaximumAge func() time.Duration
 	// Wait is how long a read may wait at the store; zero: reads return at once.
 	Wait time.Duration
-	// Returned is called when a call succeeds after an outage; it may be nil.
-	Returned func(now time.Time)
 
 	// expired tells that the records after the mirror's are gone, so that only the newest of each key can be read.
 	expired bool
 	away    bool
-	awayAt  time.Time
 }
 
 // Run follows the stream until ctx ends.
@@ -83,9 +77,6 @@
 		if !f.away && ctx.Err() == nil {
 			f.Logger.Warn("store lost", zap.String("Stream", f.Name), zap.Error(err))
 		}
-		if !f.away {
-			f.awayAt = asked
-		}
 		f.away = true
 		return err
 	}
@@ -93,10 +84,6 @@
 	if f.away {
 		f.away = false
 		f.Logger.Info("store regained", zap.String("Stream", f.Name))
-		// Entries lapse only after a few heartbeats; a call that failed by itself is no outage.
-		if f.Returned != nil && time.Since(f.awayAt) > shortestOutage {
-			f.Returned(time.Now())
-		}
 	}
 	if whole {
 		f.Mirror.Replace(records, next, asked)
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -138,6 +138,30 @@
 	})
 }
 
+func TestCallThatFailsAloneIsNoOutage(t *testing.T) {
+	s := &stream{}
+	s.put("a", "1")
+	follow(t, s, func(m *mirrorer.Mirror) {
+		m.Outage = 2 * time.Second
+		s.setAway(true)
+		time.Sleep(time.Second)
+		for range 50 {
+			m.Apply(nil, 1, time.Now())
+			time.Sleep(100 * time.Millisecond)
+		}
+		s.setAway(false)
+		s.put("a", "")
+		time.Sleep(time.Second)
+		quicktest.Check(t, value(m, "a"), quicktest.Equals, "")
+		quicktest.Check(t, m.Regained().IsZero(), quicktest.IsTrue)
+		s.setAway(true)
+		time.Sleep(4 * time.Second)
+		s.setAway(false)
+		time.Sleep(time.Second)
+		quicktest.Check(t, time.Since(m.Regained()) < 2*time.Second, quicktest.IsTrue)
+	})
+}
+
 func TestPeersSpareTheStore(t *testing.T) {
 	s := &stream{}
 	s.put("a", "1")
--- a/internal/mirrorer/mirror.go
+++ b/internal/mirrorer/mirror.go
@@ -23,11 +23,15 @@
 	Changed func(Record)
 	// Same tells that a newer value means the same as the one before, so that peers need not hear of it; it may be nil.
 	Same func(older, newer []byte) bool
+	// Outage is how long nobody must have brought news for the stream to count as away; zero: never.
+	Outage time.Duration
 
 	mu      sync.Mutex
 	records map[string]Record
 	next    identifier.Offset
 	freshAt time.Time
+	// regained is when news came after the last outage.
+	regained time.Time
 }
 
 // Apply takes records that are known to be all there is before next, as of the instant asOf.
@@ -79,6 +83,9 @@
 	}
 	m.next = max(m.next, next)
 	if asOf.After(m.freshAt) && next >= m.next {
+		if m.Outage > 0 && !m.freshAt.IsZero() && asOf.Sub(m.freshAt) >= m.Outage {
+			m.regained = asOf
+		}
 		m.freshAt = asOf
 	}
 	return changed
@@ -101,6 +108,15 @@
 	return now.Sub(m.freshAt), true
 }
 
+// Regained returns when news came after the last outage, or zero.
+//
+// A store that refuses this instance alone is not away: peers bring the news.
+func (m *Mirror) Regained() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.regained
+}
+
 // Since returns the records from an offset on, oldest first.
 func (m *Mirror) Since(from identifier.Offset) []Record {
 	m.mu.Lock()
--- /dev/null
+++ b/internal/mirrorer/mirror_test.go
@@ -0,0 +1,34 @@
+package mirrorer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+func TestOutageIsAGapInTheNewsOfAll(t *testing.T) {
+	m := &mirrorer.Mirror{Outage: 2 * time.Second}
+	m.Apply(nil, 1, at(0))
+	quicktest.Assert(t, m.Regained().IsZero(), quicktest.IsTrue, quicktest.Commentf("the first news end no outage"))
+	// This instance is turned away by the store for many seconds while peers bring the news.
+	for s := 1.0; s < 20; s++ {
+		m.Apply(nil, 1, at(s))
+	}
+	m.Apply([]mirrorer.Record{{Key: "a", Value: []byte("1"), Offset: 1}}, 2, at(20))
+	quicktest.Assert(t, m.Regained().IsZero(), quicktest.IsTrue)
+	m.Apply(nil, 1, at(25))
+	quicktest.Assert(t, m.Regained().IsZero(), quicktest.IsTrue, quicktest.Commentf("a peer that knows less brings no news"))
+	regained := time.Time{}
+	m.Changed = func(mirrorer.Record) { regained = m.Regained() }
+	m.Apply([]mirrorer.Record{{Key: "a", Offset: 2}}, 3, at(26))
+	quicktest.Assert(t, regained, quicktest.Equals, at(26), quicktest.Commentf("known before the records count"))
+	m.Apply(nil, 3, at(27))
+	quicktest.Assert(t, m.Regained(), quicktest.Equals, at(26))
+}
