Log each failed send of a plain request with its target and status

Ruled out: a sick target; a retry too early (the second send goes to another target 10 to 30 ms later).

--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
 	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
@@ -23,6 +25,9 @@
 			return j.noTarget()
 		}
 		reply, body, err := j.sendPlain(ctx, v.Target)
+		if err != nil || reply.Status >= http.StatusInternalServerError {
+			j.logFailedSend(v.Target, reply, err)
+		}
 		switch {
 		case err == nil && !j.repeatable(reply):
 			j.f.Book.Succeeded(v.Target.ID, time.Now())
@@ -44,6 +49,16 @@
 	}
 }
 
+// logFailedSend tells which target failed a send, with its status if it answered.
+func (j *job) logFailedSend(t *registrar.Target, reply *Reply, err error) {
+	status := 0
+	if reply != nil {
+		status = reply.Status
+	}
+	j.f.Logger.Info("target failed", zap.String("RequestID", string(j.call.ID)), zap.String("Target", string(t.ID)),
+		zap.Int("Status", status), zap.Int("Sends", j.sends), zap.Duration("After", time.Since(j.start)), zap.Error(err))
+}
+
 // noTarget refuses for want of a target, truthfully if one was tried.
 func (j *job) noTarget() *Refusal {
 	if j.began {
