Hold clients to the operator's limits, share connections, serve metrics as text

Ruled out: changing http.Server's fields while it serves (net/http reads them without a lock); the connections translate two marks instead. The port of the metrics is fixed and may be taken, so failing to open it is logged only.

--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -49,10 +49,10 @@
 	log.SetLogger(kratosLogger{logger})
 	faces := coordinator.Faces{
 		Client: func(co *coordinator.Coordinator) http.Handler {
-			return &platform.Ingress{Server: co, BodyBytes: co.BodyBytes, Logger: logger}
+			return &platform.Ingress{Server: co, Limits: co.Limits, Logger: logger}
 		},
 		Ready: func(co *coordinator.Coordinator) http.Handler {
-			return &platform.Readiness{Ready: co.Ready, Metrics: co.Exporter}
+			return &platform.Readiness{Ready: co.Ready}
 		},
 		Directory: func(co *coordinator.Coordinator) http.Handler {
 			return &platform.Directory{Addresses: co.Addresses, Lifetime: min(coordinator.AddressLifetime, c.settings.Bounds.AddressLifetime), Logger: logger}
--- a/internal/coordinator/constants.go
+++ b/internal/coordinator/constants.go
@@ -3,8 +3,11 @@
 import "time"
 
 const (
-	// defaultBodyBytes bounds bodies before the first configuration.
-	defaultBodyBytes = 4 << 20
+	// The defaults hold before the first configuration, and where it names no limit; they are those of the users' sites.
+	defaultHeaderBytes   = 16 << 10
+	defaultBodyBytes     = 4 << 20
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
 	// readerAge is how old the first reader lets its copies of configuration and targets grow before it reads the store;
 	// the others wait for its beats, and read by themselves if these do not come.
 	readerAge = 300 * time.Millisecond
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -20,7 +21,6 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/director"
 	"github.com/coltsfootscale/coltsfootscale/internal/elector"
 	"github.com/coltsfootscale/coltsfootscale/internal/exchanger"
-	"github.com/coltsfootscale/coltsfootscale/internal/exporter"
 	"github.com/coltsfootscale/coltsfootscale/internal/follower"
 	"github.com/coltsfootscale/coltsfootscale/internal/forwarder"
 	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
@@ -101,10 +101,10 @@
 	windows  *reporter.Windows
 	forward  *forwarder.Forwarder
 
-	// Exporter holds the metrics.
-	Exporter *exporter.Exporter
-	metrics  tally.Scope
-	closer   func() error
+	// Metrics answers with all metrics in the Prometheus text format.
+	Metrics http.Handler
+	metrics tally.Scope
+	closer  func() error
 
 	leaving  atomic.Bool
 	inFlight atomic.Int64
@@ -115,10 +115,9 @@
 
 // New prepares an entry instance; reload reads the settings again.
 func New(settings *parser.EntrySettings, p Platform, faces Faces, reload func() (*parser.EntrySettings, error), logger *zap.Logger) *Coordinator {
-	c := &Coordinator{platform: p, faces: faces, logger: logger, reload: reload, Exporter: &exporter.Exporter{}, told: map[string]*told{}}
+	c := &Coordinator{platform: p, faces: faces, logger: logger, reload: reload, told: map[string]*told{}}
 	c.settings.Store(settings)
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{Reporter: c.Exporter, OmitCardinalityMetrics: true}, time.Second)
-	c.metrics, c.closer = scope, closer.Close
+	c.openMetrics()
 	c.self = &gossiper.Member{
 		ID: string(settings.Instance), Incarnation: uuid.NewString()[:incarnationDigits], Zone: string(settings.Zone),
 		ClientAddress: settings.Listen, PeerAddress: settings.PeerListen, Capacity: capacity(settings.Bounds),
@@ -169,14 +168,17 @@
 	bounds := c.settings.Load().Bounds
 	c.budget = &retrier.Windowed{
 		Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow,
-		Members: func() int { return len(c.peers.Alive(time.Now())) + 1 },
+		Members: c.instances,
 	}
 	c.forward = &forwarder.Forwarder{
 		Zone: identifier.ZoneID(c.self.Zone), Table: c.table.Load, TableAge: c.tableAge, Targets: c.registry.Of,
-		Book: &c.book, Backend: c.platform.Backend, Spread: c.spread, Budget: c.budget, Began: c.began, Offered: c.demand.Add, Logger: c.logger, Metrics: c.metrics,
+		Book: &c.book, Backend: c.platform.Backend, Spread: c.spread, Budget: c.budget, Instances: c.instances, Began: c.began, Offered: c.demand.Add, Logger: c.logger, Metrics: c.metrics,
 	}
 }
 
+// instances is how many instances are alive, this one with them.
+func (c *Coordinator) instances() int { return len(c.peers.Alive(time.Now())) + 1 }
+
 // spread is how far apart the predictions of two instances may be, by the age of what they know of each other.
 func (c *Coordinator) spread() time.Duration {
 	if c.peers.Large() {
@@ -195,12 +197,16 @@
 	return !c.leaving.Load() && c.table.Load() != nil && c.registry.Targets() != nil
 }
 
-// BodyBytes is the most that a client may send.
-func (c *Coordinator) BodyBytes() int64 {
-	if t := c.table.Load(); t != nil && t.Limits.BodyBytes > 0 {
-		return t.Limits.BodyBytes
+// Limits bounds what a client may send and how long it may take, by the configuration in force.
+func (c *Coordinator) Limits() matcher.Limits {
+	l := matcher.Limits{}
+	if t := c.table.Load(); t != nil {
+		l = t.Limits
+	}
+	return matcher.Limits{
+		HeaderBytes: cmp.Or(l.HeaderBytes, defaultHeaderBytes), BodyBytes: cmp.Or(l.BodyBytes, defaultBodyBytes),
+		HeaderTimeout: cmp.Or(l.HeaderTimeout, defaultHeaderTimeout), IdleTimeout: cmp.Or(l.IdleTimeout, defaultIdleTimeout),
 	}
-	return defaultBodyBytes
 }
 
 // capacity compares instances: thousandths of a core, or tens of kilobits a second where the link is the bottleneck.
--- /dev/null
+++ b/internal/coordinator/metrics.go
@@ -0,0 +1,56 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/asserter"
+	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
+)
+
+// metricsInterval is how often counted values reach the page of metrics.
+const metricsInterval = time.Second
+
+// latencyBuckets are the upper bounds of the latency histograms in seconds: around the promised times of the users'
+// routes, from 0.1 s to 1.6 s, and their deadlines.
+var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.6, 0.8, 1.2, 1.6, 2.5, 4, 6}
+
+// openMetrics prepares the scope in which all parts count, and the page that shows it.
+func (c *Coordinator) openMetrics() {
+	registry := prometheus.NewRegistry()
+	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{
+		Registerer: registry, Gatherer: registry,
+		DefaultTimerType: tallyprometheus.HistogramTimerType, DefaultHistogramBuckets: latencyBuckets,
+		OnRegisterError: func(err error) { c.logger.Error("metric not registered", zap.Error(err)) },
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		CachedReporter: reporter, Separator: tallyprometheus.DefaultSeparator, OmitCardinalityMetrics: true,
+	}, metricsInterval)
+	c.metrics, c.closer, c.Metrics = scope, closer.Close, reporter.HTTPHandler()
+}
+
+// gauge notes what this instance knows and how old that is.
+func (c *Coordinator) gauge(now time.Time) {
+	set := func(name string, value float64) { c.metrics.Gauge(name).Update(value) }
+	if t := c.table.Load(); t != nil {
+		set("ConfigurationVersion", float64(t.Version))
+	}
+	for name, m := range map[string]*mirrorer.Mirror{"ConfigurationAgeSeconds": &c.config, "TargetsAgeSeconds": &c.targets} {
+		if age, known := m.Age(now); known {
+			set(name, age.Seconds())
+		}
+	}
+	set("Targets", float64(len(c.registry.Targets())))
+	set("Instances", float64(c.instances()))
+	set("InFlight", float64(c.inFlight.Load()))
+	set("Violations", float64(asserter.Violations()))
+	fence, err := c.elector.Authority()
+	if err != nil {
+		fence = 0 // Another instance holds the duties, or nobody.
+	}
+	set("DutyFence", float64(fence))
+}
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -156,6 +156,7 @@
 		c.registry.Expire(time.Now())
 		c.book.Retain(c.registry.Targets(), time.Now())
 		c.demand.Sample(time.Now())
+		c.gauge(time.Now())
 		c.counts.Forget(c.trueTime().UnixMilli() / c.settings.Load().Bounds.UsageWindow.Milliseconds())
 	}
 }
@@ -203,8 +204,15 @@
 		return err
 	}
 	var once sync.Once
+	servers := []transport.Server{client, ready, directory}
+	if metrics, err := c.listen(settings.MetricsListen, controlConnections, c.Metrics); err != nil {
+		// The port of the metrics is fixed, while the others are new each day: clients come first.
+		c.logger.Error("metrics not served", zap.Error(err))
+	} else {
+		servers = append(servers, metrics)
+	}
 	app := kratos.New(
-		kratos.Server([]transport.Server{client, ready, directory}...),
+		kratos.Server(servers...),
 		kratos.Signal(syscall.SIGTERM, os.Interrupt),
 		kratos.StopTimeout(settings.Bounds.Grace-leaveTime-stopMargin),
 		kratos.BeforeStop(func(context.Context) error {
@@ -234,24 +242,22 @@
 		return nil, err
 	}
 	srv := khttp.NewServer(
-		khttp.Listener(networker.LimitListener(lis, connections)),
+		khttp.Listener(networker.TimeListener(networker.LimitListener(lis, connections), c.timeLimits)),
 		khttp.Endpoint(&url.URL{Scheme: "http", Host: addr}),
 		khttp.Timeout(0),
 	)
-	srv.ReadHeaderTimeout = headerTimeout
-	srv.IdleTimeout = idleTimeout
+	srv.ReadHeaderTimeout = networker.HeaderMark
+	srv.IdleTimeout = networker.IdleMark
 	srv.ErrorLog = zap.NewStdLog(c.logger)
 	// kratos' router would redirect paths that it finds unclean.
 	srv.Handler = h
 	return srv, nil
 }
 
-const (
-	// headerTimeout is how long a client may take to send its headers.
-	headerTimeout = 5 * time.Second
-	// idleTimeout is longer than any client keeps an idle connection.
-	idleTimeout = 60 * time.Second
-)
+func (c *Coordinator) timeLimits() (header, idle time.Duration) {
+	l := c.Limits()
+	return l.HeaderTimeout, l.IdleTimeout
+}
 
 func (c *Coordinator) countInFlight(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -38,6 +38,8 @@
 	plainWork = 20 * time.Millisecond
 	// plainBodyBytes bounds the answer of a plain target, which is held until it is whole.
 	plainBodyBytes = 16 << 20
+	// fewestConnections is what an instance may open to each target however many instances there are.
+	fewestConnections = 4
 	// minimumLeft is the least time that is worth a send.
 	minimumLeft = 5 * time.Millisecond
 )
@@ -57,6 +59,8 @@
 	Book     *chooser.Book
 	Backend  Backend
 	Budget   Budget
+	// Instances is how many instances share the targets' connections, this one with them.
+	Instances func() int
 	// Spread is how far apart the predictions of two instances may be.
 	Spread func() time.Duration
 	// Offered notes prompt tokens that a request would have computed.
@@ -204,10 +208,19 @@
 	}
 	return &Send{
 		Target: t, Team: j.teamID(), Left: time.Until(j.due), Rank: matcher.Rank(j.route, j.team),
-		Source: source, LastEvent: lastEvent, Freshness: freshness,
+		Source: source, LastEvent: lastEvent, Freshness: freshness, Connections: j.connections(),
 	}
 }
 
+// connections is this instance's share of the connections that a target takes from all instances.
+func (j *job) connections() int {
+	s := j.f.Table().Service(j.target)
+	if s == nil || s.ConnectionLimit <= 0 {
+		return 0
+	}
+	return max(fewestConnections, s.ConnectionLimit/max(1, j.f.Instances()))
+}
+
 // candidates are the targets of a stage that have not failed this request.
 func (j *job) candidates(stage registrar.Stage, parts []chooser.Part) []chooser.Candidate {
 	targets := j.f.Targets(j.target, time.Now())
@@ -227,6 +240,7 @@
 	if !j.began {
 		j.began = true
 		j.trace.firstEvent = time.Since(j.start)
+		j.f.Metrics.Timer("FirstEvent").Record(j.trace.firstEvent)
 		j.f.Began(j.teamID())
 	}
 }
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -100,7 +100,8 @@
 		route.Attempts = 2
 	}
 	route.Shares = []matcher.Share{{Service: "s", Weight: 1}}
-	table := matcher.New(matcher.Configuration{Version: 1, Routes: []matcher.Route{route}, Teams: []matcher.Team{{ID: "team", Keys: []string{"key"}}}})
+	table := matcher.New(matcher.Configuration{Version: 1, Routes: []matcher.Route{route}, Teams: []matcher.Team{{ID: "team", Keys: []string{"key"}}},
+		Services: []matcher.Service{{ID: "s", ConnectionLimit: 110}}})
 	targets := []*registrar.Target{{ID: "p1", Stage: registrar.Prompts}, {ID: "p2", Stage: registrar.Prompts}, {ID: "a1", Stage: registrar.Answers}, {ID: "a2", Stage: registrar.Answers}}
 	if !route.Prompted {
 		targets = []*registrar.Target{{ID: "x1"}, {ID: "x2"}}
@@ -112,9 +113,9 @@
 		},
 		Book: &chooser.Book{}, Backend: b, Budget: &budget{retries},
 		Offered: func(identifier.ServiceID, identifier.Tokens, time.Time) {},
-		Spread:  func() time.Duration { return 0 },
-		Began:   func(identifier.TeamID) { out.began++ },
-		Logger:  zap.NewNop(), Metrics: tally.NoopScope,
+		Spread:  func() time.Duration { return 0 }, Instances: func() int { return 5 },
+		Began:  func(identifier.TeamID) { out.began++ },
+		Logger: zap.NewNop(), Metrics: tally.NoopScope,
 	}
 	if call.Host == "" {
 		call.Host, call.Path, call.Key = "h", "/p/x", "key"
@@ -220,6 +221,12 @@
 	quicktest.Assert(t, b.sent[1].Target.ID == b.sent[0].Target.ID, quicktest.IsFalse)
 }
 
+func TestConnectionsOfATargetAreShared(t *testing.T) {
+	b := &backend{runs: []step{{status: 200, body: "ok"}}}
+	serve(b, matcher.Route{}, &forwarder.Call{}, 0)
+	quicktest.Assert(t, b.sent[0].Connections, quicktest.Equals, 22, quicktest.Commentf("a fifth of 110"))
+}
+
 func TestAdmission(t *testing.T) {
 	for name, tc := range map[string]struct {
 		call   forwarder.Call
--- a/internal/forwarder/port.go
+++ b/internal/forwarder/port.go
@@ -59,6 +59,8 @@
 	Source *Handle
 	// LastEvent is the id of the event after which the answer goes on, or empty.
 	LastEvent string
+	// Connections is how many connections to the target this instance may open; zero: any number.
+	Connections int
 	// Freshness is how long ago a kept connection may have been used; zero: a new connection.
 	Freshness time.Duration
 }
--- /dev/null
+++ b/internal/networker/timed_test.go
@@ -0,0 +1,85 @@
+package networker_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/networker"
+)
+
+// serveTimed serves with time limits in milliseconds that the test may change.
+func serveTimed(t *testing.T) (addr string, header, idle *atomic.Int64) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	header, idle = &atomic.Int64{}, &atomic.Int64{}
+	header.Store(100)
+	idle.Store(400)
+	limits := func() (time.Duration, time.Duration) {
+		return time.Duration(header.Load()) * time.Millisecond, time.Duration(idle.Load()) * time.Millisecond
+	}
+	srv := &http.Server{
+		ReadHeaderTimeout: networker.HeaderMark, IdleTimeout: networker.IdleMark,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.Copy(w, r.Body) }),
+	}
+	go srv.Serve(networker.TimeListener(lis, limits))
+	t.Cleanup(func() { srv.Close() })
+	return lis.Addr().String(), header, idle
+}
+
+// closedAfter returns how long the server leaves a connection open.
+func closedAfter(t *testing.T, conn net.Conn) time.Duration {
+	start := time.Now()
+	quicktest.Assert(t, conn.SetReadDeadline(start.Add(3*time.Second)), quicktest.IsNil)
+	_, err := io.Copy(io.Discard, conn)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	return time.Since(start)
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	conn, err := net.Dial("tcp", addr)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+func exchange(t *testing.T, conn net.Conn) {
+	fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok")
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	body, err := io.ReadAll(res.Body)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, string(body), quicktest.Equals, "ok")
+}
+
+func TestClientsAreHeldToTheTimeLimits(t *testing.T) {
+	addr, header, idle := serveTimed(t)
+	after := closedAfter(t, dial(t, addr))
+	quicktest.Check(t, after >= 350*time.Millisecond && after < 2*time.Second, quicktest.IsTrue, quicktest.Commentf("silent from the start: %v", after))
+	conn := dial(t, addr)
+	fmt.Fprint(conn, "POST / HTTP")
+	after = closedAfter(t, conn)
+	quicktest.Check(t, after >= 80*time.Millisecond && after < 350*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("half a header: %v", after))
+	conn = dial(t, addr)
+	exchange(t, conn)
+	time.Sleep(300 * time.Millisecond) // Longer than the headers may take.
+	exchange(t, conn)
+	after = closedAfter(t, conn)
+	quicktest.Check(t, after >= 350*time.Millisecond && after < 2*time.Second, quicktest.IsTrue, quicktest.Commentf("idle: %v", after))
+	// A change is in force for connections that are open.
+	conn = dial(t, addr)
+	exchange(t, conn)
+	exchange(t, conn)
+	idle.Store(50)
+	header.Store(50)
+	exchange(t, conn)
+	after = closedAfter(t, conn)
+	quicktest.Check(t, after < 350*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("after a change: %v", after))
+}
--- a/internal/parser/entry.go
+++ b/internal/parser/entry.go
@@ -12,10 +12,11 @@
 type EntrySettings struct {
 	Instance identifier.InstanceID
 	Zone     identifier.ZoneID
-	// Listen, ReadyListen and DirectoryListen are for clients, for readiness and metrics, and for the directory.
+	// Listen, ReadyListen, DirectoryListen and MetricsListen are for clients, readiness, the directory and metrics.
 	Listen          string
 	ReadyListen     string
 	DirectoryListen string
+	MetricsListen   string
 	// PeerListen is for other entry instances; Seeds are some of theirs.
 	PeerListen string
 	Seeds      []string
@@ -74,6 +75,7 @@
 	s.Listen = i.hostPort("Listen", "")
 	s.ReadyListen = i.hostPort("ReadyListen", "")
 	s.DirectoryListen = i.hostPort("DirectoryListen", "")
+	s.MetricsListen = i.hostPort("MetricsListen", "")
 	s.PeerListen = i.hostPort("PeerListen", "")
 	s.Seeds = parseSeeds(i, s.PeerListen)
 	s.Store = "http://" + d.single("Store").hostPort("Address", "")
--- a/internal/parser/entry_test.go
+++ b/internal/parser/entry_test.go
@@ -17,6 +17,7 @@
 Listen = 10.0.0.1:80
 ReadyListen = 10.0.0.1:81
 DirectoryListen = 10.0.0.1:82
+MetricsListen = 10.0.0.1:9464
 PeerListen = 10.0.0.1:7780
 Seeds = 10.0.0.1:8367,10.0.0.2:8367
 [Store]
--- a/internal/pooler/exchange.go
+++ b/internal/pooler/exchange.go
@@ -33,6 +33,8 @@
 	Body    []byte
 	// Freshness is how long ago a connection may have been used last; zero: a new connection.
 	Freshness time.Duration
+	// Connections is how many connections to the address may be open at once; zero: any number.
+	Connections int
 	// Belongs tells an answer to this request from one to another request on the same connection.
 	Belongs func(status int, h http.Header) bool
 }
@@ -70,7 +72,7 @@
 //
 // The connection is closed when ctx ends, also while the body is being read.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Answer, error) {
-	c, err := p.get(ctx, r.Address, r.Freshness)
+	c, err := p.get(ctx, r.Address, r.Freshness, r.Connections)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -39,8 +39,6 @@
 type Pool struct {
 	// Dial opens a connection; nil stands for TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
-	// Limit is how many connections to one address may be open; zero: any number.
-	Limit func(addr string) int
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -48,7 +46,9 @@
 }
 
 // get returns an idle connection that was used no longer than freshness ago, or opens one.
-func (p *Pool) get(ctx context.Context, addr string, freshness time.Duration) (*conn, error) {
+//
+// No more than limit connections to the address are open at once, if limit is more than zero.
+func (p *Pool) get(ctx context.Context, addr string, freshness time.Duration, limit int) (*conn, error) {
 	for {
 		c := p.takeIdle(addr)
 		if c == nil {
@@ -59,7 +59,7 @@
 		}
 		c.close()
 	}
-	if !p.reserve(addr) {
+	if !p.reserve(addr, limit) {
 		return nil, fmt.Errorf("%w: %w: %s", ErrNotSent, ErrFull, addr)
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -94,16 +94,14 @@
 	return c
 }
 
-func (p *Pool) reserve(addr string) bool {
+func (p *Pool) reserve(addr string, limit int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open == nil {
 		p.open = map[string]int{}
 	}
-	if p.Limit != nil {
-		if limit := p.Limit(addr); limit > 0 && p.open[addr] >= limit {
-			return false
-		}
+	if limit > 0 && p.open[addr] >= limit {
+		return false
 	}
 	p.open[addr]++
 	return true
--- a/internal/pooler/pooler_test.go
+++ b/internal/pooler/pooler_test.go
@@ -63,10 +63,15 @@
 }
 
 func send(p *pooler.Pool, tg *target, id string, freshness time.Duration) (string, error) {
+	return sendLimited(p, tg, id, freshness, 0)
+}
+
+func sendLimited(p *pooler.Pool, tg *target, id string, freshness time.Duration, connections int) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	a, err := p.Do(ctx, &pooler.Request{
-		Address: tg.addr, Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{"X-Id": {id}}, Body: []byte("body"), Freshness: freshness,
+		Address: tg.addr, Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{"X-Id": {id}}, Body: []byte("body"),
+		Freshness: freshness, Connections: connections,
 		Belongs: func(_ int, h http.Header) bool { return h.Get("X-Id") == id },
 	})
 	if err != nil {
@@ -198,16 +203,16 @@
 		<-release
 		reply(conn, r.Header.Get("X-Id"), "ok")
 	})
-	p := &pooler.Pool{Limit: func(string) int { return 1 }}
+	p := &pooler.Pool{}
 	done := make(chan error)
 	go func() {
-		_, err := send(p, tg, "a", 0)
+		_, err := sendLimited(p, tg, "a", 0, 1)
 		done <- err
 	}()
 	for tg.requests.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	_, err := send(p, tg, "b", 0)
+	_, err := sendLimited(p, tg, "b", 0, 1)
 	quicktest.Check(t, err, quicktest.ErrorIs, pooler.ErrFull)
 	quicktest.Check(t, err, quicktest.ErrorIs, pooler.ErrNotSent)
 	close(release)
