Give targets back in one zone at a time, never the last that answer

Cause: when the load fell, regular targets of all zones were given back in one step. The test found a second cause: the split took an answering engine away while its successors were still changing their stage. While a fleet shrinks, two targets answer at least.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -151,13 +151,13 @@
 		Holder: c.self.ID + "/" + c.self.Incarnation, Log: c.platform.Duties, Lease: bounds.Lease, Logger: c.logger,
 		Now: bootTime, Eligible: c.eligible,
 	}
+	c.supplier = &orderkeeper.Supplier{
+		Duty: c.elector, Platform: c.platform.Supply, Table: c.table.Load, Targets: c.registry.Staying, Serving: c.registry.Of, Load: c.demand.Peak, Logger: c.logger,
+	}
 	c.keeper = &orderkeeper.Keeper{
-		Holder: c.self.ID, Duty: c.elector, Commander: c.platform.Commander,
+		Holder: c.self.ID, Duty: c.elector, Commander: c.platform.Commander, Shrinking: c.supplier.Shrinking,
 		Table: c.table.Load, Targets: c.registry.Staying, Announce: c.announceOrders, Logger: c.logger,
 	}
-	c.supplier = &orderkeeper.Supplier{
-		Duty: c.elector, Platform: c.platform.Supply, Table: c.table.Load, Targets: c.registry.Staying, Load: c.demand.Peak, Logger: c.logger,
-	}
 	c.windows = &reporter.Windows{
 		Duty: c.elector, Platform: c.platform.Usage, Length: bounds.UsageWindow, Late: bounds.UsageLate,
 		Now: c.trueTime, Total: c.counts.Total, Logger: c.logger,
--- a/internal/orderkeeper/orderkeeper.go
+++ b/internal/orderkeeper/orderkeeper.go
@@ -68,6 +68,8 @@
 	Commander Commander
 	Table     func() *matcher.Table
 	Targets   func(service identifier.ServiceID) []*registrar.Target
+	// Shrinking tells that targets of a service are being given back: one that answers may be among them.
+	Shrinking func(service identifier.ServiceID) bool
 	// Announce tells the other instances of Pending at once.
 	Announce func()
 	Logger   *zap.Logger
@@ -153,7 +155,11 @@
 		engines = append(engines, e)
 	}
 	placer.SortEngines(engines)
-	changes := placer.Split(engines, placer.Answerers(len(engines)))
+	wanted := placer.Answerers(len(engines))
+	if k.Shrinking(s.ID) {
+		wanted = max(wanted, min(2, len(engines)-1))
+	}
+	changes := placer.Split(engines, wanted)
 	var group sync.WaitGroup
 	for _, c := range changes {
 		group.Go(func() { k.order(ctx, byID[c.ID], c.Stage) })
--- a/internal/orderkeeper/supplier.go
+++ b/internal/orderkeeper/supplier.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -33,11 +34,18 @@
 	Platform TargetPlatform
 	Table    func() *matcher.Table
 	Targets  func(service identifier.ServiceID) []*registrar.Target
+	// Serving returns the targets that take new work now.
+	Serving func(service identifier.ServiceID, now time.Time) []*registrar.Target
 	// Load returns the highest demand of late for a service, in engines; zero: not known yet.
 	Load   func(service identifier.ServiceID) float64
 	Logger *zap.Logger
 
-	sent    map[lot]standing
+	mu sync.Mutex
+	// shrinking are the services of which targets are being given back.
+	shrinking map[identifier.ServiceID]bool
+	sent      map[lot]standing
+	// leaving are the lots of which targets were given back that are still there.
+	leaving map[lot]standing
 	arrival arrival
 }
 
@@ -58,7 +66,7 @@
 func (s *Supplier) Run(ctx context.Context) {
 	for sleeper.Sleep(ctx, supplyPause) == nil {
 		if _, err := s.Duty.Authority(); err != nil {
-			s.sent, s.arrival = nil, arrival{}
+			s.sent, s.leaving, s.arrival = nil, nil, arrival{}
 			continue
 		}
 		table := s.Table()
@@ -98,24 +106,90 @@
 	for _, z := range fleet {
 		situation.Zones = append(situation.Zones, z)
 	}
+	shrinking := false
 	for _, w := range placer.Fleet(situation) {
 		have := fleet[w.Zone]
-		s.order(ctx, service, lot{service.ID, w.Zone, true}, have.Cheap, w.Cheap)
+		shrinking = shrinking || w.Cheap < have.Cheap || settled && w.Regular < have.Regular
+		s.change(ctx, service, lot{service.ID, w.Zone, true}, have.Cheap, w.Cheap)
 		// Nothing is given back, and nothing dear ordered, before it is known what is there.
 		if settled {
-			s.order(ctx, service, lot{service.ID, w.Zone, false}, have.Regular, w.Regular)
+			s.change(ctx, service, lot{service.ID, w.Zone, false}, have.Regular, w.Regular)
 		}
 	}
+	s.setShrinking(service.ID, shrinking)
+	for l, o := range s.leaving {
+		if have := fleet[l.zone]; l.service == service.ID && (count(have, l.cheap) <= o.count || time.Now().After(o.until)) {
+			delete(s.leaving, l)
+		}
+	}
+}
+
+// change orders more at once. It gives back in one zone at a time, so that targets for answers stay: the platform chooses
+// which targets leave, and others take a change of stage to replace them.
+func (s *Supplier) change(ctx context.Context, service *matcher.Service, l lot, have, want int) {
+	if want < have {
+		if len(s.leaving) > 0 {
+			return
+		}
+		most := have - want
+		if service.Engine != nil {
+			most = min(most, placer.MayLeave(s.answering(service.ID), l.zone, len(s.Targets(service.ID))))
+		}
+		if most == 0 {
+			return
+		}
+		want = have - most
+	}
+	if s.order(ctx, service, l, have, want) && want < have {
+		if s.leaving == nil {
+			s.leaving = map[lot]standing{}
+		}
+		s.leaving[l] = s.sent[l]
+	}
+}
+
+// Shrinking tells that targets of a service are being given back.
+func (s *Supplier) Shrinking(service identifier.ServiceID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shrinking[service]
+}
+
+func (s *Supplier) setShrinking(service identifier.ServiceID, shrinking bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.shrinking == nil {
+		s.shrinking = map[identifier.ServiceID]bool{}
+	}
+	s.shrinking[service] = shrinking
+}
+
+func count(z placer.ZoneFleet, cheap bool) int {
+	if cheap {
+		return z.Cheap
+	}
+	return z.Regular
+}
+
+// answering counts the targets that take answers in each zone.
+func (s *Supplier) answering(service identifier.ServiceID) map[identifier.ZoneID]int {
+	zones := map[identifier.ZoneID]int{}
+	for _, t := range s.Serving(service, time.Now()) {
+		if t.Stage == registrar.Answers {
+			zones[t.Zone]++
+		}
+	}
+	return zones
 }
 
-// order sends an order unless the same one stands and may still be on its way.
-func (s *Supplier) order(ctx context.Context, service *matcher.Service, l lot, have, want int) {
+// order sends an order unless the same one stands and may still be on its way, and reports whether it was accepted.
+func (s *Supplier) order(ctx context.Context, service *matcher.Service, l lot, have, want int) bool {
 	last, ordered := s.sent[l]
 	if have == want && (!ordered || last.count == want) {
-		return
+		return false
 	}
 	if ordered && last.count == want && time.Now().Before(last.until) {
-		return
+		return false
 	}
 	err := s.Duty.Do(ctx, func(ctx context.Context, fence identifier.Fence) error {
 		return s.Platform.OrderTargets(ctx, fence, Supply{Service: l.service, Zone: l.zone, Count: want, Cheap: l.cheap})
@@ -130,4 +204,5 @@
 	s.sent[l] = standing{want, time.Now().Add(wait)}
 	s.Logger.Info("targets ordered", zap.String("Service", string(l.service)), zap.String("Zone", string(l.zone)),
 		zap.Bool("Cheap", l.cheap), zap.Int("Have", have), zap.Int("Want", want), zap.Error(err))
+	return err == nil
 }
--- a/internal/placer/fleet_test.go
+++ b/internal/placer/fleet_test.go
@@ -81,6 +81,11 @@
 	list[0].Cheap = true
 	quicktest.Assert(t, placer.Split(list, 1)[0].ID, quicktest.Equals, identifier.TargetID("b"))
 
+	// Engines that are still changing to answers replace none that answers.
+	list = stageEngines("AAAPPP", "xyz")
+	list[1].Busy, list[2].Busy = true, true
+	quicktest.Assert(t, placer.Split(list, 1), quicktest.HasLen, 0)
+
 	// Engines that are changing already are not ordered again.
 	list = stageEngines("PP", "x")
 	list[0].Busy = true
--- a/internal/placer/split.go
+++ b/internal/placer/split.go
@@ -43,11 +43,14 @@
 // Split returns the changes that bring the number of answering engines to wanted.
 func Split(engines []StageEngine, wanted int) []StageChange {
 	zones := map[identifier.ZoneID]int{}
-	have := 0
+	have, ready := 0, 0
 	for _, e := range engines {
 		if e.Stage == registrar.Answers {
 			have++
 			zones[e.Zone]++
+			if !e.Busy {
+				ready++
+			}
 		}
 	}
 	var changes []StageChange
@@ -59,7 +62,8 @@
 		zones[e.Zone]++
 		changes = append(changes, change(e, registrar.Answers))
 	}
-	for ; have > wanted; have-- {
+	// Engines that are still changing answer nothing yet.
+	for ; ready > wanted; ready-- {
 		e := pick(engines, registrar.Answers, func(a StageEngine) int { return -zones[a.Zone] })
 		if e == nil {
 			break
@@ -70,6 +74,22 @@
 	return changes
 }
 
+// MayLeave returns how many engines of a zone may be given back at once, by how many engines answer in each zone: any
+// number if enough answer elsewhere, else one if another one answers.
+func MayLeave(answering map[identifier.ZoneID]int, zone identifier.ZoneID, engines int) int {
+	total := 0
+	for _, n := range answering {
+		total += n
+	}
+	switch wanted := Answerers(engines); {
+	case total-answering[zone] >= max(1, wanted-1):
+		return math.MaxInt
+	case total >= 2:
+		return 1
+	}
+	return 0
+}
+
 func change(e *StageEngine, stage registrar.Stage) StageChange {
 	e.Stage, e.Busy = stage, true
 	return StageChange{ID: e.ID, Stage: stage}
