Stream long bodies, and name the time at which a target is expected

Cause: bodies were held whole, up to the operator's limit for each request, answers of plain targets up to 16 MB; and a client refused for want of a target was asked back after 150 ms, whatever was known of targets that change their stage, so its one repeat was refused too. Now half a megabyte of a body is held, all bodies take an eighth of the memory at most, and a longer one is sent once, as it comes. A refusal for want of a target names the time at which the next one has changed, spread over 300 ms. Ruled out: holding the request until then (a refusal is answered at once).

--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -49,7 +49,7 @@
 	log.SetLogger(kratosLogger{logger})
 	faces := coordinator.Faces{
 		Client: func(co *coordinator.Coordinator) http.Handler {
-			return &platform.Ingress{Server: co, Limits: co.Limits, Logger: logger}
+			return &platform.Ingress{Server: co, Limits: co.Limits, Bodies: &co.Bodies, Logger: logger}
 		},
 		Ready: func(co *coordinator.Coordinator) http.Handler {
 			return &platform.Readiness{Ready: co.Ready}
--- a/internal/coordinator/constants.go
+++ b/internal/coordinator/constants.go
@@ -42,6 +42,8 @@
 	stopMargin = 700 * time.Millisecond
 	// memoryPart is the part of the memory limit at which the runtime collects harder.
 	memoryPart = 0.7
+	// bodyPart is the part of the memory limit, one of so many, that clients' bodies may take.
+	bodyPart = 8
 	// reservedDescriptors are not for connections of clients.
 	reservedDescriptors = 600
 	// incarnationDigits is how much of a random id tells the incarnations of an instance apart; beats carry many of them.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -101,6 +101,8 @@
 	windows  *reporter.Windows
 	forward  *forwarder.Forwarder
 
+	// Bodies bounds the memory that clients' bodies take.
+	Bodies forwarder.Bodies
 	// Metrics answers with all metrics in the Prometheus text format.
 	Metrics http.Handler
 	metrics tally.Scope
@@ -122,6 +124,7 @@
 		ID: string(settings.Instance), Incarnation: uuid.NewString()[:incarnationDigits], Zone: string(settings.Zone),
 		ClientAddress: settings.Listen, PeerAddress: settings.PeerListen, Capacity: capacity(settings.Bounds),
 	}
+	c.Bodies.Memory = settings.Bounds.MemoryMegabytes << 20 / bodyPart
 	c.wireViews()
 	c.wirePeers()
 	c.wireDuties()
@@ -172,10 +175,28 @@
 	}
 	c.forward = &forwarder.Forwarder{
 		Zone: identifier.ZoneID(c.self.Zone), Table: c.table.Load, TableAge: c.tableAge, Targets: c.registry.Of,
-		Book: &c.book, Backend: c.platform.Backend, Spread: c.spread, Budget: c.budget, Instances: c.instances, Began: c.began, Offered: c.demand.Add, Logger: c.logger, Metrics: c.metrics,
+		Book: &c.book, Backend: c.platform.Backend, Spread: c.spread, Budget: c.budget, Instances: c.instances, Expected: c.expected, Began: c.began, Offered: c.demand.Add, Logger: c.logger, Metrics: c.metrics,
 	}
 }
 
+// expected is how soon a target that was told to change to a stage will have changed.
+func (c *Coordinator) expected(service identifier.ServiceID, stage registrar.Stage, now time.Time) (time.Duration, bool) {
+	s := c.table.Load().Service(service)
+	if s == nil || s.Engine == nil {
+		return 0, false
+	}
+	soonest, found := time.Duration(0), false
+	for _, o := range c.registry.Orders(now) {
+		if o.Service != service || o.Stage != stage {
+			continue
+		}
+		if left := max(0, s.Engine.Switch-(orderkeeper.SettleTime-o.Left)); !found || left < soonest {
+			soonest, found = left, true
+		}
+	}
+	return soonest, found
+}
+
 // instances is how many instances are alive, this one with them.
 func (c *Coordinator) instances() int { return len(c.peers.Alive(time.Now())) + 1 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -32,12 +32,12 @@
 	onceFreshness = 300 * time.Millisecond
 	// comeBack is the least time that a refused client is asked to wait.
 	comeBack = 150 * time.Millisecond
+	// returnSpread is over how long those come back who wait for the same target.
+	returnSpread = 300 * time.Millisecond
 	// staleConfiguration is the age beyond which an unknown route or key may just be new.
 	staleConfiguration = 1500 * time.Millisecond
 	// plainWork is what a call to a plain target usually takes.
 	plainWork = 20 * time.Millisecond
-	// plainBodyBytes bounds the answer of a plain target, which is held until it is whole.
-	plainBodyBytes = 16 << 20
 	// fewestConnections is what an instance may open to each target however many instances there are.
 	fewestConnections = 4
 	// minimumLeft is the least time that is worth a send.
@@ -61,6 +61,8 @@
 	Budget   Budget
 	// Instances is how many instances share the targets' connections, this one with them.
 	Instances func() int
+	// Expected returns how soon a target of a stage is expected that is not there yet, or false if none is.
+	Expected func(service identifier.ServiceID, stage registrar.Stage, now time.Time) (time.Duration, bool)
 	// Spread is how far apart the predictions of two instances may be.
 	Spread func() time.Duration
 	// Offered notes prompt tokens that a request would have computed.
@@ -232,7 +234,7 @@
 
 // mayRepeat tells whether one more send is allowed, and takes it from the budget.
 func (j *job) mayRepeat() bool {
-	return j.sends < j.route.Attempts && time.Until(j.due) > minimumLeft && j.f.Budget.Take(j.target)
+	return j.call.Body.Whole() && j.sends < j.route.Attempts && time.Until(j.due) > minimumLeft && j.f.Budget.Take(j.target)
 }
 
 // begin counts the request as running, once.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -103,6 +104,9 @@
 	table := matcher.New(matcher.Configuration{Version: 1, Routes: []matcher.Route{route}, Teams: []matcher.Team{{ID: "team", Keys: []string{"key"}}},
 		Services: []matcher.Service{{ID: "s", ConnectionLimit: 110}}})
 	targets := []*registrar.Target{{ID: "p1", Stage: registrar.Prompts}, {ID: "p2", Stage: registrar.Prompts}, {ID: "a1", Stage: registrar.Answers}, {ID: "a2", Stage: registrar.Answers}}
+	if route.ID == "changing" {
+		targets = targets[:2]
+	}
 	if !route.Prompted {
 		targets = []*registrar.Target{{ID: "x1"}, {ID: "x2"}}
 	}
@@ -114,6 +118,9 @@
 		Book: &chooser.Book{}, Backend: b, Budget: &budget{retries},
 		Offered: func(identifier.ServiceID, identifier.Tokens, time.Time) {},
 		Spread:  func() time.Duration { return 0 }, Instances: func() int { return 5 },
+		Expected: func(identifier.ServiceID, registrar.Stage, time.Time) (time.Duration, bool) {
+			return 2 * time.Second, true
+		},
 		Began:  func(identifier.TeamID) { out.began++ },
 		Logger: zap.NewNop(), Metrics: tally.NoopScope,
 	}
@@ -221,6 +228,64 @@
 	quicktest.Assert(t, b.sent[1].Target.ID == b.sent[0].Target.ID, quicktest.IsFalse)
 }
 
+// TestReturnWhenATargetIsExpected answers the seconds in which all targets for answers were lost and others are changing.
+func TestReturnWhenATargetIsExpected(t *testing.T) {
+	out := serve(&backend{}, matcher.Route{ID: "changing", Kind: matcher.Stream, Prompted: true}, &forwarder.Call{Parts: []chooser.Part{{ID: 1, Tokens: 10}}}, 0)
+	quicktest.Assert(t, out.Code, quicktest.Equals, http.StatusServiceUnavailable)
+	back, err := strconv.ParseFloat(out.Header().Get("Retry-After"), 64)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, back >= 2 && back < 2.5, quicktest.IsTrue, quicktest.Commentf("Retry-After %v", back))
+}
+
+func TestLongBodiesAreSentOnce(t *testing.T) {
+	long := func() *forwarder.Call {
+		return &forwarder.Call{Body: forwarder.Body{Start: []byte("start"), Rest: strings.NewReader("rest"), RestBytes: 4}, Parts: []chooser.Part{{ID: 1, Tokens: 10}}}
+	}
+	b := &backend{runs: []step{notRun, {status: 200, body: "ok"}}}
+	out := serve(b, matcher.Route{Kind: matcher.Safe}, long(), 5)
+	quicktest.Check(t, out.Code, quicktest.Equals, http.StatusServiceUnavailable)
+	quicktest.Check(t, b.sent, quicktest.HasLen, 1)
+	b = &backend{runs: []step{broken, {status: 200, body: "ok"}}}
+	out = serve(b, matcher.Route{Kind: matcher.Safe}, long(), 5)
+	quicktest.Check(t, out.Code, quicktest.Equals, http.StatusBadGateway)
+	quicktest.Check(t, b.sent, quicktest.HasLen, 1)
+	b = &backend{runs: []step{notSent, {status: 200, body: first}}}
+	out = serve(b, matcher.Route{Kind: matcher.Stream, Prompted: true}, long(), 5)
+	quicktest.Check(t, out.Body.String(), quicktest.Equals, first)
+	quicktest.Check(t, b.prompts, quicktest.Equals, 0, quicktest.Commentf("the body goes to one target only"))
+}
+
+func TestLongAnswers(t *testing.T) {
+	text := strings.Repeat("0123456789abcdef", 40_000)
+	out := serve(&backend{runs: []step{{status: 200, body: text}}}, matcher.Route{}, &forwarder.Call{}, 0)
+	quicktest.Check(t, out.Body.String() == text, quicktest.IsTrue)
+	out = serve(&backend{runs: []step{{status: 200, body: text, torn: true}}}, matcher.Route{}, &forwarder.Call{}, 0)
+	quicktest.Check(t, out.aborted, quicktest.IsTrue, quicktest.Commentf("a broken answer must not look whole"))
+	b := &backend{runs: []step{{status: 200, body: "short", torn: true}, {status: 200, body: "ok"}}}
+	out = serve(b, matcher.Route{Kind: matcher.Safe}, &forwarder.Call{}, 5)
+	quicktest.Check(t, out.Body.String(), quicktest.Equals, "ok", quicktest.Commentf("a short one is mended"))
+}
+
+func TestBodiesAreBounded(t *testing.T) {
+	bodies := &forwarder.Bodies{Memory: 1 << 20}
+	whole, release, err := bodies.Read(strings.NewReader("text"), 4)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, whole.Whole() && string(whole.Start) == "text", quicktest.IsTrue)
+	release()
+	text := strings.Repeat("x", 600<<10)
+	long, release, err := bodies.Read(strings.NewReader(text), int64(len(text)))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, int64(len(long.Start))+long.RestBytes, quicktest.Equals, int64(len(text)))
+	unknown, _, err := bodies.Read(strings.NewReader(text), -1)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, unknown.RestBytes, quicktest.Equals, int64(-1))
+	_, _, err = bodies.Read(strings.NewReader(text), -1)
+	quicktest.Check(t, err, quicktest.ErrorIs, forwarder.ErrBodyMemory)
+	release()
+	_, _, err = bodies.Read(strings.NewReader(text), -1)
+	quicktest.Check(t, err, quicktest.IsNil)
+}
+
 func TestConnectionsOfATargetAreShared(t *testing.T) {
 	b := &backend{runs: []step{{status: 200, body: "ok"}}}
 	serve(b, matcher.Route{}, &forwarder.Call{}, 0)
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -1,11 +1,13 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -22,21 +24,21 @@
 	for {
 		v, ok := chooser.PlainTarget(j.f.Zone, plainWork, j.candidates(registrar.AnyStage, nil))
 		if !ok {
-			return j.noTarget()
+			return j.noTarget(registrar.AnyStage)
 		}
-		reply, body, err := j.sendPlain(ctx, v.Target)
+		reply, start, err := j.sendPlain(ctx, v.Target)
 		if err != nil || reply.Status >= http.StatusInternalServerError {
 			j.logFailedSend(v.Target, reply, err)
 		}
 		switch {
 		case err == nil && !j.repeatable(reply):
 			j.f.Book.Succeeded(v.Target.ID, time.Now())
-			j.writeWhole(reply, body)
-			return nil
+			return j.write(ctx, reply, start)
 		case err == nil && !j.mayRepeat():
-			j.writeWhole(reply, body)
-			return nil
-		case err == nil, errors.Is(err, ErrNotSent) && ctx.Err() == nil:
+			return j.write(ctx, reply, start)
+		case err == nil:
+			reply.Body.Close()
+		case errors.Is(err, ErrNotSent) && ctx.Err() == nil:
 		case errors.Is(err, ErrNotRun):
 			if !j.mayRepeat() {
 				return notRun("TargetsFull", comeBack, err)
@@ -59,12 +61,16 @@
 		zap.Int("Status", status), zap.Int("Sends", j.sends), zap.Duration("After", time.Since(j.start)), zap.Error(err))
 }
 
-// noTarget refuses for want of a target, truthfully if one was tried.
-func (j *job) noTarget() *Refusal {
+// noTarget refuses for want of a target of a stage, truthfully if one was tried.
+func (j *job) noTarget(stage registrar.Stage) *Refusal {
 	if j.began {
 		return &Refusal{Status: http.StatusBadGateway, Reason: "TargetFailed"}
 	}
-	return notRun("NoTarget", comeBack, nil)
+	back := comeBack
+	if wait, expected := j.f.Expected(j.target, stage, time.Now()); expected {
+		back = wait + rand.N(returnSpread)
+	}
+	return notRun("NoTarget", back, nil)
 }
 
 // repeatable tells a failure of the target that another target may mend.
@@ -83,7 +89,8 @@
 	}
 }
 
-// sendPlain sends once and reads the whole answer, so that nothing incomplete reaches the client.
+// sendPlain sends once and reads the start of the answer, which is all of most answers: what breaks off there reaches no
+// client.
 func (j *job) sendPlain(ctx context.Context, t *registrar.Target) (*Reply, []byte, error) {
 	end := j.f.Book.Begin(t.ID, chooser.Load{Answers: 1}, time.Now())
 	defer end()
@@ -94,18 +101,34 @@
 		return nil, nil, err
 	}
 	j.begin()
-	defer reply.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(reply.Body, plainBodyBytes+1))
-	switch {
-	case err != nil:
+	start, err := io.ReadAll(io.LimitReader(reply.Body, heldAnswerBytes))
+	if err != nil {
+		reply.Body.Close()
 		return nil, nil, fmt.Errorf("%w: body: %w", ErrOpen, err)
-	case len(body) > plainBodyBytes:
-		return nil, nil, fmt.Errorf("%w: body of more than %d bytes", ErrOpen, plainBodyBytes)
 	}
-	return reply, body, nil
+	return reply, start, nil
+}
+
+// write sends a target's answer unchanged; the client's connection is closed if the answer breaks off.
+func (j *job) write(ctx context.Context, r *Reply, start []byte) *Refusal {
+	defer r.Body.Close()
+	if len(start) < heldAnswerBytes {
+		j.writeWhole(r, start)
+		return nil
+	}
+	j.wrote = true
+	maps.Copy(j.w.Header(), r.Header)
+	if r.Length >= 0 {
+		j.w.Header().Set("Content-Length", strconv.FormatInt(r.Length, 10))
+	}
+	j.w.WriteHeader(r.Status)
+	if _, err := io.Copy(j.w, io.MultiReader(bytes.NewReader(start), r.Body)); err != nil {
+		return open(ctx, "AnswerBroken", err)
+	}
+	return nil
 }
 
-// writeWhole sends a target's answer unchanged.
+// writeWhole sends a target's whole answer unchanged.
 func (j *job) writeWhole(r *Reply, body []byte) {
 	j.wrote = true
 	maps.Copy(j.w.Header(), r.Header)
--- a/internal/forwarder/port.go
+++ b/internal/forwarder/port.go
@@ -33,7 +33,7 @@
 	Key      string
 	Deadline time.Duration
 	Header   http.Header
-	Body     []byte
+	Body     Body
 	// LastEvent is the id of the last event that the client has, or empty.
 	LastEvent string
 	// Parts are the pieces of the prompt; AnswerTokens is the most that may be generated.
@@ -69,6 +69,8 @@
 type Reply struct {
 	Status int
 	Header http.Header
+	// Length is the length of the body; -1: not known.
+	Length int64
 	Body   io.ReadCloser
 }
 
--- a/internal/forwarder/prompted.go
+++ b/internal/forwarder/prompted.go
@@ -68,14 +68,14 @@
 		prompts := j.candidates(registrar.Prompts, j.call.Parts)
 		answer, ok := chooser.AnswerTarget(j.f.Zone, j.draw(), answers)
 		if !ok {
-			return nil, nil, j.noTarget()
+			return nil, nil, j.noTarget(registrar.Answers)
 		}
 		prompt, ok := chooser.PromptTarget(&chooser.Prompt{Zone: j.f.Zone, Parts: j.call.Parts, Draw: j.draw()}, prompts)
-		if !ok && j.promptsFailed {
+		if !ok && j.promptsFailed && j.call.Body.Whole() {
 			return nil, nil, j.givenUp(notRun("PromptTargetsFailed", comeBack, nil))
 		}
-		if !ok {
-			// No engine computes prompts apart, so the one that answers does both.
+		if !ok || !j.call.Body.Whole() {
+			// No engine computes prompts apart, or the body can be sent only once, so the one that answers does both.
 			return answer.Target, nil, nil
 		}
 		if j.sends == 0 && len(j.failed) == 0 {
@@ -111,7 +111,7 @@
 	answer, ok := chooser.AnswerTarget(j.f.Zone, j.draw(), j.candidates(registrar.Answers, nil))
 	if !ok {
 		j.free(h)
-		return nil, nil, j.noTarget()
+		return nil, nil, j.noTarget(registrar.Answers)
 	}
 	return answer.Target, h, nil
 }
@@ -192,7 +192,7 @@
 
 // relayFailure passes a target's own failure on, unless part of the answer went out already.
 func (j *job) relayFailure(reply *Reply, s *stream) error {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, plainBodyBytes))
+	body, err := io.ReadAll(io.LimitReader(reply.Body, heldAnswerBytes))
 	if err != nil {
 		return fmt.Errorf("%w: body: %w", ErrOpen, err)
 	}
--- a/internal/pooler/exchange.go
+++ b/internal/pooler/exchange.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"net/url"
 	"strconv"
 	"strings"
@@ -30,7 +31,10 @@
 	URI     string
 	Host    string
 	Header  http.Header
-	Body    []byte
+	// Body is the start of the body, and Rest what follows, if it is not nil, of RestBytes or -1 for a length that is not known.
+	Body      []byte
+	Rest      io.Reader
+	RestBytes int64
 	// Freshness is how long ago a connection may have been used last; zero: a new connection.
 	Freshness time.Duration
 	// Connections is how many connections to the address may be open at once; zero: any number.
@@ -43,6 +47,8 @@
 type Answer struct {
 	Status int
 	Header http.Header
+	// Length is the length of the body; -1: not known.
+	Length int64
 	Body   io.ReadCloser
 }
 
@@ -84,7 +90,10 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	go func() {
-		_, err := c.Write(append(head, r.Body...))
+		err := r.write(c, head)
+		if err != nil && r.Rest != nil {
+			c.close() // The target must not wait for a body that ends here.
+		}
 		x.sent <- err
 	}()
 	answer, err := x.receive(r)
@@ -102,7 +111,12 @@
 	}
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+	switch {
+	case r.Rest != nil && r.RestBytes < 0:
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+	case r.Rest != nil:
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", int64(len(r.Body))+r.RestBytes)
+	case len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead:
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
 	}
 	if err := r.Header.Write(&b); err != nil {
@@ -112,6 +126,29 @@
 	return b.Bytes(), nil
 }
 
+// write sends the request; a rest that ends too soon gives an error.
+func (r *Request) write(w io.Writer, head []byte) error {
+	if r.Rest == nil || r.RestBytes >= 0 {
+		if _, err := w.Write(append(head, r.Body...)); err != nil || r.Rest == nil {
+			return err
+		}
+		_, err := io.CopyN(w, r.Rest, r.RestBytes)
+		return err
+	}
+	if _, err := w.Write(head); err != nil {
+		return err
+	}
+	cw := httputil.NewChunkedWriter(w)
+	if _, err := io.Copy(cw, io.MultiReader(bytes.NewReader(r.Body), r.Rest)); err != nil {
+		return err
+	}
+	if err := cw.Close(); err != nil {
+		return err
+	}
+	_, err := io.WriteString(w, "\r\n")
+	return err
+}
+
 // exchange is one request and its answer on a connection.
 type exchange struct {
 	conn *conn
@@ -169,7 +206,7 @@
 			}
 			continue
 		}
-		return &Answer{Status: res.StatusCode, Header: res.Header, Body: &body{res: res, x: x}}, nil
+		return &Answer{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, Body: &body{res: res, x: x}}, nil
 	}
 }
 
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -176,9 +176,10 @@
 
 // Order is a change of stage that is not over yet.
 type Order struct {
-	Target identifier.TargetID
-	Stage  Stage
-	Left   time.Duration
+	Target  identifier.TargetID
+	Service identifier.ServiceID
+	Stage   Stage
+	Left    time.Duration
 }
 
 // Orders returns the changes of stages that are not over yet.
@@ -188,7 +189,7 @@
 	var list []Order
 	for id, o := range r.orders {
 		if t := r.byID[id]; now.Before(o.until) && t != nil && t.Stage != o.stage {
-			list = append(list, Order{Target: id, Stage: o.stage, Left: o.until.Sub(now)})
+			list = append(list, Order{Target: id, Service: t.Service, Stage: o.stage, Left: o.until.Sub(now)})
 		}
 	}
 	return list
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -53,7 +53,7 @@
 	r.Ordered("t", registrar.Answers, now.Add(6*time.Second))
 	quicktest.Assert(t, r.Of("s", now), quicktest.HasLen, 0)
 	quicktest.Assert(t, r.Staying("s"), quicktest.HasLen, 1)
-	quicktest.Assert(t, r.Orders(now), quicktest.DeepEquals, []registrar.Order{{Target: "t", Stage: registrar.Answers, Left: 6 * time.Second}})
+	quicktest.Assert(t, r.Orders(now), quicktest.DeepEquals, []registrar.Order{{Target: "t", Service: "s", Stage: registrar.Answers, Left: 6 * time.Second}})
 	changed := target(2, false)
 	changed.Stage = registrar.Answers
 	r.Put(changed, now)
