Baselines as settings of the same program; streams of plain targets

Ruled out: a program of its own for the baselines (other code would be compared along with the choices).

Conclusion: Policy and Stages under [Routing].

--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -131,6 +131,26 @@
 }
 
 // TestCommonFirstPart spreads sessions that share a short first part, as most requests of a kind do, over all targets.
+func TestBaselines(t *testing.T) {
+	candidates := []chooser.Candidate{
+		{Target: &registrar.Target{ID: "a"}, Load: chooser.Load{PromptTokens: 900, Answers: 1}},
+		{Target: &registrar.Target{ID: "b"}, Load: chooser.Load{PromptTokens: 100, Answers: 5}},
+	}
+	least := &chooser.Chooser{Policy: chooser.LeastLoad}
+	v, _ := least.Prompt(&chooser.Prompt{}, candidates)
+	quicktest.Check(t, v.Target.ID, quicktest.Equals, identifier.TargetID("b"))
+	v, _ = least.Answer("z", chooser.Draw{}, candidates)
+	quicktest.Check(t, v.Target.ID, quicktest.Equals, identifier.TargetID("a"))
+	turns, taken := &chooser.Chooser{Policy: chooser.RoundRobin}, map[identifier.TargetID]int{}
+	for range 10 {
+		v, _ := turns.Plain("z", time.Millisecond, candidates)
+		taken[v.Target.ID]++
+	}
+	quicktest.Check(t, taken, quicktest.DeepEquals, map[identifier.TargetID]int{"a": 5, "b": 5})
+	_, ok := turns.Plain("z", time.Millisecond, nil)
+	quicktest.Check(t, ok, quicktest.IsFalse)
+}
+
 func TestCommonFirstPart(t *testing.T) {
 	list := targets(20, registrar.Prompts)
 	var book chooser.Book
--- /dev/null
+++ b/internal/chooser/policy.go
@@ -0,0 +1,71 @@
+package chooser
+
+import (
+	"cmp"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// Policy names a way to choose targets.
+type Policy string
+
+// Policies; the others are baselines for measurements.
+const (
+	// Predicted chooses by predicted time, cached parts and zone.
+	Predicted Policy = "Predicted"
+	// RoundRobin takes the targets in turn.
+	RoundRobin Policy = "RoundRobin"
+	// LeastLoad takes the target with the least work in flight, over all instances as far as known.
+	LeastLoad Policy = "LeastLoad"
+)
+
+// Policies are all policies.
+var Policies = []Policy{Predicted, RoundRobin, LeastLoad}
+
+// Chooser chooses targets by a policy; the zero value predicts.
+type Chooser struct {
+	Policy Policy
+	turn   atomic.Uint64
+}
+
+// Prompt returns the target that computes a prompt, or false without candidates.
+func (c *Chooser) Prompt(p *Prompt, candidates []Candidate) (Verdict, bool) {
+	if c.predicts() {
+		return PromptTarget(p, candidates)
+	}
+	v, ok := c.baseline(candidates, func(l Load) int { return int(l.PromptTokens) })
+	v.Fresh = p.Tokens()
+	return v, ok
+}
+
+// Answer returns the target that generates an answer, or false without candidates.
+func (c *Chooser) Answer(zone identifier.ZoneID, draw Draw, candidates []Candidate) (Verdict, bool) {
+	if c.predicts() {
+		return AnswerTarget(zone, draw, candidates)
+	}
+	return c.baseline(candidates, func(l Load) int { return l.Answers })
+}
+
+// Plain returns the target of a plain service, or false without candidates.
+func (c *Chooser) Plain(zone identifier.ZoneID, work time.Duration, candidates []Candidate) (Verdict, bool) {
+	if c.predicts() {
+		return PlainTarget(zone, work, candidates)
+	}
+	return c.baseline(candidates, func(l Load) int { return l.Answers })
+}
+
+func (c *Chooser) predicts() bool { return c.Policy == Predicted || c.Policy == "" }
+
+func (c *Chooser) baseline(candidates []Candidate, work func(Load) int) (Verdict, bool) {
+	if len(candidates) == 0 {
+		return Verdict{}, false
+	}
+	if c.Policy == RoundRobin {
+		return Verdict{Target: candidates[c.turn.Add(1)%uint64(len(candidates))].Target}, true
+	}
+	least := slices.MinFunc(candidates, func(a, b Candidate) int { return cmp.Compare(work(a.Load), work(b.Load)) })
+	return Verdict{Target: least.Target}, true
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -175,7 +175,7 @@
 	}
 	c.forward = &forwarder.Forwarder{
 		Zone: identifier.ZoneID(c.self.Zone), Table: c.table.Load, TableAge: c.tableAge, Targets: c.registry.Of,
-		Book: &c.book, Backend: c.platform.Backend, Spread: c.spread, Budget: c.budget, Instances: c.instances, Expected: c.expected, Began: c.began, Offered: c.demand.Add, Logger: c.logger, Metrics: c.metrics,
+		Book: &c.book, Chooser: &chooser.Chooser{Policy: c.settings.Load().Routing.Policy}, Backend: c.platform.Backend, Spread: c.spread, Budget: c.budget, Instances: c.instances, Expected: c.expected, Began: c.began, Offered: c.demand.Add, Logger: c.logger, Metrics: c.metrics,
 	}
 }
 
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -69,7 +69,9 @@
 		group.Go(func() { duty(background) })
 	}
 	group.Go(func() { c.elector.Run(duties) })
-	group.Go(func() { c.keeper.Run(duties) })
+	if !c.settings.Load().Routing.FixedStages {
+		group.Go(func() { c.keeper.Run(duties) })
+	}
 	if c.platform.Usage != nil {
 		group.Go(func() { c.windows.Run(duties) })
 		group.Go(func() { c.supplier.Run(duties) })
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -21,7 +21,7 @@
 // The way of a request:
 //
 //	admit: route, team, deadline --> plain: one target, retried where the kind allows it
-//	                             \-> prompted: prompt target computes, answer target generates, events go on as they come
+//	                             \-> streamed: prompt target computes, answer target generates, events go on as they come
 //
 // Each way ends with the target's own answer, or with a refusal that says whether the request may have run.
 
@@ -57,6 +57,7 @@
 	TableAge func() time.Duration
 	Targets  func(service identifier.ServiceID, now time.Time) []*registrar.Target
 	Book     *chooser.Book
+	Chooser  *chooser.Chooser
 	Backend  Backend
 	Budget   Budget
 	// Instances is how many instances share the targets' connections, this one with them.
@@ -114,8 +115,8 @@
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, j.due)
 		defer cancel()
-		if j.route.Prompted && j.route.Kind == matcher.Stream {
-			refusal = j.prompted(ctx)
+		if j.route.Kind == matcher.Stream {
+			refusal = j.streamed(ctx)
 		} else {
 			refusal = j.plain(ctx)
 		}
@@ -223,15 +224,24 @@
 	return max(fewestConnections, s.ConnectionLimit/max(1, j.f.Instances()))
 }
 
-// candidates are the targets of a stage that have not failed this request.
-func (j *job) candidates(stage registrar.Stage, parts []chooser.Part) []chooser.Candidate {
+// candidates are the targets of the given stages that have not failed this request.
+func (j *job) candidates(parts []chooser.Part, stages ...registrar.Stage) []chooser.Candidate {
 	targets := j.f.Targets(j.target, time.Now())
 	targets = slices.DeleteFunc(targets, func(t *registrar.Target) bool {
-		return t.Stage != stage || slices.Contains(j.failed, t.ID)
+		return !slices.Contains(stages, t.Stage) || slices.Contains(j.failed, t.ID)
 	})
 	return j.f.Book.Candidates(targets, parts, time.Now())
 }
 
+// answerTarget chooses the target that answers: one for answers, or any where targets have no stages.
+func (j *job) answerTarget() (chooser.Verdict, bool) {
+	list := j.candidates(nil, registrar.Answers, registrar.AnyStage)
+	if j.route.Prompted {
+		return j.f.Chooser.Answer(j.f.Zone, j.draw(), list)
+	}
+	return j.f.Chooser.Plain(j.f.Zone, plainWork, list)
+}
+
 // mayRepeat tells whether one more send is allowed, and takes it from the budget.
 func (j *job) mayRepeat() bool {
 	return j.call.Body.Whole() && j.sends < j.route.Attempts && time.Until(j.due) > minimumLeft && j.f.Budget.Take(j.target)
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -115,7 +115,7 @@
 		Targets: func(identifier.ServiceID, time.Time) []*registrar.Target {
 			return append([]*registrar.Target(nil), targets...)
 		},
-		Book: &chooser.Book{}, Backend: b, Budget: &budget{retries},
+		Book: &chooser.Book{}, Chooser: &chooser.Chooser{}, Backend: b, Budget: &budget{retries},
 		Offered: func(identifier.ServiceID, identifier.Tokens, time.Time) {},
 		Spread:  func() time.Duration { return 0 }, Instances: func() int { return 5 },
 		Expected: func(identifier.ServiceID, registrar.Stage, time.Time) (time.Duration, bool) {
@@ -237,6 +237,21 @@
 	quicktest.Assert(t, back >= 2 && back < 2.5, quicktest.IsTrue, quicktest.Commentf("Retry-After %v", back))
 }
 
+func TestStreamsOfPlainTargets(t *testing.T) {
+	b := &backend{runs: []step{{status: 200, body: first + second}}}
+	out := serve(b, matcher.Route{Kind: matcher.Stream}, &forwarder.Call{}, 0)
+	quicktest.Check(t, out.Body.String(), quicktest.Equals, first+second)
+	quicktest.Check(t, out.Flushed, quicktest.IsTrue, quicktest.Commentf("events go on as they come"))
+	quicktest.Check(t, b.prompts, quicktest.Equals, 0)
+	out = serve(&backend{runs: []step{{status: 200, body: first + "id: 2\n"}}}, matcher.Route{Kind: matcher.Stream}, &forwarder.Call{}, 0)
+	quicktest.Check(t, out.aborted, quicktest.IsTrue)
+	// A prompt whose answer does not come as events goes to the targets for answers.
+	b = &backend{runs: []step{{status: 200, body: "ok"}}}
+	out = serve(b, matcher.Route{Kind: matcher.Safe, Prompted: true}, &forwarder.Call{}, 0)
+	quicktest.Check(t, out.Body.String(), quicktest.Equals, "ok")
+	quicktest.Check(t, b.sent[0].Target.Stage, quicktest.Equals, registrar.Answers)
+}
+
 func TestLongBodiesAreSentOnce(t *testing.T) {
 	long := func() *forwarder.Call {
 		return &forwarder.Call{Body: forwarder.Body{Start: []byte("start"), Rest: strings.NewReader("rest"), RestBytes: 4}, Parts: []chooser.Part{{ID: 1, Tokens: 10}}}
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -22,9 +22,9 @@
 // plain sends a request to targets of a plain service until one answer stands.
 func (j *job) plain(ctx context.Context) *Refusal {
 	for {
-		v, ok := chooser.PlainTarget(j.f.Zone, plainWork, j.candidates(registrar.AnyStage, nil))
+		v, ok := j.answerTarget()
 		if !ok {
-			return j.noTarget(registrar.AnyStage)
+			return j.noTarget()
 		}
 		reply, start, err := j.sendPlain(ctx, v.Target)
 		if err != nil || reply.Status >= http.StatusInternalServerError {
@@ -61,13 +61,13 @@
 		zap.Int("Status", status), zap.Int("Sends", j.sends), zap.Duration("After", time.Since(j.start)), zap.Error(err))
 }
 
-// noTarget refuses for want of a target of a stage, truthfully if one was tried.
-func (j *job) noTarget(stage registrar.Stage) *Refusal {
+// noTarget refuses for want of a target that answers, truthfully if one was tried.
+func (j *job) noTarget() *Refusal {
 	if j.began {
 		return &Refusal{Status: http.StatusBadGateway, Reason: "TargetFailed"}
 	}
 	back := comeBack
-	if wait, expected := j.f.Expected(j.target, stage, time.Now()); expected {
+	if wait, expected := j.f.Expected(j.target, registrar.Answers, time.Now()); expected {
 		back = wait + rand.N(returnSpread)
 	}
 	return notRun("NoTarget", back, nil)
--- a/internal/forwarder/prompted.go
+++ b/internal/forwarder/streamed.go
@@ -22,8 +22,8 @@
 // freeTimeout bounds giving back a handle; an unused one lapses by itself.
 const freeTimeout = time.Second
 
-// prompted has the prompt computed on one target and the answer generated on another.
-func (j *job) prompted(ctx context.Context) *Refusal {
+// streamed has the prompt, if there is one, computed on one target and the answer generated on another.
+func (j *job) streamed(ctx context.Context) *Refusal {
 	stream := newStream(j)
 	for {
 		t, source, refusal := j.prepare(ctx)
@@ -64,13 +64,15 @@
 			j.kept = nil
 			return j.pair(h)
 		}
-		answers := j.candidates(registrar.Answers, nil)
-		prompts := j.candidates(registrar.Prompts, j.call.Parts)
-		answer, ok := chooser.AnswerTarget(j.f.Zone, j.draw(), answers)
+		answer, ok := j.answerTarget()
 		if !ok {
-			return nil, nil, j.noTarget(registrar.Answers)
+			return nil, nil, j.noTarget()
 		}
-		prompt, ok := chooser.PromptTarget(&chooser.Prompt{Zone: j.f.Zone, Parts: j.call.Parts, Draw: j.draw()}, prompts)
+		if !j.route.Prompted {
+			return answer.Target, nil, nil
+		}
+		prompts := j.candidates(j.call.Parts, registrar.Prompts)
+		prompt, ok := j.f.Chooser.Prompt(&chooser.Prompt{Zone: j.f.Zone, Parts: j.call.Parts, Draw: j.draw()}, prompts)
 		if !ok && j.promptsFailed && j.call.Body.Whole() {
 			return nil, nil, j.givenUp(notRun("PromptTargetsFailed", comeBack, nil))
 		}
@@ -108,10 +110,10 @@
 
 // pair chooses the answer target for a prompt that was read.
 func (j *job) pair(h *Handle) (*registrar.Target, *Handle, *Refusal) {
-	answer, ok := chooser.AnswerTarget(j.f.Zone, j.draw(), j.candidates(registrar.Answers, nil))
+	answer, ok := j.answerTarget()
 	if !ok {
 		j.free(h)
-		return nil, nil, j.noTarget(registrar.Answers)
+		return nil, nil, j.noTarget()
 	}
 	return answer.Target, h, nil
 }
--- a/internal/parser/entry.go
+++ b/internal/parser/entry.go
@@ -1,10 +1,13 @@
 package parser
 
 import (
+	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
+	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
@@ -22,8 +25,16 @@
 	Seeds      []string
 	Store      string
 	// Cloud is empty where there are no duties.
-	Cloud  string
-	Bounds EntryBounds
+	Cloud   string
+	Routing EntryRouting
+	Bounds  EntryBounds
+}
+
+// EntryRouting is how targets are chosen; other values than the defaults are baselines for measurements.
+type EntryRouting struct {
+	Policy chooser.Policy
+	// FixedStages leaves the targets' stages as they are found.
+	FixedStages bool
 }
 
 // EntryBounds are what the users promise their clients, and the limits that the platform sets.
@@ -82,8 +93,9 @@
 	if cloud := d.single("Cloud"); cloud.text("Address", "") != "" {
 		s.Cloud = "http://" + cloud.hostPort("Address", "")
 	}
+	s.Routing = parseRouting(d.single("Routing"))
 	s.Bounds = parseEntryBounds(d.single("Bounds"))
-	if err := d.finish("Instance, Store, Cloud, Bounds"); err != nil {
+	if err := d.finish("Instance, Store, Cloud, Routing, Bounds"); err != nil {
 		return nil, err
 	}
 	return s, nil
@@ -111,6 +123,21 @@
 	return seeds
 }
 
+func parseRouting(s *section) EntryRouting {
+	r := EntryRouting{Policy: chooser.Policy(s.text("Policy", string(chooser.Predicted)))}
+	if !slices.Contains(chooser.Policies, r.Policy) {
+		s.fault("Policy", string(r.Policy), fmt.Sprintf("one of %v", chooser.Policies))
+	}
+	switch stages := s.text("Stages", "Followed"); stages {
+	case "Followed":
+	case "Fixed":
+		r.FixedStages = true
+	default:
+		s.fault("Stages", stages, "Followed, Fixed")
+	}
+	return r
+}
+
 func parseEntryBounds(s *section) EntryBounds {
 	return EntryBounds{
 		Lease:              s.orMilliseconds("LeaseMilliseconds", defaultEntryLease),
--- a/internal/parser/entry_test.go
+++ b/internal/parser/entry_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
 	"github.com/coltsfootscale/coltsfootscale/internal/parser"
 )
 
@@ -24,6 +25,8 @@
 Address = 10.0.0.9:90
 [Cloud]
 Address =
+[Routing]
+Policy = LeastLoad
 [Bounds]
 LeaseMilliseconds = 3000
 UsageWindowSeconds =
@@ -35,15 +38,16 @@
 	s, err := parser.ParseEntrySettings("entry.ini", []byte(entry))
 	quicktest.Assert(t, err, quicktest.IsNil)
 	quicktest.Check(t, s.Seeds, quicktest.DeepEquals, []string{"10.0.0.1:7780", "10.0.0.2:7780"})
+	quicktest.Check(t, s.Routing, quicktest.Equals, parser.EntryRouting{Policy: chooser.LeastLoad})
 	quicktest.Check(t, s.Cloud, quicktest.Equals, "")
 	quicktest.Check(t, s.Bounds.Lease, quicktest.Equals, 3*time.Second)
 	quicktest.Check(t, s.Bounds.UsageWindow, quicktest.Equals, 5*time.Second, quicktest.Commentf("what a site leaves out"))
 	quicktest.Check(t, s.Bounds.Cores, quicktest.Equals, 0.8)
 
 	// All faults come in one run.
-	bad := strings.NewReplacer("ID = front-1\n", "", "10.0.0.1:81", "here", "3000", "soon", "10.0.0.2:8367", "seed").Replace(entry) + "Colour = red\n"
+	bad := strings.NewReplacer("ID = front-1\n", "", "10.0.0.1:81", "here", "3000", "soon", "10.0.0.2:8367", "seed", "LeastLoad", "Best\nStages = Some").Replace(entry) + "Colour = red\n"
 	_, err = parser.ParseEntrySettings("entry.ini", []byte(bad))
 	var faults parser.Faults
 	quicktest.Assert(t, errors.As(err, &faults), quicktest.IsTrue)
-	quicktest.Check(t, faults, quicktest.HasLen, 5, quicktest.Commentf("%v", err))
+	quicktest.Check(t, faults, quicktest.HasLen, 7, quicktest.Commentf("%v", err))
 }
