--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -83,6 +83,8 @@
 	reload   func() (*parser.EntrySettings, error)
 	settings atomic.Pointer[parser.EntrySettings]
 	self     *gossiper.Member
+	// bounds are those of the start: the windows and leases of an instance never change while it runs.
+	bounds parser.EntryBounds
 
 	config   mirrorer.Mirror
 	targets  mirrorer.Mirror
@@ -119,6 +121,7 @@
 func New(settings *parser.EntrySettings, p Platform, faces Faces, reload func() (*parser.EntrySettings, error), logger *zap.Logger) *Coordinator {
 	c := &Coordinator{platform: p, faces: faces, logger: logger, reload: reload, told: map[string]*told{}}
 	c.settings.Store(settings)
+	c.bounds = settings.Bounds
 	c.openMetrics()
 	c.self = &gossiper.Member{
 		ID: string(settings.Instance), Incarnation: uuid.NewString()[:incarnationDigits], Zone: string(settings.Zone),
@@ -149,7 +152,7 @@
 }
 
 func (c *Coordinator) wireDuties() {
-	bounds := c.settings.Load().Bounds
+	bounds := c.bounds
 	c.elector = &elector.Elector{
 		Holder: c.self.ID + "/" + c.self.Incarnation, Log: c.platform.Duties, Lease: bounds.Lease, Logger: c.logger,
 		Now: bootTime, Eligible: c.eligible,
@@ -168,7 +171,7 @@
 }
 
 func (c *Coordinator) wireRequests() {
-	bounds := c.settings.Load().Bounds
+	bounds := c.bounds
 	c.budget = &retrier.Windowed{
 		Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow,
 		Members: c.instances,
@@ -266,7 +269,7 @@
 	if team == "" {
 		return
 	}
-	c.counts.Add(c.self.Incarnation, counter.Window(c.trueTime(), c.settings.Load().Bounds.UsageWindow), team)
+	c.counts.Add(c.self.Incarnation, counter.Window(c.trueTime(), c.bounds.UsageWindow), team)
 }
 
 // configurationChanged puts a newer version in force; an older one or one that cannot be read changes nothing.
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -159,7 +159,7 @@
 		c.book.Retain(c.registry.Targets(), time.Now())
 		c.demand.Sample(time.Now())
 		c.gauge(time.Now())
-		c.counts.Forget(c.trueTime().UnixMilli() / c.settings.Load().Bounds.UsageWindow.Milliseconds())
+		c.counts.Forget(c.trueTime().UnixMilli() / c.bounds.UsageWindow.Milliseconds())
 	}
 }
 
@@ -184,7 +184,8 @@
 			c.logger.Error("settings not usable, the ones before stay in force", zap.Bool("Signal", signaled), zap.Error(err))
 		case err == nil && (signaled || !equalSettings(s, c.settings.Load())):
 			c.settings.Store(s)
-			c.logger.Info("settings reloaded", zap.Bool("Signal", signaled), zap.Strings("Seeds", s.Seeds))
+			c.logger.Info("settings reloaded", zap.Bool("Signal", signaled), zap.Strings("Seeds", s.Seeds),
+				zap.Bool("BoundsAtNextStart", s.Bounds != c.bounds))
 		}
 		broken = err != nil
 	}
