First beats carry no records, and hearsay brings no incarnation back

A restarted peer also went on where the one before had been told of counts. Ruled out: the store (lost for lack of processor time only, by three instances); lapsed targets (no outage before the find). Conclusion: a beat to a peer that has said nothing tells what there is; the peer answers with what it lacks.

--- a/internal/coordinator/beats.go
+++ b/internal/coordinator/beats.go
@@ -34,7 +34,8 @@
 	return s
 }
 
-// complete adds to a beat what the peer lacks by its last one; last is nil for a peer not heard yet.
+// complete adds to a beat what the peer lacks by its last one. Without one the beat only tells what there is: the peer
+// answers with what it lacks, and after a restart of all nobody lacks anything.
 func (c *Coordinator) complete(b, last *gossiper.Beat) {
 	now := time.Now()
 	known := map[string]uint64{}
@@ -42,7 +43,11 @@
 		known[s.Name] = s.Next
 	}
 	for name, m := range c.mirrors() {
-		b.Streams = append(b.Streams, describe(name, m, identifier.Offset(known[name]), now))
+		from := identifier.Offset(known[name])
+		if last == nil {
+			from = m.Next()
+		}
+		b.Streams = append(b.Streams, describe(name, m, from, now))
 	}
 	for _, o := range c.registry.Orders(now) {
 		b.Orders = append(b.Orders, &gossiper.Order{Target: string(o.Target), Stage: int32(o.Stage), AgeMilliseconds: (orderkeeper.SettleTime - o.Left).Milliseconds()})
@@ -51,7 +56,7 @@
 		b.Lease = &gossiper.Lease{Holder: s.Holder, Fence: uint64(s.Fence), Offset: uint64(s.Next), AgeMilliseconds: s.Age.Milliseconds()}
 	}
 	if last != nil {
-		c.addNews(b, last.Statuses[0].Member.ID)
+		c.addNews(b, last.Statuses[0].Member)
 	}
 }
 
@@ -61,17 +66,20 @@
 
 func (c *cursor) advance(next uint64) { c.before, c.last = c.last, next }
 
-// told is how far a peer has been told of prompt parts and counts.
-type told struct{ parts, counts cursor }
+// told is how far one incarnation of a peer has been told of prompt parts and counts.
+type told struct {
+	incarnation   string
+	parts, counts cursor
+}
 
 // addNews adds the prompt parts that were read and the counts that changed since the beat before the last one.
-func (c *Coordinator) addNews(b *gossiper.Beat, peer string) {
+func (c *Coordinator) addNews(b *gossiper.Beat, peer *gossiper.Member) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t := c.told[peer]
-	if t == nil {
-		t = &told{}
-		c.told[peer] = t
+	t := c.told[peer.ID]
+	if t == nil || t.incarnation != peer.Incarnation {
+		t = &told{incarnation: peer.Incarnation}
+		c.told[peer.ID] = t
 	}
 	// A part that is not told costs a prompt that is read twice at worst, so it is told once.
 	sent, next := c.book.SentSince(t.parts.last)
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -58,7 +58,8 @@
 	Logger *zap.Logger
 	// Status returns what this instance says of itself.
 	Status func(now time.Time) *Status
-	// Complete adds what goes with the statuses to a beat, by what the peer last said it knows; last may be nil.
+	// Complete adds what goes with the statuses to a beat, by what the peer last said it knows; last is nil for a peer that
+	// has not said anything.
 	Complete func(b, last *Beat)
 	// Heard takes a status that is newer than the one before, and Learned what came with a beat.
 	Heard   func(s *Status, now time.Time)
@@ -98,8 +99,20 @@
 	g.group.Wait()
 }
 
-// Know adds a peer, or takes its new incarnation.
+// Know adds a peer that others know, or its new incarnation if the one before is no longer alive: what others know may be
+// older.
 func (g *Gossiper) Know(m *Member) {
+	g.mu.Lock()
+	old := g.peers[m.GetID()]
+	alive := old != nil && time.Since(old.HeardAt) <= g.aliveTime()
+	g.mu.Unlock()
+	if !alive {
+		g.adopt(m)
+	}
+}
+
+// adopt adds a peer, or takes its new incarnation.
+func (g *Gossiper) adopt(m *Member) {
 	if m.GetID() == "" || m.ID == g.Self.ID || m.PeerAddress == g.Self.PeerAddress {
 		return
 	}
@@ -207,7 +220,7 @@
 	if stale {
 		return false
 	}
-	g.Know(m)
+	g.adopt(m)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p = g.peers[m.ID]
@@ -234,7 +247,8 @@
 		b.Statuses = append(b.Statuses, g.relayed(p, now)...)
 	}
 	b.Known = uint32(len(g.peers) + 1)
-	if last.GetKnown() < b.Known {
+	// A peer that has not said what it knows most likely knows it: all read the store when they start.
+	if last != nil && last.Known < b.Known {
 		for _, other := range g.peers {
 			b.Members = append(b.Members, other.Member)
 		}
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -145,6 +145,23 @@
 	})
 }
 
+// TestOldNewsBringNoIncarnationBack restarts an instance while others, and the store, still name the one before.
+func TestOldNewsBringNoIncarnationBack(t *testing.T) {
+	run(t, 8, func(fl *fleet) {
+		fl.stop("entry-03")
+		fl.start(3, 3, "second")
+		time.Sleep(2 * time.Second)
+		fl.mu.Lock()
+		n := fl.nodes["entry-05"]
+		fl.mu.Unlock()
+		for range 20 {
+			n.Know(&gossiper.Member{ID: "entry-03", Incarnation: "first", Zone: "zone-0", PeerAddress: "entry-03", Capacity: 400})
+			quicktest.Assert(t, fl.unaware(7), quicktest.Equals, "")
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
 func TestDeadAreForgottenSoon(t *testing.T) {
 	run(t, 8, func(fl *fleet) {
 		fl.stop("entry-03")
