--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -107,7 +107,9 @@
 	if route.ID == "changing" {
 		targets = targets[:2]
 	}
-	if !route.Prompted {
+	if route.ID == "no service" {
+		targets = nil
+	} else if !route.Prompted {
 		targets = []*registrar.Target{{ID: "x1"}, {ID: "x2"}}
 	}
 	f := &forwarder.Forwarder{
@@ -325,6 +327,13 @@
 	public := serve(&backend{runs: []step{{status: 200, body: "ok"}}}, matcher.Route{Kind: matcher.Safe, Public: true}, &forwarder.Call{Host: "h", Path: "/p/x"}, 5)
 	quicktest.Check(t, public.Code, quicktest.Equals, 200)
 
+	// A service that has no targets, or that no configuration holds.
+	for _, kind := range []matcher.Kind{matcher.Unsafe, matcher.Safe, matcher.Stream} {
+		b := &backend{}
+		out := serve(b, matcher.Route{ID: "no service", Kind: kind}, &forwarder.Call{}, 5)
+		quicktest.Check(t, fmt.Sprint(out.Code, out.Body, len(b.sent)), quicktest.Equals, "503 NoTarget\n 0")
+	}
+
 	// Before the first configuration, and while a newer one may hold what is asked for, nothing is refused for good.
 	for _, table := range []*matcher.Table{nil, matcher.New(matcher.Configuration{})} {
 		f := &forwarder.Forwarder{
