Trace a request in the logs; check, dry run and version of the users' machines

Cause: getting from a request's id to its cause took grep and knowledge of the log lines, check did not cover the rendered settings, and a status that a target gave was not in the line that ends a request. trace names the cause in a sentence, and shows the decisions and the beliefs of the instance: for a refusal without a target what became of all targets. Ruled out: the name explain, whose options ask entry instances and are required there. A test runs each of these commands.

--- a/internal/commander/check.go
+++ b/internal/commander/check.go
@@ -11,14 +11,15 @@
 type checkCommand struct {
 	deferred
 	Settings  []string `long:"Settings" value-name:"FILE" description:"settings of an entry instance; may be given several times"`
+	Entries   []string `long:"EntrySettings" value-name:"FILE" description:"settings of an entry instance on the users' machines; may be given several times"`
 	Inventory string   `long:"Inventory" value-name:"FILE" description:"inventory"`
 	Rules     string   `long:"Rules" value-name:"FILE" description:"rules, checked against the inventory"`
 	JSON      bool     `long:"Json" description:"print JSON for programs"`
 }
 
 func (c *checkCommand) validate() error {
-	if len(c.Settings) == 0 && c.Inventory == "" && c.Rules == "" {
-		return fmt.Errorf("%w: nothing to check: give --Settings, --Inventory or --Rules", ErrUsage)
+	if len(c.Settings) == 0 && len(c.Entries) == 0 && c.Inventory == "" && c.Rules == "" {
+		return fmt.Errorf("%w: nothing to check: give --Settings, --EntrySettings, --Inventory or --Rules", ErrUsage)
 	}
 	return nil
 }
@@ -54,6 +55,14 @@
 		_, err = parser.ParseSettings(file, data)
 		faults = append(faults, faultsOf(err)...)
 	}
+	for _, file := range c.Entries {
+		data, err := readFile("--EntrySettings", file)
+		if err != nil {
+			return nil, err
+		}
+		_, err = parser.ParseEntrySettings(file, data)
+		faults = append(faults, faultsOf(err)...)
+	}
 	var inventory *recorder.Inventory
 	if c.Inventory != "" {
 		data, err := readFile("--Inventory", c.Inventory)
--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -16,9 +16,48 @@
 )
 
 func run(t *testing.T, args ...string) (code int, stderr string) {
+	code, _, stderr = runAll(t, args...)
+	return code, stderr
+}
+
+func runAll(t *testing.T, args ...string) (code int, stdout, stderr string) {
 	var out, errs bytes.Buffer
 	code = commander.Run(args, &commander.Environment{Stdout: &out, Stderr: &errs, Stop: t.Context()})
-	return code, errs.String()
+	return code, out.String(), errs.String()
+}
+
+func write(t *testing.T, name, text string) string {
+	file := filepath.Join(t.TempDir(), name)
+	quicktest.Assert(t, os.WriteFile(file, []byte(text), 0o600), quicktest.IsNil)
+	return file
+}
+
+// TestCommandsOfTheUsersMachines runs those that need no site.
+func TestCommandsOfTheUsersMachines(t *testing.T) {
+	settings := "[Instance]\nID = front-1\nAvailabilityZone = z\nListen = 10.0.0.1:80\nReadyListen = 10.0.0.1:81\nDirectoryListen = 10.0.0.1:82\n" +
+		"MetricsListen = 10.0.0.1:83\nPeerListen = 10.0.0.1:84\n[Store]\nAddress = 10.0.0.9:90\n"
+	good, bad := write(t, "good.ini", settings), write(t, "bad.ini", "[Instance]\nListen = nowhere\n[Routing]\nPolicy = Best\n")
+	logs := write(t, "a.log", `{"Time":"2026-07-01T10:00:04Z","Message":"request served","Instance":"front-1","RequestID":"r2","After":0.02,"Status":200}`+"\n{broken\n")
+	for name, tc := range map[string]struct {
+		args           []string
+		code           int
+		stdout, stderr string
+	}{
+		"version":            {[]string{"version"}, commander.ExitDone, "coltsfootscale ", ""},
+		"trace":              {[]string{"trace", "--Logs", logs, "r2"}, commander.ExitDone, "request r2 at front-1: served after 20ms", "a.log:2: "},
+		"trace, unknown":     {[]string{"trace", "--Logs", logs, "r3"}, commander.ExitRefused, "", "no line names the request: r3"},
+		"trace, no file":     {[]string{"trace", "--Logs", "nowhere.log", "r2"}, commander.ExitUsage, "", "nowhere.log"},
+		"check":              {[]string{"check", "--EntrySettings", good}, commander.ExitDone, "", ""},
+		"check, all faults":  {[]string{"check", "--EntrySettings", bad}, commander.ExitRefused, "Policy", "9 faults"},
+		"dry run":            {[]string{"entry", "--DryRun", "--Settings", good}, commander.ExitDone, `"LinkMegabits": 1000`, ""},
+		"entry, bad":         {[]string{"entry", "--Settings", bad}, commander.ExitUsage, "", "PeerListen"},
+		"entry, no settings": {[]string{"entry", "--Settings", "nowhere.ini"}, commander.ExitUsage, "", "nowhere.ini"},
+	} {
+		code, stdout, stderr := runAll(t, tc.args...)
+		quicktest.Check(t, code, quicktest.Equals, tc.code, quicktest.Commentf("%s: %s", name, stderr))
+		quicktest.Check(t, stdout, quicktest.Contains, tc.stdout, quicktest.Commentf(name))
+		quicktest.Check(t, stderr, quicktest.Contains, tc.stderr, quicktest.Commentf(name))
+	}
 }
 
 // TestChangesGoToOneEntry lets the first entry take a command and cut the connection, or be gone.
--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -17,6 +17,7 @@
 type entryCommand struct {
 	deferred
 	Settings string `long:"Settings" value-name:"FILE" description:"settings of the entry instance; by default the file that the platform names"`
+	DryRun   bool   `long:"DryRun" description:"print the settings in force, defaults filled in, and end"`
 	Debug    bool   `long:"Debug" description:"log debug lines too"`
 
 	settings *parser.EntrySettings
@@ -44,6 +45,9 @@
 }
 
 func (c *entryCommand) run(env *Environment) error {
+	if c.DryRun {
+		return printJSON(env, c.settings)
+	}
 	logger := NewLogger(zapcore.Lock(zapcore.AddSync(env.Stdout)), c.Debug).With(zap.String("Instance", string(c.settings.Instance)))
 	// kratos logs by a logger that all of the process shares.
 	log.SetLogger(kratosLogger{logger})
--- a/internal/commander/options.go
+++ b/internal/commander/options.go
@@ -49,8 +49,10 @@
 	Inventory inventoryQuery `command:"inventory" description:"show the inventory and rules in force"`
 	Usage     usageQuery     `command:"usage" description:"show the usage that is not yet reported"`
 	Explain   explainQuery   `command:"explain" description:"show the decisions made for a request"`
+	Trace     traceQuery     `command:"trace" description:"show from logs what decided a request, and why it ended as it did"`
 	Addresses addressesQuery `command:"addresses" description:"show the addresses that callers get"`
 	Check     checkCommand   `command:"check" description:"check settings, inventory and rules offline"`
+	Version   versionQuery   `command:"version" description:"print what was built"`
 	Hash      hashCommand    `command:"hash" description:"print the hash of a key for OperatorKeyHash"`
 	Ask       askCommand     `command:"ask" description:"send one chat completion and print the answer"`
 	Call      callCommand    `command:"call" description:"send one call to a plain service and print the answer"`
--- /dev/null
+++ b/internal/commander/trace.go
@@ -0,0 +1,71 @@
+package commander
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/tracer"
+)
+
+type traceQuery struct {
+	deferred
+	Logs       []string `long:"Logs" value-name:"FILE" required:"true" description:"logs of entry instances; may be given several times, - stands for standard input"`
+	Positional struct {
+		RequestID string `positional-arg-name:"REQUEST-ID" required:"true"`
+	} `positional-args:"true"`
+}
+
+func (q *traceQuery) validate() error {
+	for _, file := range q.Logs {
+		if file == "-" {
+			continue
+		}
+		if _, err := os.Stat(file); err != nil {
+			return fmt.Errorf("%w: --Logs: %w", ErrUsage, err)
+		}
+	}
+	return nil
+}
+
+// run prints what the logs of all instances tell of one request.
+func (q *traceQuery) run(env *Environment) error {
+	var lines []tracer.Line
+	for _, file := range q.Logs {
+		more, err := readLogs(env, file)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, more...)
+	}
+	tracer.Sort(lines)
+	trace, err := tracer.Find(lines, q.Positional.RequestID)
+	if errors.Is(err, tracer.ErrUnknown) {
+		return fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	if err != nil {
+		return err
+	}
+	return trace.Write(env.Stdout)
+}
+
+func readLogs(env *Environment, file string) ([]tracer.Line, error) {
+	var r io.Reader = os.Stdin
+	if file != "-" {
+		f, err := os.Open(file)
+		if err != nil {
+			return nil, fmt.Errorf("%w: --Logs: %w", ErrUsage, err)
+		}
+		defer f.Close()
+		r = f
+	}
+	lines, bad, err := tracer.Read(r, file)
+	if err != nil {
+		return nil, fmt.Errorf("%w: --Logs %s: %w", ErrUsage, file, err)
+	}
+	for _, u := range bad {
+		fmt.Fprintln(env.Stderr, "unreadable line", u)
+	}
+	return lines, nil
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -95,6 +95,8 @@
 	// wrote tells that the head of the answer went to the client.
 	wrote bool
 	trace trace
+	// status is that of the target's answer.
+	status int
 }
 
 // trace is what decided a request, for the log.
@@ -150,7 +152,7 @@
 		zap.String("RequestID", string(j.call.ID)), zap.String("Route", string(j.route.ID)), zap.Duration("After", time.Since(j.start)),
 		zap.String("PromptTarget", string(j.trace.promptTarget)), zap.Duration("Predicted", j.trace.predicted),
 		zap.Int64("FreshTokens", int64(j.trace.fresh)), zap.Duration("PromptTook", j.trace.promptTook),
-		zap.String("AnswerTarget", string(j.trace.answerTarget)), zap.Duration("FirstEvent", j.trace.firstEvent), zap.Int("Sends", j.sends))
+		zap.String("AnswerTarget", string(j.trace.answerTarget)), zap.Duration("FirstEvent", j.trace.firstEvent), zap.Int("Status", j.status), zap.Int("Sends", j.sends))
 }
 
 func (j *job) log(message string, r *Refusal) {
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -95,6 +95,7 @@
 	end := j.f.Book.Begin(t.ID, chooser.Load{Answers: 1}, time.Now())
 	defer end()
 	j.sends++
+	j.trace.answerTarget = t.ID
 	reply, err := j.f.Backend.Run(ctx, j.call, j.send(t, nil, j.call.LastEvent))
 	if err != nil {
 		j.account(err)
@@ -116,7 +117,7 @@
 		j.writeWhole(r, start)
 		return nil
 	}
-	j.wrote = true
+	j.wrote, j.status = true, r.Status
 	maps.Copy(j.w.Header(), r.Header)
 	if r.Length >= 0 {
 		j.w.Header().Set("Content-Length", strconv.FormatInt(r.Length, 10))
@@ -130,7 +131,7 @@
 
 // writeWhole sends a target's whole answer unchanged.
 func (j *job) writeWhole(r *Reply, body []byte) {
-	j.wrote = true
+	j.wrote, j.status = true, r.Status
 	maps.Copy(j.w.Header(), r.Header)
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	j.w.WriteHeader(r.Status)
--- a/internal/forwarder/streamed.go
+++ b/internal/forwarder/streamed.go
@@ -210,7 +210,7 @@
 	if j.wrote {
 		return
 	}
-	j.wrote = true
+	j.wrote, j.status = true, reply.Status
 	maps.Copy(j.w.Header(), reply.Header)
 	j.w.WriteHeader(reply.Status)
 }
