Fault soak of the real program on one machine

Four entry processes behind loopback proxies to the store, with stand-ins of store and workers: stops, kills, pauses, restarts, cuts one way and both, lost answers, refusals, workers that leave or crash, in three overlapping series. It judges what clients and workers see, and a calm end in which all must hold. Left out: clocks, which cannot be changed from outside a process.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PROTOS = internal/recorder/recorder.proto internal/messenger/messenger.proto internal/gossiper/gossip.proto internal/elector/duty.proto
 OWN = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build test lint demo soak failures measure bench capacity fuzz race proto
+.PHONY: build test lint demo soak fault-soak failures measure bench capacity fuzz race proto
 
 build:
 	go build -o bin/ ./cmd/...
@@ -27,6 +27,10 @@
 soak:
 	go test ./internal/runner -run TestSoak -timeout 0 -soak.seed $(SEED) -soak.runs $(RUNS)
 
+# Real entry processes under faults from outside them; fifty seeds take half an hour.
+fault-soak:
+	go test ./platform -run TestFaultSoak -v -timeout 0 -faultsoak.seed $(SEED) -faultsoak.runs $(RUNS)
+
 proto:
 	go build -modfile=tools/go.mod -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
 	protoc --plugin=bin/protoc-gen-go --go_out=. --go_opt=module=github.com/coltsfootscale/coltsfootscale $(PROTOS)
