--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/coltsfootscale/coltsfootscale/internal/asserter"
 	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
 	"github.com/coltsfootscale/coltsfootscale/internal/counter"
 	"github.com/coltsfootscale/coltsfootscale/internal/demander"
@@ -289,6 +290,7 @@
 			return
 		}
 		if c.table.CompareAndSwap(old, next) {
+			asserter.That(old == nil || old.Version < next.Version, asserter.ConfigurationNeverReverts, "version %d after a later one", next.Version)
 			break
 		}
 	}
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/coltsfootscale/coltsfootscale/internal/asserter"
 	"github.com/coltsfootscale/coltsfootscale/internal/exchanger"
 	"github.com/coltsfootscale/coltsfootscale/internal/follower"
 	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
@@ -38,6 +39,9 @@
 	if err != nil {
 		return fmt.Errorf("peers: %w", err)
 	}
+	asserter.OnViolation(func(invariant asserter.Invariant, detail string) {
+		c.logger.Error("invariant violated", zap.String("Invariant", string(invariant)), zap.String("Detail", detail))
+	})
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	duties, yield := context.WithCancel(background)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/coltsfootscale/coltsfootscale/internal/asserter"
 	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
 	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
@@ -138,6 +139,7 @@
 		j.log("client left", refusal)
 		panic(http.ErrAbortHandler)
 	}
+	asserter.That(!refusal.promisesNotRun() || !j.began, asserter.NotRunIsTrue, "request %s: %s", j.call.ID, refusal.Reason)
 	j.f.Metrics.Tagged(map[string]string{"Reason": refusal.Reason}).Counter("Refusals").Inc(1)
 	j.log("request refused", refusal)
 	if j.wrote {
@@ -282,6 +284,11 @@
 	return &Refusal{Status: status, Reason: reason, Err: err}
 }
 
+// promisesNotRun tells whether the status tells the client that the request has not run and never will.
+func (r *Refusal) promisesNotRun() bool {
+	return r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests
+}
+
 func (r *Refusal) write(w http.ResponseWriter) {
 	if r.Return > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(r.Return.Seconds(), 'f', 3, 64))
