A beat that leaves a gap tells nothing

A peer goes on from what it told the incarnation before (and, since first beats are small, from its own end); the receiver took records without a beginning for all there is, counted as fresh and never read the store. Ruled out: the store (up, asked by nobody); the directory (rightly leaves the two out). Conclusion: beats name the offset from which on their records are all.

--- a/internal/coordinator/beats.go
+++ b/internal/coordinator/beats.go
@@ -103,7 +103,7 @@
 }
 
 func describe(name string, m *mirrorer.Mirror, from identifier.Offset, now time.Time) *gossiper.Stream {
-	s := &gossiper.Stream{Name: name, Next: uint64(m.Next()), AgeMilliseconds: -1}
+	s := &gossiper.Stream{Name: name, From: uint64(from), Next: uint64(m.Next()), AgeMilliseconds: -1}
 	if age, known := m.Age(now); known {
 		s.AgeMilliseconds = age.Milliseconds()
 	}
@@ -155,6 +155,9 @@
 }
 
 func learnStream(m *mirrorer.Mirror, s *gossiper.Stream, now time.Time) {
+	if identifier.Offset(s.From) > m.Next() {
+		return // There is a gap; the peer fills it when it has heard how far this instance knows the stream.
+	}
 	records := make([]mirrorer.Record, 0, len(s.Records))
 	for _, r := range s.Records {
 		records = append(records, mirrorer.Record{Key: r.Key, Value: r.Value, Offset: identifier.Offset(r.Offset)})
