Give a connection to a target up after 200 ms

A set-up takes some milliseconds; a lost first packet is sent again after a second only, so the 500 ms brought nothing but waiting. A send that never left costs no attempt and goes to another target. Ruled out: waiting with two connections at once (they count on the target). Conclusion: kept for the dark targets.

--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -23,8 +23,9 @@
 )
 
 const (
-	// dialTimeout bounds the set-up of a connection; a set-up takes some milliseconds where the target lives.
-	dialTimeout = 500 * time.Millisecond
+	// dialTimeout bounds the set-up of a connection, which takes some milliseconds where the target lives; a lost first
+	// packet is sent again only after a second, so nothing comes of a longer wait.
+	dialTimeout = 200 * time.Millisecond
 	// defaultIdle is how long a connection is kept if the target names no time.
 	defaultIdle = 4 * time.Second
 	// idleMargin is how much sooner than the target a connection is closed here.
--- a/internal/pooler/pooler_test.go
+++ b/internal/pooler/pooler_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
@@ -180,6 +181,17 @@
 	quicktest.Assert(t, err, quicktest.ErrorIs, pooler.ErrNotSent)
 }
 
+// TestDarkTarget answers targets that fell silent: the request must reach another one within the promised latency.
+func TestDarkTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &pooler.Pool{Dial: func(ctx context.Context, _ string) (net.Conn, error) { <-ctx.Done(); return nil, ctx.Err() }}
+		start := time.Now()
+		_, err := send(p, &target{addr: "10.0.0.1:80"}, "a", 0)
+		quicktest.Check(t, err, quicktest.ErrorIs, pooler.ErrNotSent)
+		quicktest.Check(t, time.Since(start) <= 250*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("after %v", time.Since(start)))
+	})
+}
+
 func TestClientLeaves(t *testing.T) {
 	closed := make(chan struct{})
 	tg := listen(t, func(conn net.Conn, _ *http.Request, _ int) {
