--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -142,6 +142,7 @@
 	c.targets.Same = c.platform.SameTarget
 	c.members.Changed = c.memberChanged
 	c.targets.Outage = shortestOutage
+	c.targets.Failing = func(time.Time) time.Duration { return 0 } // Until the stream is followed.
 	c.registry.StoreReturned = c.targets.Regained
 }
 
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -63,10 +63,12 @@
 		Answer: func(req proto.Message) proto.Message { return c.peers.Answer(req.(*gossiper.Beat)) },
 		Logger: c.logger,
 	}
+	targets := c.follow(streamTargets, c.platform.Targets, &c.targets, c.readAge)
+	c.targets.Failing = targets.Failing
 	for _, duty := range []func(context.Context){
 		c.peers.Run, c.contactSeeds, c.register, c.tidy, c.watchSettings,
 		c.follow(streamConfiguration, c.platform.Configuration, &c.config, c.readAge).Run,
-		c.follow(streamTargets, c.platform.Targets, &c.targets, c.readAge).Run,
+		targets.Run,
 		c.follow(streamMembers, c.platform.Members, &c.members, c.memberAge).Run,
 		func(ctx context.Context) { peerServer.Serve(ctx, peerLis) },
 	} {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -80,10 +80,12 @@
 
 // follow runs a follower for some time of the test's clock while f acts, and returns its mirror.
 func follow(t *testing.T, s *stream, f func(m *mirrorer.Mirror)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		m := &mirrorer.Mirror{}
 		ctx, cancel := context.WithCancel(context.Background())
 		fl := &follower.Follower{Name: "Targets", Stream: s, Mirror: m, Logger: zap.NewNop(), MaximumAge: func() time.Duration { return maximumAge }}
+		m.Failing = fl.Failing
 		done := make(chan struct{})
 		go func() { defer close(done); fl.Run(ctx) }()
 		time.Sleep(time.Second)
--- a/internal/mirrorer/mirror.go
+++ b/internal/mirrorer/mirror.go
@@ -23,8 +23,11 @@
 	Changed func(Record)
 	// Same tells that a newer value means the same as the one before, so that peers need not hear of it; it may be nil.
 	Same func(older, newer []byte) bool
-	// Outage is how long nobody must have brought news for the stream to count as away; zero: never.
+	// Outage is how long nobody must have brought news, while calls failed, for the stream to count as away; zero: never.
 	Outage time.Duration
+	// Failing returns for how long this instance's own calls have failed: without such a failure a gap in the news is a
+	// pause of this instance, or of its peers. It must be set where Outage is.
+	Failing func(now time.Time) time.Duration
 
 	mu      sync.Mutex
 	records map[string]Record
@@ -83,7 +86,7 @@
 	}
 	m.next = max(m.next, next)
 	if asOf.After(m.freshAt) && next >= m.next {
-		if m.Outage > 0 && !m.freshAt.IsZero() && asOf.Sub(m.freshAt) >= m.Outage {
+		if m.Outage > 0 && !m.freshAt.IsZero() && asOf.Sub(m.freshAt) >= m.Outage && m.Failing(asOf) >= m.Outage {
 			m.regained = asOf
 		}
 		m.freshAt = asOf
