Weak instances are no hubs

Hubs pass 72 statuses on to 14 partners twice a second. Ruled out: the store (up), the instance's processor (its log goes on). Before: the model gives such a hub 350 exchanges in 10 s. Conclusion: a zone without a strong instance turns to hubs of other zones.

--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -23,10 +23,14 @@
 	mu        sync.Mutex
 	nodes     map[string]*node
 	exchanges int
+	// capacity is that of an instance by its number; nil: all alike.
+	capacity func(i int) uint32
 }
 
 type node struct {
 	*gossiper.Gossiper
+	// took counts the exchanges in which the instance took part.
+	took   int
 	fleet  *fleet
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -36,6 +40,9 @@
 	n.fleet.mu.Lock()
 	to := n.fleet.nodes[addr]
 	n.fleet.exchanges++
+	if n.took++; to != nil {
+		to.took++
+	}
 	n.fleet.mu.Unlock()
 	if to == nil {
 		return errCut
@@ -49,6 +56,9 @@
 func (f *fleet) start(i, zones int, incarnation string) {
 	id := fmt.Sprintf("entry-%02d", i)
 	self := &gossiper.Member{ID: id, Incarnation: incarnation, Zone: fmt.Sprint("zone-", i%zones), PeerAddress: id, Capacity: 400}
+	if f.capacity != nil {
+		self.Capacity = f.capacity(i)
+	}
 	n := &node{fleet: f, done: make(chan struct{})}
 	n.Gossiper = &gossiper.Gossiper{
 		Self: self, Caller: n, Logger: zap.NewNop(),
@@ -96,8 +106,12 @@
 }
 
 func run(t *testing.T, size int, f func(fl *fleet)) {
+	runFleet(t, size, nil, f)
+}
+
+func runFleet(t *testing.T, size int, capacity func(i int) uint32, f func(fl *fleet)) {
 	synctest.Test(t, func(*testing.T) {
-		fl := &fleet{}
+		fl := &fleet{capacity: capacity}
 		for i := range size {
 			fl.start(i, 3, "first")
 		}
@@ -162,6 +176,31 @@
 	})
 }
 
+// TestWeakInstancesAreNoHubs answers a rolling restart on machines of two sizes: when the strong ones of a zone are gone, no
+// weak one passes on the beats of its zone over a slow link.
+func TestWeakInstancesAreNoHubs(t *testing.T) {
+	strong := func(i int) uint32 { return map[bool]uint32{true: 800, false: 100}[i < 6] }
+	runFleet(t, 45, strong, func(fl *fleet) {
+		fl.stop("entry-01")
+		fl.stop("entry-04")
+		time.Sleep(8 * time.Second)
+		quicktest.Check(t, fl.unaware(42), quicktest.Equals, "")
+		fl.mu.Lock()
+		for _, n := range fl.nodes {
+			n.took = 0
+		}
+		fl.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		fl.mu.Lock()
+		defer fl.mu.Unlock()
+		for id, n := range fl.nodes {
+			if n.Self.Capacity == 100 {
+				quicktest.Check(t, n.took < 10*6, quicktest.IsTrue, quicktest.Commentf("%s: %d exchanges in 10 s", id, n.took))
+			}
+		}
+	})
+}
+
 func TestDeadAreForgottenSoon(t *testing.T) {
 	run(t, 8, func(fl *fleet) {
 		fl.stop("entry-03")
--- a/internal/gossiper/topology.go
+++ b/internal/gossiper/topology.go
@@ -5,12 +5,14 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 )
 
-// In a small fleet all instances are each other's partners. In a large one the first live instances of each availability
-// zone are hubs: an instance's partners are the hubs of its zone, and hubs are partners of each other. Hubs pass on the
-// statuses of others, each to each partner once. So the beats of an instance do not grow with the fleet, those of a hub
+// In a small fleet all instances are each other's partners. In a large one the strongest live instances of each availability
+// zone are hubs: an instance's partners are the hubs of its zone, and hubs are partners of each other. An instance far
+// weaker than the strongest is no hub: its link would be choked by beats. Where a zone has none, its instances turn to two
+// hubs of other zones, by a hash of their ids. Hubs pass on the statuses of others, each to each partner once. So the beats of an instance do not grow with the fleet, those of a hub
 // grow with its zone, and few of them cross zones. Everyone computes the hubs from what it knows; where two disagree
 // for a while, an instance has a partner more or less.
 
@@ -19,6 +21,8 @@
 	meshSize = 12
 	// hubsPerZone is how many hubs a zone has, so that the loss of one is not felt.
 	hubsPerZone = 2
+	// hubStrength is the part of the strongest instance's capacity that a hub has at least.
+	hubStrength = 0.5
 	// hubsLife is how long the computed hubs stand.
 	hubsLife = 200 * time.Millisecond
 	// suspectTime is how long an instance that could not be reached is not a hub here.
@@ -62,10 +66,40 @@
 		return true
 	}
 	hubs := g.currentHubs(now)
-	if p.Member.Zone == g.Self.Zone {
-		return hubs[g.Self.ID] || hubs[p.Member.ID]
+	switch self, other := hubs[g.Self.ID], hubs[p.Member.ID]; {
+	case self && other:
+		return true
+	case self:
+		return slices.Contains(g.hubsOf(p.Member.ID, p.Member.Zone), g.Self.ID)
+	case other:
+		return slices.Contains(g.hubsOf(g.Self.ID, g.Self.Zone), p.Member.ID)
 	}
-	return hubs[g.Self.ID] && hubs[p.Member.ID]
+	return false
+}
+
+// hubsOf returns the hubs of an instance: those of its zone, or some of other zones; the caller holds the lock.
+func (g *Gossiper) hubsOf(id, zone string) []string {
+	var own, all []string
+	for hub := range g.hubs {
+		all = append(all, hub)
+		if g.zone(hub) == zone {
+			own = append(own, hub)
+		}
+	}
+	if len(own) > 0 {
+		return own
+	}
+	slices.SortFunc(all, func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(id+"/"+a), xxhash.Sum64String(id+"/"+b))
+	})
+	return all[:min(len(all), hubsPerZone)]
+}
+
+func (g *Gossiper) zone(id string) string {
+	if p := g.peers[id]; p != nil {
+		return p.Member.Zone
+	}
+	return g.Self.Zone
 }
 
 // currentHubs are the ids of the hubs of all zones.
@@ -81,8 +115,15 @@
 			byZone[p.Member.Zone] = append(byZone[p.Member.Zone], id)
 		}
 	}
+	strongest := uint32(0)
+	for _, ids := range byZone {
+		for _, id := range ids {
+			strongest = max(strongest, g.capacity(id))
+		}
+	}
 	g.hubs, g.hubsAt = map[string]bool{}, now
 	for _, ids := range byZone {
+		ids = slices.DeleteFunc(ids, func(id string) bool { return float64(g.capacity(id)) < hubStrength*float64(strongest) })
 		slices.SortFunc(ids, func(a, b string) int { return g.compare(a, b) })
 		for _, id := range ids[:min(len(ids), hubsPerZone)] {
 			g.hubs[id] = true
