--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -160,7 +160,8 @@
 		Now: bootTime, Eligible: c.eligible,
 	}
 	c.supplier = &orderkeeper.Supplier{
-		Duty: c.elector, Platform: c.platform.Supply, Table: c.table.Load, Targets: c.registry.Staying, Serving: c.registry.Of, Load: c.demand.Peak, Logger: c.logger,
+		Duty: c.elector, Platform: c.platform.Supply, Table: c.table.Load,
+		Targets: c.registry.Staying, Serving: c.registry.Of, Load: c.demand.Peak, Logger: c.logger,
 	}
 	c.keeper = &orderkeeper.Keeper{
 		Holder: c.self.ID, Duty: c.elector, Commander: c.platform.Commander, Shrinking: c.supplier.Shrinking,
@@ -179,8 +180,11 @@
 		Members: c.instances,
 	}
 	c.forward = &forwarder.Forwarder{
-		Zone: identifier.ZoneID(c.self.Zone), Table: c.table.Load, TableAge: c.tableAge, Targets: c.registry.Of,
-		Book: &c.book, Chooser: &chooser.Chooser{Policy: c.settings.Load().Routing.Policy}, Backend: c.platform.Backend, Spread: c.spread, Budget: c.budget, Instances: c.instances, Expected: c.expected, Began: c.began, Offered: c.demand.Add, Logger: c.logger, Metrics: c.metrics,
+		Zone: identifier.ZoneID(c.self.Zone), Table: c.table.Load, TableAge: c.tableAge,
+		Targets: c.registry.Of, Expected: c.expected, Instances: c.instances,
+		Book: &c.book, Chooser: &chooser.Chooser{Policy: c.settings.Load().Routing.Policy}, Spread: c.spread,
+		Backend: c.platform.Backend, Budget: c.budget,
+		Began: c.began, Offered: c.demand.Add, Logger: c.logger, Metrics: c.metrics,
 	}
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -154,7 +154,8 @@
 		zap.String("RequestID", string(j.call.ID)), zap.String("Route", string(j.route.ID)), zap.Duration("After", time.Since(j.start)),
 		zap.String("PromptTarget", string(j.trace.promptTarget)), zap.Duration("Predicted", j.trace.predicted),
 		zap.Int64("FreshTokens", int64(j.trace.fresh)), zap.Duration("PromptTook", j.trace.promptTook),
-		zap.String("AnswerTarget", string(j.trace.answerTarget)), zap.Duration("FirstEvent", j.trace.firstEvent), zap.Int("Status", j.status), zap.Int("Sends", j.sends))
+		zap.String("AnswerTarget", string(j.trace.answerTarget)), zap.Duration("FirstEvent", j.trace.firstEvent),
+		zap.Int("Status", j.status), zap.Int("Sends", j.sends))
 }
 
 func (j *job) log(message string, r *Refusal) {
--- a/internal/gossiper/topology.go
+++ b/internal/gossiper/topology.go
@@ -9,12 +9,13 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// In a small fleet all instances are each other's partners. In a large one the strongest live instances of each availability
-// zone are hubs: an instance's partners are the hubs of its zone, and hubs are partners of each other. An instance far
-// weaker than the strongest is no hub: its link would be choked by beats. Where a zone has none, its instances turn to two
-// hubs of other zones, by a hash of their ids. Hubs pass on the statuses of others, each to each partner once. So the beats of an instance do not grow with the fleet, those of a hub
-// grow with its zone, and few of them cross zones. Everyone computes the hubs from what it knows; where two disagree
-// for a while, an instance has a partner more or less.
+// In a small fleet all instances are each other's partners. In a large one the strongest live instances of each
+// availability zone are hubs: an instance's partners are the hubs of its zone, and hubs are partners of each other. An
+// instance far weaker than the strongest is no hub: its link would be choked by beats. Where a zone has none, its
+// instances turn to two hubs of other zones, by a hash of their ids. Hubs pass on the statuses of others, each to each
+// partner once. So the beats of an instance do not grow with the fleet, those of a hub grow with its zone, and few of
+// them cross zones. Everyone computes the hubs from what it knows; where two disagree for a while, an instance has a
+// partner more or less.
 
 const (
 	// meshSize is the largest fleet in which all instances are partners.
