--- a/internal/coordinator/constants.go
+++ b/internal/coordinator/constants.go
@@ -12,7 +12,7 @@
 	// the others wait for its beats, and read by themselves if these do not come.
 	readerAge = 300 * time.Millisecond
 	rankDelay = 500 * time.Millisecond
-	mostDelay = 1000 * time.Millisecond
+	mostDelay = 600 * time.Millisecond
 	// mostDelayLarge is the most in a fleet in which beats are passed on by hubs.
 	mostDelayLarge = 1200 * time.Millisecond
 	// spreadSmall and spreadLarge are how far predictions may be off in a mesh and with hubs.
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -102,13 +102,19 @@
 }
 
 func (c *Coordinator) delay() time.Duration {
-	most := mostDelay
-	if c.peers.Large() {
-		most = mostDelayLarge
-	}
+	most := OldestCopy(c.peers.Large()) - readerAge
 	return min(most, time.Duration(c.rank())*rankDelay)
 }
 
+// OldestCopy is how old an instance lets its copies of the configuration and the targets grow by what beats tell. They may
+// be older in truth by the time that an exchange took.
+func OldestCopy(large bool) time.Duration {
+	if large {
+		return readerAge + mostDelayLarge
+	}
+	return readerAge + mostDelay
+}
+
 // contactSeeds makes this instance known to those that its settings name, until one is heard.
 func (c *Coordinator) contactSeeds(ctx context.Context) {
 	for len(c.peers.Alive(time.Now())) == 0 {
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -17,8 +17,8 @@
 	// meshInterval and relayInterval are the times between two beats to a peer, in a small fleet and in a large one.
 	meshInterval  = 250 * time.Millisecond
 	relayInterval = 500 * time.Millisecond
-	// exchangeTimeout bounds one exchange, so that a silent connection is found within a second.
-	exchangeTimeout = 800 * time.Millisecond
+	// ExchangeTimeout bounds one exchange, so that a silent connection is found within a second.
+	ExchangeTimeout = 800 * time.Millisecond
 	// meshAlive and relayAlive are how long a peer counts as alive after its last status was made.
 	meshAlive  = 1500 * time.Millisecond
 	relayAlive = 3 * time.Second
@@ -139,7 +139,7 @@
 // Contact exchanges one beat with an address whose instance is not yet known.
 func (g *Gossiper) Contact(ctx context.Context, addr string) error {
 	reply := &Beat{}
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, ExchangeTimeout)
 	defer cancel()
 	if err := g.Caller.Exchange(ctx, addr, g.compose(nil), reply); err != nil {
 		return err
@@ -312,7 +312,7 @@
 }
 
 func (g *Gossiper) once(ctx context.Context, p *peer) error {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, ExchangeTimeout)
 	defer cancel()
 	reply := &Beat{}
 	if err := g.Caller.Exchange(ctx, p.Member.PeerAddress, g.compose(p), reply); err != nil {
