--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -47,16 +47,15 @@
 	// expired tells that the records after the mirror's are gone, so that only the newest of each key can be read.
 	expired bool
 	away    bool
-	// awayAt is when the first of the calls that failed in a row was made, in nanoseconds of Unix time; zero: none failed
-	// since the mirror was last fresh.
-	awayAt atomic.Int64
+	// awayAt is when the first of the calls that failed in a row was made; nil: none failed since the mirror was last fresh.
+	awayAt atomic.Pointer[time.Time]
 }
 
 // Run follows the stream until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if age, known := f.Mirror.Age(time.Now()); known && age < f.MaximumAge() {
-			f.awayAt.Store(0)
+			f.awayAt.Store(nil)
 			if sleeper.Sleep(ctx, checkPause) != nil {
 				return
 			}
@@ -71,10 +70,10 @@
 // Failing returns for how long the calls have failed, if the mirror has not been fresh since.
 func (f *Follower) Failing(now time.Time) time.Duration {
 	at := f.awayAt.Load()
-	if at == 0 {
+	if at == nil {
 		return 0
 	}
-	return now.Sub(time.Unix(0, at))
+	return now.Sub(*at)
 }
 
 // step makes one call to the store and applies its answer.
@@ -92,7 +91,7 @@
 			f.Logger.Warn("store lost", zap.String("Stream", f.Name), zap.Error(err))
 		}
 		f.away = true
-		f.awayAt.CompareAndSwap(0, asked.UnixNano())
+		f.awayAt.CompareAndSwap(nil, &asked)
 		return err
 	}
 	f.expired = false
