--- a/internal/coordinator/constants.go
+++ b/internal/coordinator/constants.go
@@ -13,8 +13,10 @@
 	readerAge = 300 * time.Millisecond
 	rankDelay = 500 * time.Millisecond
 	mostDelay = 600 * time.Millisecond
-	// mostDelayLarge is the most in a fleet in which beats are passed on by hubs.
+	// mostDelayLarge is the most in a fleet in which beats are passed on by hubs, for all but the first hubReaders, which are
+	// the hubs of five zones: others that the store turns away hear from them in two steps.
 	mostDelayLarge = 1200 * time.Millisecond
+	hubReaders     = 10
 	// spreadSmall and spreadLarge are how far predictions may be off in a mesh and with hubs.
 	spreadSmall = 10 * time.Millisecond
 	spreadLarge = 80 * time.Millisecond
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -102,14 +102,15 @@
 }
 
 func (c *Coordinator) delay() time.Duration {
-	most := OldestCopy(c.peers.Large()) - readerAge
-	return min(most, time.Duration(c.rank())*rankDelay)
+	rank := c.rank()
+	most := OldestCopy(c.peers.Large(), rank) - readerAge
+	return min(most, time.Duration(rank)*rankDelay)
 }
 
-// OldestCopy is how old an instance lets its copies of the configuration and the targets grow by what beats tell. They may
-// be older in truth by the time that an exchange took.
-func OldestCopy(large bool) time.Duration {
-	if large {
+// OldestCopy is how old the instance of a rank lets its copies of the configuration and the targets grow by what beats
+// tell. They may be older in truth by the time that an exchange took.
+func OldestCopy(large bool, rank int) time.Duration {
+	if large && rank >= hubReaders {
 		return readerAge + mostDelayLarge
 	}
 	return readerAge + mostDelay
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// meshInterval and relayInterval are the times between two beats to a peer, in a small fleet and in a large one.
+	// meshInterval and RelayInterval are the times between two beats to a peer, in a small fleet and in a large one.
 	meshInterval  = 250 * time.Millisecond
-	relayInterval = 500 * time.Millisecond
+	RelayInterval = 500 * time.Millisecond
 	// ExchangeTimeout bounds one exchange, so that a silent connection is found within a second.
 	ExchangeTimeout = 800 * time.Millisecond
 	// meshAlive and relayAlive are how long a peer counts as alive after its last status was made.
--- a/internal/gossiper/topology.go
+++ b/internal/gossiper/topology.go
@@ -53,7 +53,7 @@
 	defer g.mu.Unlock()
 	interval := meshInterval
 	if g.large() {
-		interval = relayInterval
+		interval = RelayInterval
 	}
 	if !g.partners(p, now) {
 		return false, strangerPause
