--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// meshInterval and RelayInterval are the times between two beats to a peer, in a small fleet and in a large one.
-	meshInterval  = 250 * time.Millisecond
+	// meshInterval is the time between two beats to a peer in a small fleet.
+	meshInterval = 250 * time.Millisecond
+	// RelayInterval is the same in a large fleet, in which hubs pass statuses on.
 	RelayInterval = 500 * time.Millisecond
 	// ExchangeTimeout bounds one exchange, so that a silent connection is found within a second.
 	ExchangeTimeout = 800 * time.Millisecond
