Gossip whose bytes, goroutines and timers at an ordinary instance do not grow with the fleet

Cause of the processor time of the large site: at 295 instances an ordinary one ran a goroutine and a timer for each of the 294 others, and received each status with its member from both hubs of its zone every half second, all usage counts of the fleet four times, and all prompt parts, also those of single requests. Hubs sent what they had received from a hub back to all hubs, and each change of a target came back to the hubs from each instance of their zone.

Change: exchanges run for partners only. Hubs send each other what they have at first hand; the rest follows every 0.9 s in case two hubs cannot reach each other. An ordinary instance receives statuses from one hub, each every 0.9 s, named by incarnation once the member is known (it asks for unknown ones; several instances with the same incarnation keep the member). Counts go to hubs and the holder of the duties. In a fleet with hubs only parts that requests share are reported. Only hubs pass on what they were sent. Live peers and topology are computed once, not for each question. Older builds, which do not ask for compact statuses, get whole ones. A directory of a zone with more than 64 instances offers a selection of its own instead of the first ones by name.

--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -186,3 +186,27 @@
 	}
 	quicktest.Check(t, len(chosen) >= 4, quicktest.IsTrue)
 }
+
+// TestReportedParts checks what a hub reports: to other hubs only what it has at first hand, and in a large fleet no part
+// that belongs to a single request.
+func TestReportedParts(t *testing.T) {
+	large := false
+	states := &chooser.TargetStates{SharedPartsOnly: func() bool { return large }}
+	part := func(id identifier.PartID) chooser.Part { return chooser.Part{ID: id, Tokens: 100} }
+	now := time.Now()
+	states.Prefilled("t", []chooser.Part{part(1), part(2)}, now)
+	large = true
+	states.Prefilled("t", []chooser.Part{part(3), part(4)}, now)
+	states.AddReported(chooser.CachedPart{Target: "t", Part: part(5)}, now)
+	states.AddRelayed(chooser.CachedPart{Target: "t", Part: part(6)}, now)
+	ids := func(parts []chooser.CachedPart, _ uint64) (list []identifier.PartID) {
+		for _, p := range parts {
+			list = append(list, p.Part.ID)
+		}
+		return list
+	}
+	quicktest.Check(t, ids(states.PartsSince(0)), quicktest.DeepEquals, []identifier.PartID{1, 2, 3, 5, 6})
+	quicktest.Check(t, ids(states.FirstHandSince(0)), quicktest.DeepEquals, []identifier.PartID{1, 2, 3, 5})
+	candidates := states.Candidates([]*registrar.Target{{ID: "t"}}, []chooser.Part{part(3), part(4)}, now)
+	quicktest.Check(t, candidates[0].Cached, quicktest.Equals, identifier.Tokens(200), quicktest.Commentf("known to this instance"))
+}
--- a/internal/chooser/states.go
+++ b/internal/chooser/states.go
@@ -35,14 +35,24 @@
 // TargetStates holds what this instance knows about each target: load, cached prompt parts and failures. The zero value
 // is ready to use.
 type TargetStates struct {
+	// SharedPartsOnly reports whether the last part of a prompt, which belongs to the request or its session, is not
+	// reported to peers; nil means that it is.
+	SharedPartsOnly func() bool
+
 	mu      sync.Mutex
 	targets map[identifier.TargetID]*targetState
 	peers   map[string]peerReport
 	// recentParts holds the parts recorded last, to be reported to peers; the last one has the offset nextOffset-1.
-	recentParts []CachedPart
+	recentParts []recentPart
 	nextOffset  uint64
 }
 
+// recentPart is a part to be reported; relayed is set if the peer that reported it had received it from another one.
+type recentPart struct {
+	CachedPart
+	relayed bool
+}
+
 type targetState struct {
 	// own is the work that this instance has in flight, and peers the sum of the loads that peers reported.
 	own   Load
@@ -101,16 +111,21 @@
 
 // Prefilled records that a target now caches the parts of a prompt, and queues the parts to be reported to peers.
 func (ts *TargetStates) Prefilled(id identifier.TargetID, parts []Part, now time.Time) {
+	sharedOnly := ts.SharedPartsOnly != nil && ts.SharedPartsOnly()
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	s := ts.targetState(id, now)
-	for _, part := range parts {
-		ts.record(s, CachedPart{Target: id, Part: part}, now)
+	for i, part := range parts {
+		if sharedOnly && i == len(parts)-1 {
+			s.addPart(part, now)
+			continue
+		}
+		ts.record(s, recentPart{CachedPart: CachedPart{Target: id, Part: part}}, now)
 	}
 }
 
 // record adds a part to a target's state and queues it to be reported to peers, unless it was reported recently.
-func (ts *TargetStates) record(s *targetState, part CachedPart, now time.Time) {
+func (ts *TargetStates) record(s *targetState, part recentPart, now time.Time) {
 	if !s.addPart(part.Part, now) {
 		return
 	}
@@ -123,6 +138,15 @@
 
 // AddReported records a cached part that a peer reported.
 func (ts *TargetStates) AddReported(part CachedPart, now time.Time) {
+	ts.addReported(recentPart{CachedPart: part}, now)
+}
+
+// AddRelayed records a cached part that a peer reported and sends to all hubs itself.
+func (ts *TargetStates) AddRelayed(part CachedPart, now time.Time) {
+	ts.addReported(recentPart{CachedPart: part, relayed: true}, now)
+}
+
+func (ts *TargetStates) addReported(part recentPart, now time.Time) {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	ts.record(ts.targetState(part.Target, now), part, now)
@@ -130,11 +154,26 @@
 
 // PartsSince returns the parts recorded since an offset, as far as they are still kept, and the next offset.
 func (ts *TargetStates) PartsSince(from uint64) ([]CachedPart, uint64) {
+	return ts.partsSince(from, true)
+}
+
+// FirstHandSince is PartsSince without the parts of AddRelayed.
+func (ts *TargetStates) FirstHandSince(from uint64) ([]CachedPart, uint64) {
+	return ts.partsSince(from, false)
+}
+
+func (ts *TargetStates) partsSince(from uint64, relayed bool) ([]CachedPart, uint64) {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	firstKept := ts.nextOffset - uint64(len(ts.recentParts))
 	from = min(max(from, firstKept), ts.nextOffset)
-	return slices.Clone(ts.recentParts[from-firstKept:]), ts.nextOffset
+	var list []CachedPart
+	for _, part := range ts.recentParts[from-firstKept:] {
+		if relayed || !part.relayed {
+			list = append(list, part.CachedPart)
+		}
+	}
+	return list, ts.nextOffset
 }
 
 // Failed adds a failure to a target's failure score.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -115,6 +115,8 @@
 
 	leaving  atomic.Bool
 	inFlight atomic.Int64
+	// receiving is the number of messages of peers that are being processed.
+	receiving atomic.Int32
 
 	mu           sync.Mutex
 	sendProgress map[string]*sendProgress
@@ -177,6 +179,7 @@
 
 func (c *Coordinator) wireRequests() {
 	bounds := c.bounds
+	c.targetStates.SharedPartsOnly = c.peers.UsesHubs
 	c.retryBudget = &retrier.WindowedBudget{
 		Share: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow,
 		MemberCount: c.instanceCount,
@@ -261,7 +264,7 @@
 		}
 	}
 	var addresses []string
-	for _, m := range director.Choose(ready, zone, rand.Float64) {
+	for _, m := range director.Choose(ready, zone, c.self.ID, rand.Float64) {
 		addresses = append(addresses, m.ClientAddress)
 	}
 	return addresses
@@ -306,7 +309,7 @@
 	}
 	c.logger.Info("configuration in force", zap.Uint64("Version", uint64(cfg.Version)), zap.Uint64("Offset", uint64(r.Offset)),
 		zap.Int("Routes", len(cfg.Routes)), zap.Int("Teams", len(cfg.Teams)))
-	c.peers.SendNow()
+	c.passOn()
 }
 
 // targetChanged applies a target's entry. A target with an unreadable entry is removed.
@@ -315,7 +318,7 @@
 	if len(r.Value) == 0 {
 		c.registry.Remove(id, time.Now())
 		c.logger.Info("target gone", zap.String("Target", r.Key), zap.Uint64("Offset", uint64(r.Offset)))
-		c.peers.SendNow()
+		c.passOn()
 		return
 	}
 	t, err := c.platform.DecodeTarget(r.Key, r.Value)
@@ -330,6 +333,15 @@
 	}
 	c.logger.Info("target", zap.String("Target", r.Key), zap.String("Service", string(t.Service)), zap.String("Zone", string(t.Zone)),
 		zap.Stringer("Stage", t.Stage), zap.Bool("Leaving", t.Leaving), zap.Bool("Cheap", t.Cheap), zap.Uint64("Beat", t.Revision), zap.Uint64("Offset", uint64(r.Offset)))
+	c.passOn()
+}
+
+// passOn sends a change of a stream to the partners at once, unless a hub has sent it to this instance, which is none: the
+// hubs send it to all others themselves, and each change would otherwise come back to them from their whole zone.
+func (c *Coordinator) passOn() {
+	if c.receiving.Load() > 0 && c.peers.UsesHubs() && !c.peers.IsHub(time.Now()) {
+		return
+	}
 	c.peers.SendNow()
 }
 
--- a/internal/coordinator/gossip.go
+++ b/internal/coordinator/gossip.go
@@ -36,8 +36,9 @@
 
 // addPayload adds the pending orders, the lease, and the changes that the peer lacks according to its last message.
 // Without a last message it adds the offsets of streams but no records: the peer's reply shows which ones it lacks, and
-// after a restart of the whole fleet no instance lacks any.
-func (c *Coordinator) addPayload(b, last *gossiper.Beat) {
+// after a restart of the whole fleet no instance lacks any. With firstHand, prompt parts and counts that a hub has sent
+// are left out.
+func (c *Coordinator) addPayload(b, last *gossiper.Beat, firstHand bool) {
 	now := time.Now()
 	known := map[string]uint64{}
 	for _, s := range last.GetStreams() {
@@ -56,11 +57,17 @@
 	if s, ok := c.elector.Head(); ok {
 		b.Lease = &gossiper.Lease{Holder: s.Holder, Fence: uint64(s.Fence), Offset: uint64(s.Next), AgeMilliseconds: s.Age.Milliseconds()}
 	}
+	b.OmitCounts = c.peers.UsesHubs() && !c.peers.IsHub(now) && !c.holdsDuties()
 	if last != nil {
-		c.addChanges(b, last.Statuses[0].Member)
+		c.addChanges(b, last, firstHand)
 	}
 }
 
+func (c *Coordinator) holdsDuties() bool {
+	_, err := c.elector.Authority()
+	return err == nil
+}
+
 // sentPositions holds the positions in a sequence of changes that the last two messages to a peer reached. Sending the
 // changes after previous puts each one into two messages, because a message may be lost.
 type sentPositions struct{ previous, last uint64 }
@@ -75,7 +82,12 @@
 
 // addChanges adds the prompt parts that were recorded since the last message, and the counts that changed since the
 // message before it, so that each count is sent in two messages.
-func (c *Coordinator) addChanges(b *gossiper.Beat, peer *gossiper.Member) {
+func (c *Coordinator) addChanges(b, last *gossiper.Beat, firstHand bool) {
+	peer := last.Statuses[0].Member
+	partsSince, countsSince := c.targetStates.PartsSince, c.counts.ChangedSince
+	if firstHand {
+		partsSince, countsSince = c.targetStates.FirstHandSince, c.counts.FirstHandSince
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.sendProgress[peer.ID]
@@ -84,12 +96,15 @@
 		c.sendProgress[peer.ID] = p
 	}
 	// Parts are sent once: a lost one costs at most a repeated prefill.
-	sentParts, next := c.targetStates.PartsSince(p.parts.last)
+	sentParts, next := partsSince(p.parts.last)
 	p.parts.advance(next)
 	for _, s := range sentParts {
 		b.Parts = append(b.Parts, &gossiper.Part{Target: string(s.Target), Part: uint64(s.Part.ID), Tokens: uint32(s.Part.Tokens)})
 	}
-	changed, next := c.counts.ChangedSince(p.counts.previous)
+	if last.OmitCounts {
+		return // The positions stay, for the case that the peer becomes a hub.
+	}
+	changed, next := countsSince(p.counts.previous)
 	p.counts.advance(next)
 	for _, count := range changed {
 		b.Counts = append(b.Counts, &gossiper.Count{Incarnation: count.Incarnation, Window: count.Window, Team: string(count.Team), Requests: count.Requests})
@@ -130,20 +145,26 @@
 	}
 }
 
-// onMessage applies the payload of a peer's message.
-func (c *Coordinator) onMessage(b *gossiper.Beat, now time.Time) {
+// onMessage applies the payload of a peer's message; relayed is set if the peer sends it to all hubs itself.
+func (c *Coordinator) onMessage(b *gossiper.Beat, now time.Time, relayed bool) {
+	c.receiving.Add(1)
+	defer c.receiving.Add(-1)
 	mirrors := c.mirrors()
 	for _, s := range b.Streams {
 		if m := mirrors[s.Name]; m != nil {
 			applyStream(m, s, now)
 		}
 	}
+	addPart, mergeCount := c.targetStates.AddReported, c.counts.Merge
+	if relayed {
+		addPart, mergeCount = c.targetStates.AddRelayed, c.counts.MergeRelayed
+	}
 	for _, p := range b.Parts {
 		part := chooser.Part{ID: identifier.PartID(p.Part), Tokens: identifier.Tokens(p.Tokens)}
-		c.targetStates.AddReported(chooser.CachedPart{Target: identifier.TargetID(p.Target), Part: part}, now)
+		addPart(chooser.CachedPart{Target: identifier.TargetID(p.Target), Part: part}, now)
 	}
 	for _, n := range b.Counts {
-		c.counts.Merge(counter.Count{Incarnation: n.Incarnation, Window: n.Window, Team: identifier.TeamID(n.Team), Requests: n.Requests})
+		mergeCount(counter.Count{Incarnation: n.Incarnation, Window: n.Window, Team: identifier.TeamID(n.Team), Requests: n.Requests})
 	}
 	for _, o := range b.Orders {
 		remaining := scaler.SettleTime - time.Duration(o.AgeMilliseconds)*time.Millisecond
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -27,11 +27,17 @@
 type Counter struct {
 	mu     sync.Mutex
 	counts map[key]uint64
-	// changes are the keys of the latest changed counts; the last one has the number next-1.
-	changes []key
+	// changes are the latest changes of counts; the last one has the number next-1.
+	changes []change
 	next    uint64
 }
 
+// change is the key of a changed count; relayed is set if a peer had received the count from another instance.
+type change struct {
+	key
+	relayed bool
+}
+
 type key struct {
 	incarnation string
 	window      int64
@@ -46,42 +52,53 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := key{incarnation, window, team}
-	c.set(k, c.counts[k]+1)
+	c.set(k, c.counts[k]+1, false)
 }
 
 // Merge applies a count that a peer reported.
-func (c *Counter) Merge(count Count) {
+func (c *Counter) Merge(count Count) { c.merge(count, false) }
+
+// MergeRelayed applies a count that a peer reported and sends to all hubs itself.
+func (c *Counter) MergeRelayed(count Count) { c.merge(count, true) }
+
+func (c *Counter) merge(count Count, relayed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := key{count.Incarnation, count.Window, count.Team}
 	if count.Requests > c.counts[k] {
-		c.set(k, count.Requests)
+		c.set(k, count.Requests, relayed)
 	}
 }
 
-func (c *Counter) set(k key, n uint64) {
+func (c *Counter) set(k key, n uint64, relayed bool) {
 	if c.counts == nil {
 		c.counts = map[key]uint64{}
 	}
 	c.counts[k] = n
-	c.changes = append(c.changes, k)
+	c.changes = append(c.changes, change{k, relayed})
 	c.next++
 	if len(c.changes) > 2*retainedChanges {
-		c.changes = append([]key(nil), c.changes[len(c.changes)-retainedChanges:]...)
+		c.changes = append([]change(nil), c.changes[len(c.changes)-retainedChanges:]...)
 	}
 }
 
 // ChangedSince returns the counts that changed from a change number on, each once, and the number to continue from.
-func (c *Counter) ChangedSince(from uint64) ([]Count, uint64) {
+func (c *Counter) ChangedSince(from uint64) ([]Count, uint64) { return c.changedSince(from, true) }
+
+// FirstHandSince is ChangedSince without the counts of MergeRelayed.
+func (c *Counter) FirstHandSince(from uint64) ([]Count, uint64) { return c.changedSince(from, false) }
+
+func (c *Counter) changedSince(from uint64, relayed bool) ([]Count, uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	first := c.next - uint64(len(c.changes))
 	from = min(max(from, first), c.next)
 	seen := map[key]bool{}
 	var counts []Count
-	for _, k := range c.changes[from-first:] {
+	for _, changed := range c.changes[from-first:] {
+		k := changed.key
 		n, known := c.counts[k]
-		if seen[k] || !known {
+		if seen[k] || !known || changed.relayed && !relayed {
 			continue
 		}
 		seen[k] = true
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -53,3 +53,17 @@
 	quicktest.Assert(t, c.Total(1), quicktest.HasLen, 0)
 	quicktest.Assert(t, c.Total(9)["x"], quicktest.Equals, uint64(1))
 }
+
+// TestRelayedCountsAreNotFirstHand checks that a hub can leave out what another hub sends to all hubs itself.
+func TestRelayedCountsAreNotFirstHand(t *testing.T) {
+	var c counter.Counter
+	c.Add("self", 1, "x")
+	c.Merge(counter.Count{Incarnation: "partner", Window: 1, Team: "x", Requests: 2})
+	c.MergeRelayed(counter.Count{Incarnation: "far", Window: 1, Team: "x", Requests: 4})
+	all, _ := c.ChangedSince(0)
+	quicktest.Check(t, all, quicktest.HasLen, 3)
+	firstHand, next := c.FirstHandSince(0)
+	quicktest.Check(t, firstHand, quicktest.HasLen, 2)
+	quicktest.Check(t, next, quicktest.Equals, uint64(3))
+	quicktest.Check(t, c.Total(1)["x"], quicktest.Equals, uint64(7))
+}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -20,18 +20,26 @@
 	RelayInterval = 500 * time.Millisecond
 	// ExchangeTimeout limits one exchange, so that a dead connection is detected within a second.
 	ExchangeTimeout = 800 * time.Millisecond
-	// meshAlive and relayAlive are how long a peer counts as alive after it created its last status.
+	// meshAlive and relayAlive are how long a peer counts as alive after it created its last status. relayAlive covers
+	// three hops, the spacing of relayed statuses and one lost message.
 	meshAlive  = 1500 * time.Millisecond
-	relayAlive = 3 * time.Second
+	relayAlive = 3500 * time.Millisecond
 	// retryPause is the pause after a failed exchange; gonePause replaces it once a peer's status is older than
 	// goneTime.
 	retryPause = 500 * time.Millisecond
 	gonePause  = 3 * time.Second
 	goneTime   = 15 * time.Second
-	// partnerCheckInterval is how often a peer that is not a partner is checked for having become one.
+	// partnerCheckInterval is how often the partners are selected anew if nothing has changed.
 	partnerCheckInterval = time.Second
+	// aliveCacheTime is how long the list of live peers is reused.
+	aliveCacheTime = 250 * time.Millisecond
+	// maximumUnknown limits the incarnations whose members are requested in one message.
+	maximumUnknown = 64
 	// batchDelay lets changes that occur together go into one message.
 	batchDelay = 10 * time.Millisecond
+	// relaySendSpacing is the least time between two exchanges with a partner in a large fleet: a hub has many partners,
+	// to all of which it sends each change.
+	relaySendSpacing = 150 * time.Millisecond
 )
 
 // PeerClient exchanges messages with peers.
@@ -61,20 +69,30 @@
 	// Status returns the current status of this instance.
 	Status func(now time.Time) *Status
 	// AddPayload adds everything except statuses and membership to the message b for a peer. last is the last message
-	// received from that peer, or nil if there is none.
-	AddPayload func(b, last *Beat)
+	// received from that peer, or nil if there is none. Between two hubs, firstHand is set: what was received from a hub
+	// is left out, because each hub sends it to all others itself.
+	AddPayload func(b, last *Beat, firstHand bool)
 	// OnStatus is called for each status that is newer than the previous one of its instance, and OnMessage for each
-	// received message, after its statuses.
+	// received message, after its statuses; relayed is set if the sender is a hub.
 	OnStatus  func(s *Status, now time.Time)
-	OnMessage func(b *Beat, now time.Time)
-
-	mu       sync.Mutex
-	ctx      context.Context
-	peers    map[string]*peer
-	hubs     map[string]bool
-	hubsAt   time.Time
-	sequence uint64
-	group    sync.WaitGroup
+	OnMessage func(b *Beat, now time.Time, relayed bool)
+
+	mu    sync.Mutex
+	ctx   context.Context
+	peers map[string]*peer
+	// sorted holds the peers in the order of their IDs; nil if it has to be built again.
+	sorted []*peer
+	// incarnations holds the ID of the instance of each known incarnation, or "" if several instances have it.
+	incarnations map[string]string
+	// unknown holds the incarnations that statuses named without their member, and when.
+	unknown  map[string]time.Time
+	alive    []Peer
+	aliveAt  time.Time
+	topology topology
+	// membersChanged wakes the selection of partners.
+	membersChanged chan struct{}
+	sequence       uint64
+	group          sync.WaitGroup
 }
 
 type peer struct {
@@ -85,24 +103,62 @@
 	lastMessage *Beat
 	receivedAt  time.Time
 	failedAt    time.Time
-	// relayedSequences holds the newest status sequence of each other incarnation that was sent to the peer.
-	relayedSequences map[string]uint64
-	cancel           context.CancelFunc
-	sendNow          chan struct{}
+	// relayed holds the newest status of each other incarnation that was sent to the peer or received from it.
+	relayed map[memberKey]*relayedStatus
+	// exchanging is set while exchangeLoop runs for the peer.
+	exchanging bool
+	cancel     context.CancelFunc
+	sendNow    chan struct{}
 }
 
-// Run exchanges messages until ctx ends.
+// Run exchanges messages with the partners until ctx ends. A peer that is not a partner costs neither a goroutine nor a
+// timer.
 func (g *Gossiper) Run(ctx context.Context) {
 	g.mu.Lock()
 	g.ctx = ctx
-	for _, p := range g.peers {
-		g.launch(p)
-	}
+	changed := g.changes()
 	g.mu.Unlock()
-	<-ctx.Done()
+	for ctx.Err() == nil {
+		g.launchPartners(time.Now())
+		select {
+		case <-ctx.Done():
+		case <-changed:
+			// Members that become known together are handled together; if ctx ends, so does the loop.
+			_ = sleeper.Sleep(ctx, batchDelay)
+		case <-time.After(partnerCheckInterval):
+		}
+	}
 	g.group.Wait()
 }
 
+// changes returns the channel that wakes Run. The caller must hold mu.
+func (g *Gossiper) changes() chan struct{} {
+	if g.membersChanged == nil {
+		g.membersChanged = make(chan struct{}, 1)
+	}
+	return g.membersChanged
+}
+
+// invalidate discards what was derived from the peers and wakes the selection of partners. The caller must hold mu.
+func (g *Gossiper) invalidate() {
+	g.topology.at, g.aliveAt = time.Time{}, time.Time{}
+	select {
+	case g.changes() <- struct{}{}:
+	default:
+	}
+}
+
+// launchPartners starts the exchanges with each partner that has none.
+func (g *Gossiper) launchPartners(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.peers {
+		if !p.exchanging && g.isPartner(p, now) {
+			g.launch(p)
+		}
+	}
+}
+
 // AddMember adds a member that was read from the store or received from a peer. Both sources may be outdated, so a new
 // incarnation replaces the known one only if that one is no longer alive.
 func (g *Gossiper) AddMember(m *Member) {
@@ -129,15 +185,26 @@
 	if old != nil && old.Member.Incarnation == m.Incarnation {
 		return
 	}
-	if old != nil && old.cancel != nil {
-		old.cancel()
+	if old != nil {
+		if old.cancel != nil {
+			old.cancel()
+		}
+		if g.incarnations[old.Member.Incarnation] == m.ID {
+			delete(g.incarnations, old.Member.Incarnation)
+		}
+	}
+	if g.incarnations == nil {
+		g.incarnations = map[string]string{}
 	}
-	p := &peer{Peer: Peer{Member: m}, relayedSequences: map[string]uint64{}, sendNow: make(chan struct{}, 1)}
-	g.peers[m.ID] = p
-	g.hubsAt = time.Time{}
-	if g.ctx != nil {
-		g.launch(p)
+	if id, known := g.incarnations[m.Incarnation]; known && id != m.ID {
+		g.incarnations[m.Incarnation] = ""
+	} else {
+		g.incarnations[m.Incarnation] = m.ID
 	}
+	delete(g.unknown, m.Incarnation)
+	g.peers[m.ID] = &peer{Peer: Peer{Member: m}, relayed: map[memberKey]*relayedStatus{}, sendNow: make(chan struct{}, 1)}
+	g.sorted = nil
+	g.invalidate()
 }
 
 // Contact exchanges messages once with an address whose instance is not yet known.
@@ -163,6 +230,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, p := range g.peers {
+		if !p.exchanging {
+			continue
+		}
 		select {
 		case p.sendNow <- struct{}{}:
 		default:
@@ -170,21 +240,37 @@
 	}
 }
 
-// Alive returns the peers whose status is recent, in the order of their IDs.
+// Alive returns the peers whose status is recent, in the order of their IDs. The list is shared and must not be
+// modified.
 func (g *Gossiper) Alive(now time.Time) []Peer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if age := now.Sub(g.aliveAt); age >= 0 && age < aliveCacheTime {
+		return g.alive
+	}
 	maximumAge := g.aliveTime()
 	list := make([]Peer, 0, len(g.peers))
-	for _, p := range g.peers {
+	for _, p := range g.sortedPeers() {
 		if now.Sub(p.StatusAt) <= maximumAge {
 			list = append(list, p.Peer)
 		}
 	}
-	slices.SortFunc(list, func(a, b Peer) int { return strings.Compare(a.Member.ID, b.Member.ID) })
+	g.alive, g.aliveAt = list, now
 	return list
 }
 
+// sortedPeers returns all peers in the order of their IDs. The caller must hold mu.
+func (g *Gossiper) sortedPeers() []*peer {
+	if g.sorted == nil {
+		g.sorted = make([]*peer, 0, len(g.peers))
+		for _, p := range g.peers {
+			g.sorted = append(g.sorted, p)
+		}
+		slices.SortFunc(g.sorted, func(a, b *peer) int { return strings.Compare(a.Member.ID, b.Member.ID) })
+	}
+	return g.sorted
+}
+
 // receive processes a message and returns the peer that sent it, or nil if the message names no sender.
 func (g *Gossiper) receive(b *Beat) *peer {
 	if len(b.Statuses) == 0 || b.Statuses[0].GetMember().GetID() == "" {
@@ -199,22 +285,29 @@
 			g.OnStatus(s, now)
 		}
 	}
-	g.OnMessage(b, now)
+	g.mu.Lock()
+	relayed := g.usesHubs() && g.currentTopology(now).hubs[b.Statuses[0].Member.ID]
+	g.mu.Unlock()
+	g.OnMessage(b, now, relayed)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.peers[b.Statuses[0].Member.ID]
-	if p != nil {
-		p.lastMessage, p.receivedAt, p.failedAt = b, now, time.Time{}
+	if p == nil {
+		return nil
+	}
+	p.lastMessage, p.receivedAt, p.failedAt = b, now, time.Time{}
+	for _, s := range b.Statuses[1:] {
+		p.receivedStatus(s, now)
 	}
 	return p
 }
 
 // updateStatus stores a status and returns true if it is newer than the known one.
 func (g *Gossiper) updateStatus(s *Status, now time.Time) bool {
-	m := s.GetMember()
-	if m.GetID() == "" || m.ID == g.Self.ID {
+	if !g.resolveMember(s, now) || s.Member.ID == g.Self.ID {
 		return false
 	}
+	m := s.Member
 	createdAt := now.Add(-time.Duration(s.AgeMilliseconds) * time.Millisecond)
 	g.mu.Lock()
 	p := g.peers[m.ID]
@@ -231,24 +324,52 @@
 	if p == nil || p.Member.Incarnation != m.Incarnation || p.status != nil && s.Sequence <= p.status.Sequence {
 		return false
 	}
+	if p.Ready != s.Ready || p.Leaving != s.Leaving || now.Sub(p.StatusAt) > g.aliveTime() {
+		g.aliveAt = time.Time{}
+	}
 	p.status, p.Ready, p.Leaving, p.StatusAt = s, s.Ready, s.Leaving, createdAt
 	p.ClockOffset = time.Duration(s.UnixMilliseconds)*time.Millisecond - Monotonic(createdAt)
 	return true
 }
 
+// resolveMember sets the member of a status that names only its incarnation. It returns false, and the member is
+// requested with the next messages, if the incarnation is unknown.
+func (g *Gossiper) resolveMember(s *Status, now time.Time) bool {
+	if s.Member != nil {
+		return s.Member.ID != ""
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if id := g.incarnations[s.Incarnation]; id != "" {
+		s.Member = g.peers[id].Member
+		return true
+	}
+	if s.Incarnation != "" && s.Incarnation != g.Self.Incarnation {
+		if g.unknown == nil {
+			g.unknown = map[string]time.Time{}
+		}
+		g.unknown[s.Incarnation] = now
+	}
+	return false
+}
+
 // compose builds the message for a peer; p is nil if the peer is not known yet.
 func (g *Gossiper) compose(p *peer) *Beat {
 	now := time.Now()
 	own := g.Status(now)
 	own.Member = g.Self
-	b := &Beat{Statuses: []*Status{own}}
+	b := &Beat{Statuses: []*Status{own}, ReadsCompactStatuses: true}
 	g.mu.Lock()
 	g.sequence++
 	own.Sequence = g.sequence
 	var lastMessage *Beat
+	firstHand := false
 	if p != nil {
 		lastMessage = p.lastMessage
+		firstHand = g.bothHubs(p, now)
+		b.OmitStatuses = g.omitsStatuses(p, now)
 		b.Statuses = append(b.Statuses, g.statusesToRelay(p, now)...)
+		b.UnknownIncarnations = g.unknownIncarnations(now)
 	}
 	b.Known = uint32(len(g.peers) + 1)
 	// A peer that has not sent a message yet most likely has the member list: every instance reads it from the store at
@@ -259,10 +380,25 @@
 		}
 	}
 	g.mu.Unlock()
-	g.AddPayload(b, lastMessage)
+	g.AddPayload(b, lastMessage, firstHand)
 	return b
 }
 
+// unknownIncarnations returns the incarnations whose members are requested. The caller must hold mu.
+func (g *Gossiper) unknownIncarnations(now time.Time) []string {
+	var list []string
+	for incarnation, at := range g.unknown {
+		if now.Sub(at) > relayAlive {
+			delete(g.unknown, incarnation)
+			continue
+		}
+		if len(list) < maximumUnknown {
+			list = append(list, incarnation)
+		}
+	}
+	return list
+}
+
 // monotonicOrigin is the origin of this process's monotonic clock.
 var monotonicOrigin = time.Now()
 
@@ -271,19 +407,28 @@
 
 // launch starts the exchanges with a peer. The caller must hold mu.
 func (g *Gossiper) launch(p *peer) {
+	if g.ctx == nil || g.ctx.Err() != nil {
+		return
+	}
 	ctx, cancel := context.WithCancel(g.ctx)
-	p.cancel = cancel
+	p.cancel, p.exchanging = cancel, true
 	g.group.Go(func() {
 		defer cancel()
 		g.exchangeLoop(ctx, p)
 	})
 }
 
+// exchangeLoop exchanges messages with a peer until ctx ends or the peer is no longer a partner.
 func (g *Gossiper) exchangeLoop(ctx context.Context, p *peer) {
 	lost := false
+	var exchangedAt time.Time
 	for ctx.Err() == nil {
-		callDue, pause := g.callDue(p, time.Now())
+		callDue, pause, partner := g.callDue(p, time.Now())
+		if !partner {
+			return
+		}
 		if callDue {
+			exchangedAt = time.Now()
 			err := g.exchangeOnce(ctx, p)
 			if err != nil {
 				pause = g.recordFailure(p, time.Now())
@@ -296,7 +441,7 @@
 		select {
 		case <-ctx.Done():
 		case <-p.sendNow:
-			if sleeper.Sleep(ctx, batchDelay) != nil {
+			if sleeper.Sleep(ctx, g.sendDelay(time.Since(exchangedAt))) != nil {
 				return
 			}
 		case <-time.After(pause):
@@ -304,12 +449,22 @@
 	}
 }
 
+// sendDelay returns how long a message is held back for further changes, given the time since the last exchange.
+func (g *Gossiper) sendDelay(sinceExchange time.Duration) time.Duration {
+	if g.UsesHubs() {
+		return max(batchDelay, relaySendSpacing-sinceExchange)
+	}
+	return batchDelay
+}
+
 // recordFailure records a failed exchange and returns the pause before the next one.
 func (g *Gossiper) recordFailure(p *peer, now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p.failedAt = now
-	g.hubsAt = time.Time{}
+	// The lost message may have held statuses, and members, that the peer now lacks.
+	clear(p.relayed)
+	g.invalidate()
 	if now.Sub(p.StatusAt) > goneTime {
 		return gonePause
 	}
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -25,15 +25,21 @@
 	exchanges int
 	// capacity returns the capacity of an instance by its number; nil gives all instances the same capacity.
 	capacity func(i int) uint32
+	// loads returns the loads in the statuses of an instance; nil means none.
+	loads func() []*gossiper.Load
+	// cut reports whether messages between two instances are lost; nil means that none are.
+	cut func(from, to string) bool
 }
 
 type node struct {
 	*gossiper.Gossiper
 	// exchangeCount is the number of exchanges in which the instance took part.
 	exchangeCount int
-	fleet         *fleet
-	cancel        context.CancelFunc
-	done          chan struct{}
+	// bytes is the size of the messages that the instance has sent and received.
+	bytes  int
+	fleet  *fleet
+	cancel context.CancelFunc
+	done   chan struct{}
 }
 
 func (n *node) Exchange(_ context.Context, addr string, req, reply proto.Message) error {
@@ -43,12 +49,18 @@
 	if n.exchangeCount++; to != nil {
 		to.exchangeCount++
 	}
+	cut := n.fleet.cut != nil && to != nil && n.fleet.cut(n.Self.ID, addr)
 	n.fleet.mu.Unlock()
-	if to == nil {
+	if to == nil || cut {
 		return errUnreachable
 	}
 	time.Sleep(time.Millisecond)
-	proto.Merge(reply, to.Answer(proto.Clone(req).(*gossiper.Beat)))
+	answer := to.Answer(proto.Clone(req).(*gossiper.Beat))
+	proto.Merge(reply, answer)
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	size := proto.Size(req) + proto.Size(answer)
+	n.bytes, to.bytes = n.bytes+size, to.bytes+size
 	return nil
 }
 
@@ -63,9 +75,13 @@
 	n.Gossiper = &gossiper.Gossiper{
 		Self: self, PeerClient: n, Logger: zap.NewNop(),
 		Status: func(now time.Time) *gossiper.Status {
-			return &gossiper.Status{Ready: true, UnixMilliseconds: now.UnixMilli()}
+			s := &gossiper.Status{Ready: true, UnixMilliseconds: now.UnixMilli()}
+			if f.loads != nil {
+				s.Loads = f.loads()
+			}
+			return s
 		},
-		AddPayload: func(_, _ *gossiper.Beat) {}, OnStatus: func(*gossiper.Status, time.Time) {}, OnMessage: func(*gossiper.Beat, time.Time) {},
+		AddPayload: func(_, _ *gossiper.Beat, _ bool) {}, OnStatus: func(*gossiper.Status, time.Time) {}, OnMessage: func(*gossiper.Beat, time.Time, bool) {},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
--- a/internal/gossiper/topology.go
+++ b/internal/gossiper/topology.go
@@ -6,17 +6,23 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"google.golang.org/protobuf/proto"
 )
 
 // A small fleet is a full mesh: all instances are partners of each other. In a large fleet the live instances with the
 // highest capacity in each availability zone are hubs: the partners of an instance are the hubs of its zone, and all
 // hubs are partners of each other. An instance with far less capacity than the strongest one is never a hub, because
 // gossip messages would saturate its link. The instances of a zone without a hub use two hubs of other zones, selected
-// by a hash of the IDs. Hubs relay the statuses of other instances, each status once to each partner. The message rate
-// of an instance therefore does not grow with the fleet, that of a hub grows with its zone, and few messages cross
-// zones. Each instance computes the hubs from its own view; while views differ, an instance may have one partner
-// too many or too few.
+// by a hash of the IDs. The message rate of an instance therefore does not grow with the fleet, that of a hub grows with
+// its zone, and few messages cross zones. Each instance computes the hubs from its own view; while views differ, an
+// instance may have one partner too many or too few.
+//
+// Hubs relay the statuses of other instances:
+//   - To another hub, a hub sends at each interval what it received first hand. What other hubs sent it follows only at
+//     relaySpacing, for the case that a pair of hubs cannot reach each other.
+//   - An instance that is not a hub receives the statuses from one hub only and asks the others to omit them.
+//     Each status is repeated at relaySpacing unless it changes in a way that directories depend on.
+//
+// A relayed status names its member by the incarnation once the receiver knows the member.
 
 const (
 	// meshSize is the largest fleet that uses a full mesh.
@@ -25,8 +31,12 @@
 	hubsPerZone = 2
 	// hubCapacityFraction is the least capacity of a hub, as a fraction of the strongest instance's capacity.
 	hubCapacityFraction = 0.5
-	// hubsCacheTime is how long the computed set of hubs is reused.
-	hubsCacheTime = 200 * time.Millisecond
+	// topologyCacheTime is how long the computed topology is reused.
+	topologyCacheTime = 200 * time.Millisecond
+	// relaySpacing is the time between two statuses of an instance that are relayed to the same partner.
+	relaySpacing = 900 * time.Millisecond
+	// hubSilence is the time without a message after which an instance asks its next hub for statuses.
+	hubSilence = 1300 * time.Millisecond
 	// suspectTime is how long this instance excludes another one from the hubs after a failed exchange with it.
 	suspectTime = 5 * time.Second
 )
@@ -47,9 +57,17 @@
 	return meshAlive
 }
 
-// callDue reports whether this instance calls a peer now, and the pause before the next check. Of two partners the one
-// with the smaller ID calls; the other one calls if it has received no message for three intervals.
-func (g *Gossiper) callDue(p *peer, now time.Time) (bool, time.Duration) {
+// topology is the set of hubs as this instance sees it.
+type topology struct {
+	at     time.Time
+	hubs   map[string]bool
+	byZone map[string][]string
+}
+
+// callDue reports whether this instance calls a peer now, the pause before the next check, and whether the peer is still
+// a partner. Of two partners the one with the smaller ID calls; the other one calls if it has received no message for
+// three intervals.
+func (g *Gossiper) callDue(p *peer, now time.Time) (due bool, pause time.Duration, partner bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	interval := meshInterval
@@ -57,9 +75,10 @@
 		interval = RelayInterval
 	}
 	if !g.isPartner(p, now) {
-		return false, partnerCheckInterval
+		p.exchanging = false
+		return false, 0, false
 	}
-	return g.Self.ID < p.Member.ID || now.Sub(p.receivedAt) > 3*interval, interval
+	return g.Self.ID < p.Member.ID || now.Sub(p.receivedAt) > 3*interval, interval, true
 }
 
 // isPartner reports whether this instance exchanges messages with a peer. The caller must hold mu.
@@ -67,8 +86,8 @@
 	if !g.usesHubs() {
 		return true
 	}
-	hubs := g.currentHubs(now)
-	switch self, other := hubs[g.Self.ID], hubs[p.Member.ID]; {
+	t := g.currentTopology(now)
+	switch self, other := t.hubs[g.Self.ID], t.hubs[p.Member.ID]; {
 	case self && other:
 		return true
 	case self:
@@ -79,60 +98,81 @@
 	return false
 }
 
+// IsHub reports whether this instance relays statuses.
+func (g *Gossiper) IsHub(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.usesHubs() && g.currentTopology(now).hubs[g.Self.ID]
+}
+
+// bothHubs reports whether this instance and the peer are hubs. The caller must hold mu.
+func (g *Gossiper) bothHubs(p *peer, now time.Time) bool {
+	if !g.usesHubs() {
+		return false
+	}
+	t := g.currentTopology(now)
+	return t.hubs[g.Self.ID] && t.hubs[p.Member.ID]
+}
+
 // hubsOf returns the hubs of an instance: those of its zone, or some of other zones if its zone has none. The caller
-// must hold mu.
+// must hold mu and have called currentTopology.
 func (g *Gossiper) hubsOf(id, zone string) []string {
-	var own, all []string
-	for hub := range g.hubs {
-		all = append(all, hub)
-		if g.zone(hub) == zone {
-			own = append(own, hub)
-		}
-	}
-	if len(own) > 0 {
+	if own := g.topology.byZone[zone]; len(own) > 0 {
 		return own
 	}
-	slices.SortFunc(all, func(a, b string) int {
-		return cmp.Compare(xxhash.Sum64String(id+"/"+a), xxhash.Sum64String(id+"/"+b))
-	})
+	all := make([]string, 0, len(g.topology.hubs))
+	for hub := range g.topology.hubs {
+		all = append(all, hub)
+	}
+	sortByHash(all, id)
 	return all[:min(len(all), hubsPerZone)]
 }
 
-func (g *Gossiper) zone(id string) string {
-	if p := g.peers[id]; p != nil {
-		return p.Member.Zone
-	}
-	return g.Self.Zone
+// sortByHash sorts hubs in an order that differs between the instances that use them.
+func sortByHash(hubs []string, id string) {
+	slices.SortFunc(hubs, func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(id+"/"+a), xxhash.Sum64String(id+"/"+b))
+	})
 }
 
-// currentHubs returns the IDs of the hubs of all zones. The caller must hold mu.
-func (g *Gossiper) currentHubs(now time.Time) map[string]bool {
-	if g.hubs != nil && now.Sub(g.hubsAt) < hubsCacheTime {
-		return g.hubs
+// currentTopology returns the hubs of all zones. The caller must hold mu.
+func (g *Gossiper) currentTopology(now time.Time) *topology {
+	if g.topology.hubs != nil && now.Sub(g.topology.at) < topologyCacheTime {
+		return &g.topology
 	}
-	byZone := map[string][]string{g.Self.Zone: {g.Self.ID}}
-	for id, p := range g.peers {
+	strongest := g.Self.Capacity
+	eligible := func(p *peer) bool {
 		silent := !p.StatusAt.IsZero() && now.Sub(p.StatusAt) > relayAlive
 		suspect := !p.failedAt.IsZero() && now.Sub(p.failedAt) < suspectTime
-		if !silent && !suspect && !p.Leaving {
-			byZone[p.Member.Zone] = append(byZone[p.Member.Zone], id)
+		return !silent && !suspect && !p.Leaving
+	}
+	for _, p := range g.peers {
+		if eligible(p) {
+			strongest = max(strongest, p.Member.Capacity)
 		}
 	}
-	strongest := uint32(0)
-	for _, ids := range byZone {
-		for _, id := range ids {
-			strongest = max(strongest, g.capacity(id))
+	byZone := map[string][]string{}
+	add := func(m *Member) {
+		if float64(m.Capacity) < hubCapacityFraction*float64(strongest) {
+			return
+		}
+		list := append(byZone[m.Zone], m.ID)
+		slices.SortFunc(list, g.compare)
+		byZone[m.Zone] = list[:min(len(list), hubsPerZone)]
+	}
+	add(g.Self)
+	for _, p := range g.peers {
+		if eligible(p) {
+			add(p.Member)
 		}
 	}
-	g.hubs, g.hubsAt = map[string]bool{}, now
+	g.topology = topology{at: now, byZone: byZone, hubs: map[string]bool{}}
 	for _, ids := range byZone {
-		ids = slices.DeleteFunc(ids, func(id string) bool { return float64(g.capacity(id)) < hubCapacityFraction*float64(strongest) })
-		slices.SortFunc(ids, func(a, b string) int { return g.compare(a, b) })
-		for _, id := range ids[:min(len(ids), hubsPerZone)] {
-			g.hubs[id] = true
+		for _, id := range ids {
+			g.topology.hubs[id] = true
 		}
 	}
-	return g.hubs
+	return &g.topology
 }
 
 // compare orders instances by descending capacity, then by ID. The caller must hold mu.
@@ -147,25 +187,96 @@
 	return g.Self.Capacity
 }
 
-// statusesToRelay returns the recent statuses of other instances that were not sent to a partner yet; only hubs relay.
+// omitsStatuses reports whether this instance asks a hub to omit statuses, because it receives them from another hub.
 // The caller must hold mu.
+func (g *Gossiper) omitsStatuses(p *peer, now time.Time) bool {
+	if !g.usesHubs() || g.currentTopology(now).hubs[g.Self.ID] {
+		return false
+	}
+	hubs := slices.Clone(g.hubsOf(g.Self.ID, g.Self.Zone))
+	sortByHash(hubs, g.Self.ID)
+	for _, hub := range hubs {
+		if h := g.peers[hub]; h != nil && now.Sub(h.receivedAt) <= hubSilence {
+			return hub != p.Member.ID
+		}
+	}
+	return false
+}
+
+// memberKey identifies one incarnation of an instance.
+type memberKey struct{ id, incarnation string }
+
+func keyOf(m *Member) memberKey { return memberKey{m.ID, m.Incarnation} }
+
+// relayedStatus describes the newest status of an incarnation that a partner has sent or was sent.
+type relayedStatus struct {
+	sequence       uint64
+	at             time.Time
+	ready, leaving bool
+	// memberKnown is set once the partner has sent or was sent the member.
+	memberKnown bool
+}
+
+// receivedStatus records that the peer has a status, so that it is not sent back. The caller must hold mu.
+func (p *peer) receivedStatus(s *Status, now time.Time) {
+	if s.Member == nil {
+		return
+	}
+	if r := p.relayed[keyOf(s.Member)]; r == nil || r.sequence < s.Sequence {
+		p.relayed[keyOf(s.Member)] = &relayedStatus{sequence: s.Sequence, at: now, ready: s.Ready, leaving: s.Leaving, memberKnown: true}
+	}
+}
+
+// statusesToRelay returns the statuses of other instances for a partner; only hubs relay. The caller must hold mu.
 func (g *Gossiper) statusesToRelay(p *peer, now time.Time) []*Status {
-	if !g.usesHubs() || !g.currentHubs(now)[g.Self.ID] {
+	if !g.usesHubs() || p.lastMessage == nil {
+		return nil
+	}
+	t := g.currentTopology(now)
+	toHub := t.hubs[p.Member.ID]
+	if !t.hubs[g.Self.ID] || p.lastMessage.OmitStatuses && !toHub {
 		return nil
 	}
 	var list []*Status
-	for id, other := range g.peers {
-		if id == p.Member.ID || other.status == nil || now.Sub(other.StatusAt) > relayAlive {
+	for _, other := range g.sortedPeers() {
+		if other == p || other.status == nil || now.Sub(other.StatusAt) > relayAlive {
 			continue
 		}
-		key := id + "/" + other.Member.Incarnation
-		if p.relayedSequences[key] >= other.status.Sequence {
+		incarnation := other.Member.Incarnation
+		last := p.relayed[keyOf(other.Member)]
+		firstHand := now.Sub(other.receivedAt) < RelayInterval*2 && !t.hubs[other.Member.ID]
+		requested := slices.Contains(p.lastMessage.UnknownIncarnations, incarnation)
+		if last != nil && !requested && (other.status.Sequence <= last.sequence || !last.due(other, now, toHub && firstHand)) {
 			continue
 		}
-		p.relayedSequences[key] = other.status.Sequence
-		s := proto.Clone(other.status).(*Status)
-		s.AgeMilliseconds = now.Sub(other.StatusAt).Milliseconds()
+		if last == nil {
+			last = &relayedStatus{}
+			p.relayed[keyOf(other.Member)] = last
+		}
+		s := other.statusToRelay(now, p.lastMessage.OmitCounts)
+		unique := g.incarnations[incarnation] == other.Member.ID
+		if requested || !unique || !last.memberKnown || !p.lastMessage.ReadsCompactStatuses {
+			s.Member = other.Member
+		}
+		*last = relayedStatus{sequence: other.status.Sequence, at: now, ready: other.Ready, leaving: other.Leaving, memberKnown: true}
 		list = append(list, s)
 	}
 	return list
 }
+
+// due reports whether a newer status is relayed now.
+func (r *relayedStatus) due(other *peer, now time.Time, always bool) bool {
+	return always || now.Sub(r.at) >= relaySpacing || other.Ready != r.ready || other.Leaving != r.leaving
+}
+
+// statusToRelay returns the peer's status for another instance, which shares its loads and rates.
+func (p *peer) statusToRelay(now time.Time, omitRates bool) *Status {
+	s := &Status{
+		Incarnation: p.Member.Incarnation, Sequence: p.status.Sequence, AgeMilliseconds: now.Sub(p.StatusAt).Milliseconds(),
+		Ready: p.status.Ready, Leaving: p.status.Leaving, UnixMilliseconds: p.status.UnixMilliseconds, Loads: p.status.Loads,
+	}
+	if !omitRates {
+		s.Rates = p.status.Rates
+	}
+	return s
+}
