Relay long error responses whole, bound a stream's line, and count a 5xx as the target's failure

Cause: an error response over 256 KiB was cut and sent with the cut length as its own; the limit of an event was checked at line ends only, so that a target that never ends a line filled the memory; a 5xx to a request that must not be repeated marked its target as sound. The fencing number of a refused stage order was written by parallel orders without the lock, and a lower one could replace a higher one.

Tests: TestLongErrorResponses, TestEndlessEventIsBounded, TestFailingTargetIsAvoided.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -96,7 +96,11 @@
 
 // serve handles one call with a forwarder that has two prompt targets and two answer targets, or two plain targets if
 // the route has no prompts.
-func serve(b *backend, route matcher.Route, call *forwarder.Call, retries int) (res result) {
+func serve(b *backend, route matcher.Route, call *forwarder.Call, retries int) result {
+	return serveWith(b, route, call, retries, &chooser.TargetStates{})
+}
+
+func serveWith(b forwarder.Backend, route matcher.Route, call *forwarder.Call, retries int, states *chooser.TargetStates) (res result) {
 	route.Host, route.Prefix, route.Timeout = "h", "/p/", 5*time.Second
 	if route.Attempts == 0 {
 		route.Attempts = 2
@@ -118,7 +122,7 @@
 		Targets: func(identifier.ServiceID, time.Time) []*registrar.Target {
 			return append([]*registrar.Target(nil), targets...)
 		},
-		TargetStates: &chooser.TargetStates{}, Chooser: &chooser.Chooser{}, Backend: b, Budget: &budget{retries},
+		TargetStates: states, Chooser: &chooser.Chooser{}, Backend: b, Budget: &budget{retries},
 		RecordDemand:  func(identifier.ServiceID, identifier.Tokens, time.Time) {},
 		MaximumJitter: func() time.Duration { return 0 }, Instances: func() int { return 5 },
 		Expected: func(identifier.ServiceID, registrar.Stage, time.Time) (time.Duration, bool) {
@@ -357,3 +361,54 @@
 		quicktest.Check(t, w.Header().Get("Retry-After"), quicktest.Not(quicktest.Equals), "")
 	}
 }
+
+// TestLongErrorResponses checks that an error response that exceeds the buffer is relayed whole, or visibly breaks off.
+func TestLongErrorResponses(t *testing.T) {
+	text := strings.Repeat("0123456789abcdef", 40_000)
+	route := matcher.Route{Kind: matcher.Stream, HasPrompts: true, Attempts: 1}
+	call := &forwarder.Call{Parts: []chooser.Part{{ID: 1, Tokens: 100}}}
+	res := serve(&backend{runs: []step{{status: 500, body: text}}}, route, call, 0)
+	quicktest.Check(t, res.Code == 500 && res.Body.String() == text, quicktest.IsTrue, quicktest.Commentf("%d bytes of %d", res.Body.Len(), len(text)))
+	res = serve(&backend{runs: []step{{status: 500, body: text, truncated: true}}}, route, call, 0)
+	quicktest.Check(t, res.aborted, quicktest.IsTrue)
+}
+
+// endless is a body of a single line without an end.
+type endless struct{ read int }
+
+func (e *endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	e.read += len(p)
+	return len(p), nil
+}
+
+// endlessBackend answers each request with a line that does not end.
+type endlessBackend struct {
+	backend
+	body endless
+}
+
+func (b *endlessBackend) Run(_ context.Context, _ *forwarder.Call, a *forwarder.Attempt) (*forwarder.Response, error) {
+	return &forwarder.Response{Status: 200, Header: http.Header{}, Body: io.NopCloser(&b.body)}, nil
+}
+
+// TestEndlessEventIsBounded checks that a target that never ends a line does not fill the memory of the instance.
+func TestEndlessEventIsBounded(t *testing.T) {
+	b := &endlessBackend{}
+	res := serveWith(b, matcher.Route{Kind: matcher.Stream}, &forwarder.Call{}, 0, &chooser.TargetStates{})
+	quicktest.Check(t, res.Code, quicktest.Equals, http.StatusBadGateway)
+	quicktest.Check(t, b.body.read < 2<<20, quicktest.IsTrue, quicktest.Commentf("%d bytes read", b.body.read))
+}
+
+// TestFailingTargetIsAvoided checks that a target that answers requests that must not be repeated with errors is not
+// taken for a sound one.
+func TestFailingTargetIsAvoided(t *testing.T) {
+	states := &chooser.TargetStates{}
+	b := &backend{runs: []step{{status: 500, body: "bad"}, {status: 200, body: "ok"}}}
+	for range 2 {
+		serveWith(b, matcher.Route{Kind: matcher.Unsafe}, &forwarder.Call{}, 0, states)
+	}
+	quicktest.Check(t, b.received[1].Target.ID != b.received[0].Target.ID, quicktest.IsTrue)
+}
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -33,7 +33,12 @@
 		// A case that does not return leads to an attempt on another target.
 		switch {
 		case err == nil && !rs.retryableFailure(response):
-			rs.f.TargetStates.Succeeded(choice.Target.ID, time.Now())
+			// A failing target is avoided, whatever the kind of the request that showed it.
+			if response.Status >= http.StatusInternalServerError {
+				rs.f.TargetStates.Failed(choice.Target.ID, time.Now())
+			} else {
+				rs.f.TargetStates.Succeeded(choice.Target.ID, time.Now())
+			}
 			return rs.writeResponse(ctx, response, buffered)
 		case err == nil && !rs.takeRetry():
 			return rs.writeResponse(ctx, response, buffered)
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -77,19 +77,23 @@
 // readEvent reads one event up to and including its empty line. It returns io.EOF only between events, without any bytes.
 func readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
+	lineStart := 0
 	for {
-		line, err := r.ReadBytes('\n')
-		event = append(event, line...)
+		chunk, err := r.ReadSlice('\n')
+		event = append(event, chunk...)
 		switch {
+		case len(event) > maximumEventBytes:
+			return event, fmt.Errorf("event exceeds %d bytes", maximumEventBytes)
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
 		case errors.Is(err, io.EOF) && len(event) > 0:
 			return event, io.ErrUnexpectedEOF
 		case err != nil:
 			return event, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0:
+		case len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0:
 			return event, nil
-		case len(event) > maximumEventBytes:
-			return event, fmt.Errorf("event exceeds %d bytes", maximumEventBytes)
 		}
+		lineStart = len(event)
 	}
 }
 
--- a/internal/forwarder/streamed.go
+++ b/internal/forwarder/streamed.go
@@ -188,7 +188,7 @@
 	defer response.Body.Close()
 	if response.Status != http.StatusOK {
 		rs.markStarted()
-		return rs.relayErrorResponse(response, s)
+		return rs.relayErrorResponse(ctx, response)
 	}
 	if err := s.relay(response); err != nil {
 		return err
@@ -199,7 +199,7 @@
 
 // relayErrorResponse relays a target's error response, unless the client has already received a header or the request
 // can be retried.
-func (rs *requestState) relayErrorResponse(response *Response, s *stream) error {
+func (rs *requestState) relayErrorResponse(ctx context.Context, response *Response) error {
 	body, err := io.ReadAll(io.LimitReader(response.Body, bufferedResponseBytes))
 	if err != nil {
 		return fmt.Errorf("%w: reading the response body: %w", ErrOutcomeUnknown, err)
@@ -207,7 +207,9 @@
 	if rs.headerSent || rs.route.Resumable && rs.attempts < rs.route.Attempts {
 		return fmt.Errorf("%w: error response with status %d", ErrOutcomeUnknown, response.Status)
 	}
-	rs.writeBuffered(response, body)
+	if refusal := rs.writeResponse(ctx, response, body); refusal != nil {
+		return fmt.Errorf("%w: relaying the response body: %w", ErrOutcomeUnknown, refusal.Err)
+	}
 	return nil
 }
 
--- a/internal/scaler/stages.go
+++ b/internal/scaler/stages.go
@@ -78,7 +78,7 @@
 	mu        sync.Mutex
 	ordered   map[identifier.TargetID]sentOrder
 	heldSince time.Time
-	// refusedFence is the fencing number of the last order that was refused for it.
+	// refusedFence is the highest fencing number of an order that was refused for it.
 	refusedFence identifier.Fence
 	discovery    discovery
 }
@@ -109,7 +109,7 @@
 func (c *StageController) Run(ctx context.Context) {
 	for sleeper.Sleep(ctx, stepInterval) == nil {
 		fence, err := c.DutyLease.Authority()
-		if err != nil || fence == c.refusedFence {
+		if err != nil || c.wasRefused(fence) {
 			c.heldSince = time.Time{}
 			continue
 		}
@@ -227,6 +227,15 @@
 	c.Logger.Info("stage ordered", zap.String("Target", string(t.ID)), zap.Stringer("Stage", stage), zap.Stringer("Was", t.Stage),
 		zap.Uint64("Fence", uint64(sent.Fence)), zap.Uint64("Expected", sent.Expected), zap.Error(err))
 	if errors.Is(err, elector.ErrFenced) {
-		c.refusedFence = sent.Fence
+		c.mu.Lock()
+		c.refusedFence = max(c.refusedFence, sent.Fence)
+		c.mu.Unlock()
 	}
 }
+
+// wasRefused reports whether an order with the fencing number, or a higher one, was refused for it.
+func (c *StageController) wasRefused(fence identifier.Fence) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return fence <= c.refusedFence
+}
