--- a/internal/pooler/exchange.go
+++ b/internal/pooler/exchange.go
@@ -43,6 +43,8 @@
 	// Matches reports whether a response belongs to this request and not to another one on the same connection; nil
 	// accepts every response.
 	Matches func(status int, h http.Header) bool
+	// Admit is called once a connection is available, right before the request is sent; an error stops it. It may be nil.
+	Admit func() error
 }
 
 // Response is the head of a response and its body; Body must be closed.
@@ -90,6 +92,9 @@
 	stop := context.AfterFunc(ctx, c.close)
 	x := &exchange{conn: c, stop: stop, written: make(chan error, 1)}
 	head, err := r.head()
+	if err == nil && r.Admit != nil {
+		err = r.Admit()
+	}
 	if err != nil {
 		x.abort()
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -56,12 +56,26 @@
 	startedAt time.Time
 	revision  uint64
 	leaving   bool
-	at        time.Time
+	// gone is set once the target was removed, in the store's era goneEra.
+	gone    bool
+	goneEra identifier.Era
+	at      time.Time
+	// departedAt is when it was first known to be leaving or gone.
+	departedAt time.Time
 }
 
-// lastEntryLifetime is how long after its arrival the lastEntry of a removed target is kept: delayed entries arrive
-// within seconds.
-const lastEntryLifetime = time.Minute
+// Departure is one incarnation of a target that is leaving or gone.
+type Departure struct {
+	Target    identifier.TargetID
+	StartedAt time.Time
+	Revision  uint64
+	Gone      bool
+	Age       time.Duration
+}
+
+// DepartureLifetime is how long it is remembered that a target left: delayed entries arrive within seconds, and the store
+// may come back from a copy that is seconds old.
+const DepartureLifetime = time.Minute
 
 // pendingOrder is an order to change a target's stage.
 type pendingOrder struct {
@@ -73,28 +87,41 @@
 type Registrar struct {
 	// StoreRestoredAt returns the end of the store's last outage, or the zero time if there was none.
 	StoreRestoredAt func() time.Time
+	// Era returns the era of the store that the entries come from; nil means that there is only one.
+	Era func() identifier.Era
 
 	mu        sync.Mutex
 	byID      map[identifier.TargetID]*Target
 	lapsed    map[identifier.TargetID]time.Time
 	orders    map[identifier.TargetID]pendingOrder
 	lastEntry map[identifier.TargetID]lastEntry
-	list      atomic.Pointer[[]*Target]
+	snapshot  atomic.Pointer[snapshot]
+}
+
+// snapshot holds immutable lists of targets, sorted by ID.
+type snapshot struct {
+	all []*Target
+	// notLeaving holds the targets of each service that are not leaving.
+	notLeaving map[identifier.ServiceID][]*Target
 }
 
 // Put adds or replaces a target, unless the entry is older than the newest one of the same incarnation, or would cancel
-// its leaving. It reports whether the entry was accepted.
+// its leaving, or was removed in an earlier era of the store. It reports whether the entry was accepted.
 func (r *Registrar) Put(t Target, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.lastEntry[t.ID]
-	if same := l.startedAt.Equal(t.StartedAt) && !l.at.IsZero(); same && (t.Revision < l.revision || l.leaving && !t.Leaving) {
+	if same := l.startedAt.Equal(t.StartedAt) && !l.at.IsZero(); same && !l.allows(t, r.era()) {
 		return false
 	}
-	if r.lastEntry == nil {
-		r.lastEntry = map[identifier.TargetID]lastEntry{}
+	next := lastEntry{startedAt: t.StartedAt, revision: t.Revision, leaving: t.Leaving, at: now}
+	if next.leaving {
+		next.departedAt = now
+		if l.leaving && l.startedAt.Equal(t.StartedAt) {
+			next.departedAt = l.departedAt
+		}
 	}
-	r.lastEntry[t.ID] = lastEntry{startedAt: t.StartedAt, revision: t.Revision, leaving: t.Leaving, at: now}
+	r.setLastEntry(t.ID, next)
 	if r.byID == nil {
 		r.byID = map[identifier.TargetID]*Target{}
 	}
@@ -104,6 +131,112 @@
 	return true
 }
 
+// allows reports whether an entry of the same incarnation may follow in the given era of the store.
+func (l *lastEntry) allows(t Target, era identifier.Era) bool {
+	outdated := l.gone && l.goneEra < era && t.Revision <= l.revision
+	return t.Revision >= l.revision && (t.Leaving || !l.leaving) && !outdated
+}
+
+func (r *Registrar) era() identifier.Era {
+	if r.Era == nil {
+		return 0
+	}
+	return r.Era()
+}
+
+// setLastEntry sets the last entry of a target. The caller must hold mu.
+func (r *Registrar) setLastEntry(id identifier.TargetID, l lastEntry) {
+	if r.lastEntry == nil {
+		r.lastEntry = map[identifier.TargetID]lastEntry{}
+	}
+	r.lastEntry[id] = l
+}
+
+// MarkLeaving records that one incarnation of a target leaves, as the target itself or a peer has said. It reports
+// whether that was new. The mark outlives the target's entry and does not concern a later incarnation.
+func (r *Registrar) MarkLeaving(id identifier.TargetID, startedAt, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.lastEntry[id]
+	known := !l.at.IsZero()
+	switch {
+	case known && l.startedAt.Equal(startedAt):
+		if l.leaving {
+			return false
+		}
+		l.leaving, l.departedAt, l.at = true, now, now
+	case known && startedAt.Before(l.startedAt):
+		return false
+	default:
+		l = lastEntry{startedAt: startedAt, leaving: true, at: now, departedAt: now}
+	}
+	r.setLastEntry(id, l)
+	if t := r.byID[id]; t != nil && t.StartedAt.Equal(startedAt) && !t.Leaving {
+		leaving := *t
+		leaving.Leaving = true
+		r.byID[id] = &leaving
+		r.publish()
+	}
+	return true
+}
+
+// Departed reports whether one incarnation of a target is known to be leaving or gone.
+func (r *Registrar) Departed(id identifier.TargetID, startedAt time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.lastEntry[id]
+	return !l.at.IsZero() && l.startedAt.Equal(startedAt) && (l.leaving || l.gone)
+}
+
+// Departures returns the targets that were found to be leaving or gone within the given time.
+func (r *Registrar) Departures(within time.Duration, now time.Time) []Departure {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []Departure
+	for id, l := range r.lastEntry {
+		if age := now.Sub(l.departedAt); !l.departedAt.IsZero() && age <= within {
+			list = append(list, Departure{Target: id, StartedAt: l.startedAt, Revision: l.revision, Gone: l.gone, Age: age})
+		}
+	}
+	return list
+}
+
+// AddDeparture applies a departure that a peer reports. It reports whether it was new.
+func (r *Registrar) AddDeparture(d Departure, now time.Time) bool {
+	if !d.Gone {
+		return r.MarkLeaving(d.Target, d.StartedAt, now)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.lastEntry[d.Target]
+	known := !l.at.IsZero()
+	if known && (d.StartedAt.Before(l.startedAt) || l.startedAt.Equal(d.StartedAt) && (l.gone || l.revision > d.Revision)) {
+		return false
+	}
+	r.setLastEntry(d.Target, lastEntry{
+		startedAt: d.StartedAt, revision: d.Revision, leaving: l.leaving && l.startedAt.Equal(d.StartedAt),
+		gone: true, at: now, departedAt: now.Add(-d.Age),
+	})
+	if t := r.byID[d.Target]; t != nil && !t.StartedAt.After(d.StartedAt) {
+		delete(r.byID, d.Target)
+		r.publish()
+	}
+	return true
+}
+
+// setGone marks the last entry of a removed target. The caller must hold mu.
+func (r *Registrar) setGone(id identifier.TargetID, now time.Time) {
+	l, known := r.lastEntry[id]
+	if !known {
+		return
+	}
+	l.gone, l.goneEra, l.at = true, r.era(), now
+	if l.departedAt.IsZero() {
+		l.departedAt = now
+	}
+	r.lastEntry[id] = l
+}
+
 // Remove removes a target whose entry is gone. Shortly after an outage of the store, a target that was not leaving is
 // kept, and Expire removes it unless its entry returns.
 func (r *Registrar) Remove(id identifier.TargetID, now time.Time) {
@@ -123,6 +256,7 @@
 		}
 	}
 	delete(r.byID, id)
+	r.setGone(id, now)
 	r.publish()
 }
 
@@ -133,7 +267,7 @@
 	defer r.mu.Unlock()
 	maps.DeleteFunc(r.orders, func(_ identifier.TargetID, o pendingOrder) bool { return now.After(o.until) })
 	for id, l := range r.lastEntry {
-		if r.byID[id] == nil && now.Sub(l.at) > lastEntryLifetime {
+		if r.byID[id] == nil && now.Sub(l.at) > DepartureLifetime {
 			delete(r.lastEntry, id)
 		}
 	}
@@ -141,6 +275,7 @@
 		if !now.Before(until) {
 			delete(r.lapsed, id)
 			delete(r.byID, id)
+			r.setGone(id, now)
 			r.publish()
 		}
 	}
@@ -148,29 +283,31 @@
 
 // Targets returns an immutable snapshot of all targets, sorted by ID.
 func (r *Registrar) Targets() []*Target {
-	list := r.list.Load()
-	if list == nil {
+	s := r.snapshot.Load()
+	if s == nil {
 		return nil
 	}
-	return *list
+	return s.all
 }
 
-// NotLeaving returns the targets of a service that are not leaving.
+// NotLeaving returns the targets of a service that are not leaving. The caller may modify the list.
 func (r *Registrar) NotLeaving(service identifier.ServiceID) []*Target {
-	var list []*Target
-	for _, t := range r.Targets() {
-		if t.Service == service && !t.Leaving {
-			list = append(list, t)
-		}
+	s := r.snapshot.Load()
+	if s == nil {
+		return nil
 	}
-	return list
+	return slices.Clone(s.notLeaving[service])
 }
 
-// Available returns the targets of a service that accept new requests: they are neither leaving nor changing stage.
+// Available returns the targets of a service that accept new requests: they are neither leaving nor changing stage. The
+// caller may modify the list.
 func (r *Registrar) Available(service identifier.ServiceID, now time.Time) []*Target {
 	list := r.NotLeaving(service)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if len(r.orders) == 0 {
+		return list
+	}
 	return slices.DeleteFunc(list, func(t *Target) bool {
 		o, ordered := r.orders[t.ID]
 		return ordered && now.Before(o.until) && o.stage != t.Stage
@@ -210,10 +347,15 @@
 }
 
 func (r *Registrar) publish() {
-	list := make([]*Target, 0, len(r.byID))
+	s := &snapshot{all: make([]*Target, 0, len(r.byID)), notLeaving: map[identifier.ServiceID][]*Target{}}
 	for _, t := range r.byID {
-		list = append(list, t)
+		s.all = append(s.all, t)
+	}
+	slices.SortFunc(s.all, func(a, b *Target) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	for _, t := range s.all {
+		if !t.Leaving {
+			s.notLeaving[t.Service] = append(s.notLeaving[t.Service], t)
+		}
 	}
-	slices.SortFunc(list, func(a, b *Target) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	r.list.Store(&list)
+	r.snapshot.Store(s)
 }
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -7,6 +7,7 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
 var (
@@ -65,3 +66,44 @@
 	r.RecordOrder("t", registrar.Prompts, now.Add(time.Second))
 	quicktest.Assert(t, r.Available("s", now.Add(2*time.Second)), quicktest.HasLen, 1, quicktest.Commentf("an order without effect expires"))
 }
+
+// TestMarkOutlivesTheStore checks that a target that has said that it leaves takes no requests, whatever the store says
+// afterwards, until it has started again.
+func TestMarkOutlivesTheStore(t *testing.T) {
+	var r registrar.Registrar
+	r.Put(target(5, false), now)
+	quicktest.Check(t, r.MarkLeaving("t", startedAt, now), quicktest.IsTrue)
+	quicktest.Check(t, r.MarkLeaving("t", startedAt, now), quicktest.IsFalse)
+	quicktest.Check(t, r.Available("s", now), quicktest.HasLen, 0)
+	quicktest.Check(t, r.Put(target(6, false), now), quicktest.IsFalse)
+	r.Remove("t", now)
+	quicktest.Check(t, r.Put(target(7, false), now.Add(30*time.Second)), quicktest.IsFalse)
+	quicktest.Check(t, r.Departed("t", startedAt), quicktest.IsTrue)
+	restarted := target(1, false)
+	restarted.StartedAt = now
+	quicktest.Check(t, r.Put(restarted, now), quicktest.IsTrue)
+	quicktest.Check(t, r.Departed("t", now), quicktest.IsFalse)
+	quicktest.Check(t, r.MarkLeaving("t", startedAt, now), quicktest.IsFalse, quicktest.Commentf("said by the earlier incarnation"))
+	quicktest.Check(t, r.Available("s", now), quicktest.HasLen, 1)
+}
+
+// TestRemovedTargetStaysAwayAfterAReturn brings the entry of a removed target back with an older copy of the store, at
+// the instance that saw it removed and at one that has it from a peer only.
+func TestRemovedTargetStaysAwayAfterAReturn(t *testing.T) {
+	era := identifier.Era(0)
+	r := registrar.Registrar{Era: func() identifier.Era { return era }}
+	peer := registrar.Registrar{Era: func() identifier.Era { return era }}
+	r.Put(target(5, false), now)
+	r.Remove("t", now)
+	quicktest.Check(t, r.Put(target(5, false), now), quicktest.IsTrue, quicktest.Commentf("written again in the same era"))
+	r.Remove("t", now)
+	era = 1
+	quicktest.Check(t, r.Put(target(5, false), now), quicktest.IsFalse)
+	for _, d := range r.Departures(time.Minute, now) {
+		quicktest.Check(t, peer.AddDeparture(d, now), quicktest.IsTrue)
+	}
+	quicktest.Check(t, peer.Put(target(5, false), now), quicktest.IsFalse)
+	quicktest.Check(t, peer.Put(target(6, false), now), quicktest.IsTrue, quicktest.Commentf("the target has written since"))
+	quicktest.Check(t, peer.AddDeparture(registrar.Departure{Target: "t", StartedAt: startedAt, Revision: 5, Gone: true}, now), quicktest.IsFalse)
+	quicktest.Check(t, peer.Available("s", now), quicktest.HasLen, 1)
+}
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -32,9 +32,35 @@
 // Offset is a position in a stream of the platform's log.
 type Offset uint64
 
-// Fence is a fencing number, the offset of the claim that granted a lease.
+// Era counts how often the platform's store has come back from an older copy. Offsets of different eras are unrelated.
+type Era uint64
+
+// MaximumEra is the highest era whose fencing numbers fit into 53 bits, the integers that JSON numbers hold exactly.
+const MaximumEra Era = 1<<21 - 1
+
+// Position is an offset in one era of the store.
+type Position struct {
+	Era    Era
+	Offset Offset
+}
+
+// Before reports whether p comes before q, by era and then by offset.
+func (p Position) Before(q Position) bool {
+	if p.Era != q.Era {
+		return p.Era < q.Era
+	}
+	return p.Offset < q.Offset
+}
+
+// Fence is a fencing number: it rises with the position of the claim that granted a lease.
 type Fence uint64
 
+// eraShift is the number of bits of a fencing number that hold the offset.
+const eraShift = 32
+
+// FenceAt returns the fencing number of a claim at a position.
+func FenceAt(p Position) Fence { return Fence(uint64(p.Era)<<eraShift|uint64(p.Offset)) + 1 }
+
 // Version counts accepted publishes.
 type Version uint64
 
