--- a/internal/coordinator/constants.go
+++ b/internal/coordinator/constants.go
@@ -34,6 +34,8 @@
 	memberCopyAge = 5 * time.Second
 	// claimDelay is the additional delay per rank before an instance claims duties that have no holder.
 	claimDelay = 700 * time.Millisecond
+	// checkPause is the pause between checks of a condition that an instance that starts waits for.
+	checkPause = 50 * time.Millisecond
 	// joinRetryPause is the pause between attempts to register as a member or to contact the seeds.
 	joinRetryPause = 500 * time.Millisecond
 	// callTimeout limits one call to the store.
@@ -55,6 +57,17 @@
 	// incarnationDigits is the length of the random ID that distinguishes the incarnations of an instance. It is short
 	// because gossip messages carry many.
 	incarnationDigits = 8
+	// departureReportTime is how long after it is known a leaving target is reported to peers: some messages.
+	departureReportTime = 2 * time.Second
+	// reportedClosings is the number of newest closed usage windows that are reported to peers.
+	reportedClosings = 8
+	// reregisterJitter spreads the member records that all instances write after the store has lost some.
+	reregisterJitter = time.Second
+	// firstPeerTimeout is how long an instance that starts waits for a peer, which may know a newer configuration than
+	// a store that came back from an older copy.
+	firstPeerTimeout = 1500 * time.Millisecond
+	// reportedVersionTimeout is how long it then waits for the configuration that a peer has announced.
+	reportedVersionTimeout = 5 * time.Second
 	// AddressLifetime is how long clients may cache a response of the directory; a site may set a shorter time.
 	AddressLifetime = 1500 * time.Millisecond
 )
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/exchanger"
 	"github.com/coltsfootscale/coltsfootscale/internal/follower"
 	"github.com/coltsfootscale/coltsfootscale/internal/forwarder"
+	"github.com/coltsfootscale/coltsfootscale/internal/gatekeeper"
 	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
 	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
 	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
@@ -61,14 +63,19 @@
 	Duties        elector.Log
 	Backend       forwarder.Backend
 	OrderSender   scaler.OrderSender
+	// Gate stops requests to targets that leave or want none.
+	Gate  *gatekeeper.Gatekeeper
+	Store StoreEra
 	// Usage and Scaling are nil on a platform without usage reports and scaling.
 	Usage   reporter.UsagePlatform
 	Scaling scaler.TargetPlatform
 	// ConfigurationKey is the key of the configuration in its stream.
 	ConfigurationKey    string
 	DecodeConfiguration func(data []byte) (matcher.Configuration, error)
-	DecodeTarget        func(id string, data []byte) (registrar.Target, error)
-	SameTarget          func(older, newer []byte) bool
+	// ConfigurationVersion returns the version of a configuration, or false if it is not readable.
+	ConfigurationVersion func(data []byte) (uint64, bool)
+	DecodeTarget         func(id string, data []byte) (registrar.Target, error)
+	SameTarget           func(older, newer []byte) bool
 }
 
 // Handlers creates the HTTP handlers of an entry instance's listeners.
@@ -118,13 +125,23 @@
 	// receiving is the number of messages of peers that are being processed.
 	receiving atomic.Int32
 
+	// newEraAt is when this process learned of the current era of the store; nil in the first one.
+	newEraAt   atomic.Pointer[time.Time]
+	memberLost chan struct{}
+	// peerHeard is set with the first message of a peer. reportedVersion is the highest configuration version of a peer.
+	peerHeard       atomic.Bool
+	reportedVersion atomic.Uint64
+
 	mu           sync.Mutex
 	sendProgress map[string]*sendProgress
+	// heldClosings holds the closed usage windows that each peer knows, for peers that may become the holder.
+	heldClosings map[string][]int64
 }
 
 // New returns an entry instance that is ready to Run; reload reads the settings again.
 func New(settings *parser.EntrySettings, p Platform, handlers Handlers, reload func() (*parser.EntrySettings, error), logger *zap.Logger) *Coordinator {
-	c := &Coordinator{platform: p, handlers: handlers, logger: logger, reload: reload, sendProgress: map[string]*sendProgress{}}
+	c := &Coordinator{platform: p, handlers: handlers, logger: logger, reload: reload, sendProgress: map[string]*sendProgress{},
+		memberLost: make(chan struct{}, 1), heldClosings: map[string][]int64{}}
 	c.settings.Store(settings)
 	c.bounds = settings.Bounds
 	c.openMetrics()
@@ -137,17 +154,25 @@
 	c.wirePeers()
 	c.wireDuties()
 	c.wireRequests()
+	p.Store.WatchEra(c)
 	return c
 }
 
 func (c *Coordinator) wireMirrors() {
 	c.config.OnChange = c.configurationChanged
+	c.config.VersionOf = func(r mirrorer.Record) (uint64, bool) {
+		if r.Key != c.platform.ConfigurationKey {
+			return 0, false
+		}
+		return c.platform.ConfigurationVersion(r.Value)
+	}
 	c.targets.OnChange = c.targetChanged
 	c.targets.Equivalent = c.platform.SameTarget
 	c.members.OnChange = c.memberChanged
 	c.targets.OutageThreshold = outageThreshold
 	c.targets.FailingFor = func(time.Time) time.Duration { return 0 } // Replaced once the follower is created.
 	c.registry.StoreRestoredAt = c.targets.RecoveredAt
+	c.registry.Era = func() identifier.Era { return c.targets.Position().Era }
 }
 
 func (c *Coordinator) wirePeers() {
@@ -173,12 +198,14 @@
 	}
 	c.windowReporter = &reporter.WindowReporter{
 		DutyLease: c.elector, Platform: c.platform.Usage, Length: bounds.UsageWindow, MaximumDelay: bounds.UsageLate,
-		Now: c.medianTime, Total: c.counts.Total, Logger: c.logger,
+		Now: c.medianTime, Total: c.counts.Total, Held: c.heldByPeer, Logger: c.logger,
 	}
 }
 
 func (c *Coordinator) wireRequests() {
 	bounds := c.bounds
+	gate := c.platform.Gate
+	gate.Registry, gate.OnLeaving, gate.Logger, gate.Metrics = &c.registry, c.peers.SendNow, c.logger, c.metrics
 	c.targetStates.SharedPartsOnly = c.peers.UsesHubs
 	c.retryBudget = &retrier.WindowedBudget{
 		Share: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow,
@@ -186,21 +213,33 @@
 	}
 	c.forward = &forwarder.Forwarder{
 		Zone: identifier.ZoneID(c.self.Zone), Table: c.table.Load, TableAge: c.tableAge,
-		Targets: c.registry.Available, Expected: c.expected, Instances: c.instanceCount,
+		Targets: c.available, Expected: c.expected, Instances: c.instanceCount,
 		TargetStates: &c.targetStates, Chooser: &chooser.Chooser{Policy: c.settings.Load().Routing.Policy}, MaximumJitter: c.jitter,
 		Backend: c.platform.Backend, Budget: c.retryBudget,
 		CountRequest: c.countRequest, RecordDemand: c.demand.Add, Logger: c.logger, Metrics: c.metrics,
 	}
 }
 
-// expected returns how soon the first target that was ordered to change to a stage will be ready, or false if there is
-// none.
+// available returns the targets of a service that accept new requests and want them from this instance.
+func (c *Coordinator) available(service identifier.ServiceID, now time.Time) []*registrar.Target {
+	return slices.DeleteFunc(c.registry.Available(service, now), func(t *registrar.Target) bool {
+		return c.platform.Gate.Paused(t, now) > 0
+	})
+}
+
+// expected returns how soon the first target that pauses, or that was ordered to change to a stage, will be ready, or
+// false if there is none.
 func (c *Coordinator) expected(service identifier.ServiceID, stage registrar.Stage, now time.Time) (time.Duration, bool) {
+	soonest, found := time.Duration(0), false
+	for _, t := range c.registry.Available(service, now) {
+		if remaining := c.platform.Gate.Paused(t, now); remaining > 0 && (t.Stage == stage || t.Stage == registrar.AnyStage) && (!found || remaining < soonest) {
+			soonest, found = remaining, true
+		}
+	}
 	s := c.table.Load().Service(service)
 	if s == nil || s.Engine == nil {
-		return 0, false
+		return soonest, found
 	}
-	soonest, found := time.Duration(0), false
 	for _, o := range c.registry.Orders(now) {
 		if o.Service != service || o.Stage != stage {
 			continue
@@ -296,6 +335,10 @@
 		c.logger.Error("configuration not readable, the one before stays in force", zap.Uint64("Offset", uint64(r.Offset)), zap.Error(err))
 		return
 	}
+	if reported := c.reportedVersion.Load(); c.table.Load() == nil && uint64(cfg.Version) < reported {
+		c.logger.Info("older configuration ignored, a peer has a newer one", zap.Uint64("Version", uint64(cfg.Version)), zap.Uint64("Reported", reported))
+		return
+	}
 	next := matcher.New(cfg)
 	for {
 		old := c.table.Load()
--- a/internal/coordinator/gossip.go
+++ b/internal/coordinator/gossip.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
 	"github.com/coltsfootscale/coltsfootscale/internal/counter"
 	"github.com/coltsfootscale/coltsfootscale/internal/elector"
@@ -35,31 +37,31 @@
 }
 
 // addPayload adds the pending orders, the lease, and the changes that the peer lacks according to its last message.
-// Without a last message it adds the offsets of streams but no records: the peer's reply shows which ones it lacks, and
+// Without a last message it adds the positions of streams but no records: the peer's reply shows which ones it lacks, and
 // after a restart of the whole fleet no instance lacks any. With firstHand, prompt parts and counts that a hub has sent
 // are left out.
 func (c *Coordinator) addPayload(b, last *gossiper.Beat, firstHand bool) {
 	now := time.Now()
-	known := map[string]uint64{}
+	known := map[string]*gossiper.Stream{}
 	for _, s := range last.GetStreams() {
-		known[s.Name] = s.Next
+		known[s.Name] = s
 	}
 	for name, m := range c.mirrors() {
-		from := identifier.Offset(known[name])
-		if last == nil {
-			from = m.Next()
-		}
-		b.Streams = append(b.Streams, newStream(name, m, from, now))
+		b.Streams = append(b.Streams, newStream(name, m, known[name], last != nil, now))
 	}
 	for _, o := range c.registry.Orders(now) {
 		b.Orders = append(b.Orders, &gossiper.Order{Target: string(o.Target), Stage: int32(o.Stage), AgeMilliseconds: (scaler.SettleTime - o.Remaining).Milliseconds()})
 	}
 	if s, ok := c.elector.Head(); ok {
-		b.Lease = &gossiper.Lease{Holder: s.Holder, Fence: uint64(s.Fence), Offset: uint64(s.Next), AgeMilliseconds: s.Age.Milliseconds()}
+		b.Lease = &gossiper.Lease{
+			Holder: s.Holder, Fence: uint64(s.Fence), Era: uint64(s.Next.Era), Offset: uint64(s.Next.Offset), AgeMilliseconds: s.Age.Milliseconds(),
+		}
 	}
 	b.OmitCounts = c.peers.UsesHubs() && !c.peers.IsHub(now) && !c.holdsDuties()
+	b.Departures = c.departures(now)
 	if last != nil {
 		c.addChanges(b, last, firstHand)
+		c.addClosings(b, last)
 	}
 }
 
@@ -68,6 +70,53 @@
 	return err == nil
 }
 
+// departures returns the targets that recently said that they leave. After the store has come back from an older copy it
+// also returns those that are gone, because their entries may be there again.
+func (c *Coordinator) departures(now time.Time) []*gossiper.Departure {
+	within := departureReportTime
+	restored := now.Sub(c.eraChangedAt()) < registrar.DepartureLifetime
+	if restored {
+		within = registrar.DepartureLifetime
+	}
+	var list []*gossiper.Departure
+	for _, d := range c.registry.Departures(within, now) {
+		if d.Gone && !restored {
+			continue
+		}
+		list = append(list, &gossiper.Departure{
+			Target: string(d.Target), StartedAtMilliseconds: d.StartedAt.UnixMilli(), Revision: d.Revision, Gone: d.Gone, AgeMilliseconds: d.Age.Milliseconds(),
+		})
+	}
+	return list
+}
+
+// addClosings lists the closed usage windows that this instance knows, and adds the figures of those that the peer lacks.
+// Only instances that may become the next holder need them.
+func (c *Coordinator) addClosings(b, last *gossiper.Beat) {
+	if b.OmitCounts {
+		return
+	}
+	remembered := c.elector.Remembered()
+	newest := int64(0)
+	for window := range remembered {
+		newest = max(newest, window)
+	}
+	for window, figures := range remembered {
+		if window <= newest-reportedClosings {
+			continue
+		}
+		b.KnownClosings = append(b.KnownClosings, window)
+		if last.OmitCounts || !last.ReadsCompactStatuses || slices.Contains(last.KnownClosings, window) {
+			continue
+		}
+		closing := &gossiper.Closing{Window: window, Requests: map[string]uint64{}}
+		for team, n := range figures {
+			closing.Requests[string(team)] = n
+		}
+		b.Closings = append(b.Closings, closing)
+	}
+}
+
 // sentPositions holds the positions in a sequence of changes that the last two messages to a peer reached. Sending the
 // changes after previous puts each one into two messages, because a message may be lost.
 type sentPositions struct{ previous, last uint64 }
@@ -119,13 +168,27 @@
 	c.peers.SendNow()
 }
 
-// newStream returns the records of a mirror from an offset on, with the mirror's next offset and age.
-func newStream(name string, m *mirrorer.Mirror, from identifier.Offset, now time.Time) *gossiper.Stream {
-	s := &gossiper.Stream{Name: name, From: uint64(from), Next: uint64(m.Next()), AgeMilliseconds: -1}
+// newStream returns the position and age of a mirror and the records that the peer lacks according to its own stream,
+// which is nil if it has none. Without withRecords, records are left out.
+func newStream(name string, m *mirrorer.Mirror, peer *gossiper.Stream, withRecords bool, now time.Time) *gossiper.Stream {
+	position := m.Position()
+	from := identifier.Offset(peer.GetNext())
+	switch {
+	case !withRecords:
+		from = position.Offset
+	case identifier.Era(peer.GetEra()) != position.Era:
+		from = 0
+	}
+	s := &gossiper.Stream{
+		Name: name, Era: uint64(position.Era), From: uint64(from), Next: uint64(position.Offset), AgeMilliseconds: -1, Version: m.Version(),
+	}
 	if age, known := m.Age(now); known {
 		s.AgeMilliseconds = age.Milliseconds()
 	}
-	for _, r := range m.Since(from) {
+	if !withRecords || identifier.Era(peer.GetEra()) > position.Era {
+		return s
+	}
+	for _, r := range m.Newer(from, peer.GetVersion()) {
 		s.Records = append(s.Records, &gossiper.Record{Key: r.Key, Value: r.Value, Offset: uint64(r.Offset)})
 	}
 	return s
@@ -149,6 +212,15 @@
 func (c *Coordinator) onMessage(b *gossiper.Beat, now time.Time, relayed bool) {
 	c.receiving.Add(1)
 	defer c.receiving.Add(-1)
+	for _, s := range b.Streams {
+		c.learnEra(identifier.Era(s.Era))
+		if s.Name == streamConfiguration {
+			c.raiseReportedVersion(s.Version)
+		}
+	}
+	c.peerHeard.Store(true)
+	// Before the entries of targets, some of which may be outdated.
+	c.applyDepartures(b.Departures, now)
 	mirrors := c.mirrors()
 	for _, s := range b.Streams {
 		if m := mirrors[s.Name]; m != nil {
@@ -166,22 +238,75 @@
 	for _, n := range b.Counts {
 		mergeCount(counter.Count{Incarnation: n.Incarnation, Window: n.Window, Team: identifier.TeamID(n.Team), Requests: n.Requests})
 	}
+	c.applyClosings(b)
 	for _, o := range b.Orders {
 		remaining := scaler.SettleTime - time.Duration(o.AgeMilliseconds)*time.Millisecond
 		c.registry.RecordOrder(identifier.TargetID(o.Target), registrar.Stage(o.Stage), now.Add(remaining))
 	}
 	if l := b.Lease; l != nil {
 		c.elector.ReceiveHead(elector.LogHead{
-			Holder: l.Holder, Fence: identifier.Fence(l.Fence), Next: identifier.Offset(l.Offset),
-			Age: time.Duration(l.AgeMilliseconds) * time.Millisecond,
+			Holder: l.Holder, Fence: identifier.Fence(l.Fence),
+			Next: identifier.Position{Era: identifier.Era(l.Era), Offset: identifier.Offset(l.Offset)},
+			Age:  time.Duration(l.AgeMilliseconds) * time.Millisecond,
 		})
 	}
 }
 
+func (c *Coordinator) applyDepartures(departures []*gossiper.Departure, now time.Time) {
+	for _, d := range departures {
+		isNew := c.registry.AddDeparture(registrar.Departure{
+			Target: identifier.TargetID(d.Target), StartedAt: time.UnixMilli(d.StartedAtMilliseconds), Revision: d.Revision, Gone: d.Gone,
+			Age: time.Duration(d.AgeMilliseconds) * time.Millisecond,
+		}, now)
+		if isNew {
+			c.logger.Info("target leaves or is gone, says a peer", zap.String("Target", d.Target), zap.Bool("Gone", d.Gone), zap.Int64("AgeMilliseconds", d.AgeMilliseconds))
+		}
+	}
+}
+
+// applyClosings remembers the figures of windows that a peer knows to be closed, and which windows it knows.
+func (c *Coordinator) applyClosings(b *gossiper.Beat) {
+	for _, closing := range b.Closings {
+		figures := elector.Figures{}
+		for team, n := range closing.Requests {
+			figures[identifier.TeamID(team)] = n
+		}
+		c.elector.Remember(closing.Window, figures)
+	}
+	sender := b.Statuses[0].Member.ID
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if b.OmitCounts || !b.ReadsCompactStatuses {
+		delete(c.heldClosings, sender)
+		return
+	}
+	c.heldClosings[sender] = b.KnownClosings
+}
+
+// heldByPeer reports whether a peer that may become the next holder knows the figures of a closed window, or there is no
+// such peer. Once reported, the figures then survive both this instance and the store's record of them.
+func (c *Coordinator) heldByPeer(window int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	possible := false
+	for _, p := range c.peers.Alive(time.Now()) {
+		windows, mayHold := c.heldClosings[p.Member.ID]
+		if slices.Contains(windows, window) {
+			return true
+		}
+		possible = possible || mayHold
+	}
+	return !possible
+}
+
 // applyStream applies the records and the age of a stream that a peer sent.
 func applyStream(m *mirrorer.Mirror, s *gossiper.Stream, now time.Time) {
-	if identifier.Offset(s.From) > m.Next() {
-		return // Records are missing; the peer sends them once it has received this instance's offset.
+	position, era := m.Position(), identifier.Era(s.Era)
+	if era < position.Era || era == position.Era && identifier.Offset(s.From) > position.Offset {
+		return // Records are missing; the peer sends them once it has received this instance's position.
+	}
+	if era > position.Era && (s.From > 0 || s.AgeMilliseconds < 0) {
+		return
 	}
 	records := make([]mirrorer.Record, 0, len(s.Records))
 	for _, r := range s.Records {
@@ -191,7 +316,11 @@
 	if s.AgeMilliseconds >= 0 {
 		asOf = now.Add(-time.Duration(s.AgeMilliseconds) * time.Millisecond)
 	}
-	m.Apply(records, identifier.Offset(s.Next), asOf)
+	if era > position.Era {
+		m.Replace(era, records, identifier.Offset(s.Next), asOf)
+		return
+	}
+	m.Apply(era, records, identifier.Offset(s.Next), asOf)
 }
 
 // rank returns the number of live and ready instances that come before this one, by descending capacity, then by ID.
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -53,4 +53,5 @@
 		fence = 0 // This instance does not hold the duties.
 	}
 	set("DutyFence", float64(fence))
+	set("StoreEra", float64(c.platform.Store.Era()))
 }
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -68,7 +68,10 @@
 	c.targets.FailingFor = targets.FailingFor
 	for _, task := range []func(context.Context){
 		c.peers.Run, c.contactSeeds, c.register, c.cleanUp, c.watchSettings,
-		c.newFollower(streamConfiguration, c.platform.Configuration, &c.config, c.copyAge).Run,
+		func(ctx context.Context) {
+			c.awaitPeer(ctx)
+			c.newFollower(streamConfiguration, c.platform.Configuration, &c.config, c.copyAge).Run(ctx)
+		},
 		targets.Run,
 		c.newFollower(streamMembers, c.platform.Members, &c.members, c.memberCopyAge).Run,
 		func(ctx context.Context) { peerServer.Serve(ctx, peerLis) },
@@ -136,7 +139,8 @@
 	}
 }
 
-// register writes this instance's member record to the store, with retries until it succeeds.
+// register writes this instance's member record to the store, with retries until it succeeds, and again whenever the
+// store may have lost it.
 func (c *Coordinator) register(ctx context.Context) {
 	record, err := proto.Marshal(c.self)
 	if err != nil {
@@ -146,7 +150,10 @@
 	for {
 		err := c.putMember(ctx, record)
 		if err == nil {
-			return
+			if !c.registerAgain(ctx) {
+				return
+			}
+			continue
 		}
 		c.logger.Debug("cannot register member", zap.Error(err))
 		if sleeper.Sleep(ctx, joinRetryPause) != nil {
@@ -173,6 +180,8 @@
 func (c *Coordinator) cleanUp(ctx context.Context) {
 	for sleeper.Sleep(ctx, cleanupInterval) == nil {
 		c.registry.Expire(time.Now())
+		c.platform.Gate.Expire(c.registry.Targets(), time.Now())
+		c.applyOutdatedConfiguration()
 		c.targetStates.Retain(c.registry.Targets(), time.Now())
 		c.demand.Sample(time.Now())
 		c.updateGauges(time.Now())
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -26,6 +26,8 @@
 	ErrRefused = errors.New("store refused the call")
 	// ErrFenced is returned by a receiver that has seen a higher fencing number, or that cannot provide what was ordered.
 	ErrFenced = errors.New("refused by fencing number")
+	// ErrEraChanged is returned when the store has come back from an older copy during a call.
+	ErrEraChanged = errors.New("the era of the store has changed")
 	// ErrNotHolder is returned when this instance does not hold the lease, or its lease has expired.
 	ErrNotHolder = errors.New("duties not held")
 )
@@ -34,8 +36,11 @@
 type Log interface {
 	// Append adds a record if the log ends at the given offset.
 	Append(ctx context.Context, end identifier.Offset, record []byte) error
-	// Read returns all records starting at an offset, and the offset after the last of them.
+	// Read returns all records starting at an offset, and the offset after the last of them. Records that have expired
+	// are skipped.
 	Read(ctx context.Context, from identifier.Offset) ([][]byte, identifier.Offset, error)
+	// Era returns the highest era of the store that is known. An answer of an earlier one is an error.
+	Era() identifier.Era
 }
 
 const (
@@ -54,8 +59,8 @@
 	// Holder and Fence are those of the newest claim that was read; Next may be after records that were not read yet.
 	Holder string
 	Fence  identifier.Fence
-	// Next is the offset after that record.
-	Next identifier.Offset
+	// Next is the position after that record.
+	Next identifier.Position
 	// Age is the time since the record was first known to be in the log.
 	Age time.Duration
 }
@@ -66,6 +71,11 @@
 // of no newer record for the duration of a lease plus the drift allowance. The claim is appended only if the log still
 // ends there, so a renewal in flight either is appended first and invalidates the claim, or is refused. A lease is
 // never released early, so the first action of the next holder comes a whole lease after the last action of this one.
+//
+// When the store comes back from an older copy, the records that granted a lease may be lost and their offsets given out
+// again. A new era of the store therefore ends the authority of the holder that learns of it. Contenders read the log
+// again and wait a whole lease from then on, as after a renewal. A holder that has not learned of the era sent its last
+// renewal before the return, so its authority ends before theirs begins. Fencing numbers rise with the era.
 type Elector struct {
 	Holder string
 	Log    Log
@@ -76,8 +86,12 @@
 	// Eligible reports whether this instance may claim a lease that has been expired for the given time.
 	Eligible func(expiredFor time.Duration) bool
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	// era is the era of the store to which fold, peerNext and fence belong.
+	era  identifier.Era
 	fold Fold
+	// remembered holds the figures of windows that are known to have been closed, also if the log has lost them.
+	remembered map[int64]Figures
 	// headSince is when the newest record was first known to be in the log, on the clock of Now.
 	headSince time.Duration
 	logRead   bool
@@ -96,12 +110,30 @@
 }
 
 func (e *Elector) authority() (identifier.Fence, error) {
-	if e.fence == 0 || e.Now() >= e.expiresAt {
+	if e.fence == 0 || e.Now() >= e.expiresAt || e.Log.Era() != e.era {
 		return 0, ErrNotHolder
 	}
 	return e.fence, nil
 }
 
+// enterEra discards what belongs to an earlier era of the store.
+func (e *Elector) enterEra() {
+	era := e.Log.Era()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if era <= e.era {
+		return
+	}
+	e.Logger.Info("duties log is of a new era", zap.Uint64("Was", uint64(e.era)), zap.Uint64("Era", uint64(era)),
+		zap.Uint64("End", uint64(e.fold.Next)), zap.Uint64("Fence", uint64(e.fold.Fence)))
+	for window, figures := range e.fold.Closed {
+		e.remember(window, figures)
+	}
+	e.era, e.fold, e.peerNext, e.logRead = era, Fold{}, 0, false
+	e.headSince = e.Now()
+	e.dropLease("new era")
+}
+
 // WithLease calls send with the fencing number if the lease is held; the context of send ends before the lease does.
 func (e *Elector) WithLease(ctx context.Context, send func(ctx context.Context, fence identifier.Fence) error) error {
 	e.mu.Lock()
@@ -128,18 +160,20 @@
 func (e *Elector) Head() (LogHead, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return LogHead{Holder: e.fold.Holder, Fence: e.fold.Fence, Next: max(e.fold.Next, e.peerNext), Age: e.Now() - e.headSince}, e.logRead
+	next := identifier.Position{Era: e.era, Offset: max(e.fold.Next, e.peerNext)}
+	return LogHead{Holder: e.fold.Holder, Fence: e.fold.Fence, Next: next, Age: e.Now() - e.headSince}, e.logRead
 }
 
-// ReceiveHead takes the head of the log that a peer reports, so that contenders need not read the log.
+// ReceiveHead takes the head of the log that a peer reports, so that contenders need not read the log. A head of another
+// era is ignored.
 func (e *Elector) ReceiveHead(h LogHead) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if h.Next <= max(e.peerNext, e.fold.Next) {
+	if h.Next.Era != e.era || h.Next.Offset <= max(e.peerNext, e.fold.Next) {
 		return
 	}
 	// For the lease it is enough to know that the records exist; their contents are read before they are needed.
-	e.peerNext = h.Next
+	e.peerNext = h.Next.Offset
 	e.headSince = max(e.headSince, e.Now()-h.Age)
 	if h.Fence > e.fence {
 		e.dropLease("superseded")
@@ -153,6 +187,40 @@
 	return maps.Clone(e.fold.Closed)
 }
 
+// Remembered returns the figures of all windows that are known to have been closed, also of those that the log has lost.
+// They come before those in the log, where a late record may have taken the place of a lost one.
+func (e *Elector) Remembered() map[int64]Figures {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	all := maps.Clone(e.fold.Closed)
+	if all == nil {
+		all = map[int64]Figures{}
+	}
+	maps.Copy(all, e.remembered)
+	return all
+}
+
+// Remember records the figures of a window that a peer knows to have been closed. The first figures stand.
+func (e *Elector) Remember(window int64, figures Figures) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, closed := e.fold.Closed[window]; !closed {
+		e.remember(window, figures)
+	}
+}
+
+// remember records the figures of a closed window. The caller must hold mu.
+func (e *Elector) remember(window int64, figures Figures) {
+	if e.remembered == nil {
+		e.remembered = map[int64]Figures{}
+	}
+	if _, known := e.remembered[window]; known {
+		return
+	}
+	e.remembered[window] = figures
+	dropOldest(e.remembered, window)
+}
+
 // Close fixes the figures of a window. After it returns without an error, the log holds figures for the window.
 func (e *Elector) Close(ctx context.Context, window int64, figures Figures) error {
 	requests := map[string]uint64{}
@@ -165,6 +233,7 @@
 }
 
 func (e *Elector) step(ctx context.Context) {
+	e.enterEra()
 	e.mu.Lock()
 	_, err := e.authority()
 	remaining := e.expiresAt - e.Now()
@@ -190,23 +259,27 @@
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	e.mu.Lock()
-	from := e.fold.Next
+	era, from := e.era, e.fold.Next
 	e.mu.Unlock()
-	records, _, err := e.Log.Read(ctx, from)
+	records, next, err := e.Log.Read(ctx, from)
 	if err != nil {
 		return nil, err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.era != era || e.Log.Era() != era {
+		return nil, fmt.Errorf("%w: it was %d", ErrEraChanged, era)
+	}
 	if e.fold.Next != from {
 		return nil, fmt.Errorf("%w: it advanced while it was read from offset %d", ErrLogAdvanced, from)
 	}
+	e.fold.Next = next - identifier.Offset(len(records))
 	for _, r := range records {
 		e.fold.Apply(r)
 	}
 	switch {
-	case e.fold.Next == 0:
-		// An empty log has no holder to wait for.
+	case e.fold.Next == 0 && e.era == 0:
+		// A log that was always empty has no holder to wait for.
 		e.headSince = e.Now() - 2*e.Lease
 	case !e.logRead, len(records) > 0 && e.fold.Next > e.peerNext:
 		e.headSince = e.Now()
@@ -220,18 +293,19 @@
 
 func (e *Elector) claim(ctx context.Context) {
 	e.mu.Lock()
-	end := e.fold.Next
+	end := identifier.Position{Era: e.era, Offset: e.fold.Next}
 	e.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	started := e.Now()
-	err := e.append(ctx, &Duty{Body: &Duty_Claim{Claim: &Claim{Holder: e.Holder, Attempt: e.nextAttempt()}}})
+	err := e.append(ctx, &Duty{Body: &Duty_Claim{Claim: &Claim{Holder: e.Holder, Attempt: e.nextAttempt(), Era: uint64(end.Era)}}})
 	if err != nil {
-		e.Logger.Info("claim failed", zap.Uint64("End", uint64(end)), zap.Error(err))
+		e.Logger.Info("claim failed", zap.Uint64("Era", uint64(end.Era)), zap.Uint64("End", uint64(end.Offset)), zap.Error(err))
 		return
 	}
-	e.setLease(identifier.Fence(end)+1, started)
-	e.Logger.Info("duties claimed", zap.Uint64("Fence", uint64(end)+1))
+	fence := identifier.FenceAt(end)
+	e.setLease(fence, started)
+	e.Logger.Info("duties claimed", zap.Uint64("Fence", uint64(fence)))
 }
 
 func (e *Elector) renew(ctx context.Context, fence identifier.Fence) {
@@ -263,13 +337,21 @@
 		return err
 	}
 	e.mu.Lock()
-	end := e.fold.Next
+	era, end := e.era, e.fold.Next
 	e.mu.Unlock()
+	if e.Log.Era() != era {
+		return fmt.Errorf("%w: it was %d", ErrEraChanged, era)
+	}
 	err = e.Log.Append(ctx, end, record)
 	switch {
+	case e.Log.Era() != era:
+		return fmt.Errorf("%w: it was %d", ErrEraChanged, era)
 	case err == nil:
 		e.mu.Lock()
 		defer e.mu.Unlock()
+		if e.era != era {
+			return fmt.Errorf("%w: it was %d", ErrEraChanged, era)
+		}
 		if e.fold.Next != end {
 			return fmt.Errorf("%w: it advanced while record %d was appended", ErrLogAdvanced, end)
 		}
@@ -296,7 +378,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	asserter.That(fence >= e.fence, asserter.FenceRises, "fence %d after %d", fence, e.fence)
-	if e.fold.Fence != fence {
+	if e.fold.Fence != fence || e.Log.Era() != e.era {
 		return
 	}
 	e.fence = fence
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -33,6 +34,15 @@
 	rng          *rand.Rand
 	faultRate    float64
 	disconnected map[string]bool
+	era          identifier.Era
+}
+
+// rewind lets the store come back from a copy that lacks the newest records.
+func (l *log) rewind(lost int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = slices.Clone(l.records[:max(0, len(l.records)-lost)])
+	l.era++
 }
 
 var errLost = errors.New("response lost")
@@ -41,6 +51,29 @@
 type view struct {
 	*log
 	name string
+	// known is the highest era in an answer that the instance has received.
+	known *identifier.Era
+}
+
+func (v view) Era() identifier.Era {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return *v.known
+}
+
+// answered takes the era of an answer. It reports whether the answer counts.
+func (v view) answered(era identifier.Era) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	current := era >= *v.known
+	*v.known = max(*v.known, era)
+	return current
+}
+
+func (v view) currentEra() identifier.Era {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.log.era
 }
 
 // roll draws the fault of one call: 2 if the instance is disconnected, and below 1 with the probability faultRate.
@@ -70,6 +103,7 @@
 		<-ctx.Done()
 		return errLost
 	case r < 0.25:
+		v.answered(v.currentEra())
 		return elector.ErrRefused
 	case r < 0.5:
 		if err := v.apply(end, record); err != nil {
@@ -87,7 +121,12 @@
 	case r < 1:
 		time.Sleep(700 * time.Millisecond)
 	}
-	return v.apply(end, record)
+	era := v.currentEra()
+	err := v.apply(end, record)
+	if time.Sleep(4 * time.Millisecond); !v.answered(era) {
+		return errLost
+	}
+	return err
 }
 
 func (v view) Read(ctx context.Context, from identifier.Offset) ([][]byte, identifier.Offset, error) {
@@ -96,9 +135,14 @@
 		<-ctx.Done()
 		return nil, 0, errLost
 	}
+	era := v.currentEra()
 	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.records[from:], identifier.Offset(len(v.records)), nil
+	records, end := v.records, identifier.Offset(len(v.records))
+	v.mu.Unlock()
+	if time.Sleep(4 * time.Millisecond); !v.answered(era) || from > end {
+		return nil, 0, errLost
+	}
+	return records[from:], end, nil
 }
 
 // contend runs three electors under the random schedule of a seed, with clock rates that differ by the fraction drift.
@@ -115,7 +159,7 @@
 			name := fmt.Sprint("entry-", i)
 			rate := 1 + drift*float64(i-1)
 			e := &elector.Elector{
-				Holder: name, Log: view{l, name}, Lease: lease, Logger: zap.NewNop(),
+				Holder: name, Log: view{l, name, new(identifier.Era)}, Lease: lease, Logger: zap.NewNop(),
 				Now:      func() time.Duration { return time.Duration(float64(time.Since(start)+time.Second) * rate) },
 				Eligible: func(expiredFor time.Duration) bool { return expiredFor > time.Duration(i)*700*time.Millisecond },
 			}
@@ -210,6 +254,8 @@
 	return nil
 }
 
+func (l *lateLog) Era() identifier.Era { return 0 }
+
 func (l *lateLog) Read(_ context.Context, from identifier.Offset) ([][]byte, identifier.Offset, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/elector/fold.go
+++ b/internal/elector/fold.go
@@ -14,6 +14,7 @@
 
 // Fold is the state of the duties log up to an offset; the zero value is that of an empty log.
 type Fold struct {
+	// Next is the offset of the next record to apply.
 	Next   identifier.Offset
 	Holder string
 	Fence  identifier.Fence
@@ -31,7 +32,15 @@
 	}
 	switch body := d.Body.(type) {
 	case *Duty_Claim:
-		f.Holder, f.Fence = body.Claim.Holder, identifier.Fence(offset)+1
+		// A claim that was sent in an earlier era may be appended late; its number is lower.
+		if fence := identifier.FenceAt(identifier.Position{Era: identifier.Era(body.Claim.Era), Offset: offset}); fence > f.Fence {
+			f.Holder, f.Fence = body.Claim.Holder, fence
+		}
+	case *Duty_Renewal:
+		// The claim may have expired from the log.
+		if f.Fence == 0 {
+			f.Holder, f.Fence = body.Renewal.Holder, identifier.Fence(body.Renewal.Fence)
+		}
 	case *Duty_Close:
 		if identifier.Fence(body.Close.Fence) == f.Fence {
 			f.close(body.Close)
@@ -52,11 +61,16 @@
 		figures[identifier.TeamID(team)] = n
 	}
 	f.Closed[c.Window] = figures
-	if len(f.Closed) > maximumClosedWindows {
-		oldest := c.Window
-		for w := range f.Closed {
-			oldest = min(oldest, w)
-		}
-		delete(f.Closed, oldest)
+	dropOldest(f.Closed, c.Window)
+}
+
+// dropOldest removes the oldest window if there are too many.
+func dropOldest(closed map[int64]Figures, oldest int64) {
+	if len(closed) <= maximumClosedWindows {
+		return
+	}
+	for w := range closed {
+		oldest = min(oldest, w)
 	}
+	delete(closed, oldest)
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -13,8 +14,13 @@
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
-// ErrExpired is returned by a stream that no longer retains the records at the requested offset.
-var ErrExpired = errors.New("records at this offset have expired")
+// Errors of a follower and its stream.
+var (
+	// ErrExpired is returned by a stream that does not have the records at the requested offset.
+	ErrExpired = errors.New("no records at this offset")
+	// ErrEarlierEra is returned when the mirror is in a later era than the store's answers.
+	ErrEarlierEra = errors.New("data of an earlier era of the store")
+)
 
 // Stream is a keyed stream of the store.
 type Stream interface {
@@ -23,6 +29,8 @@
 	// Read returns the records from an offset on and the offset after them. If there are none yet, it waits for the first
 	// one, but no longer than wait.
 	Read(ctx context.Context, from identifier.Offset, wait time.Duration) ([]mirrorer.Record, identifier.Offset, error)
+	// Era returns the highest era of the store that is known. An answer of an earlier one is an error.
+	Era() identifier.Era
 }
 
 const (
@@ -30,8 +38,9 @@
 	callTimeout = time.Second
 	// retryPause is the pause after a failed call, which limits the load on a failing store.
 	retryPause = 400 * time.Millisecond
-	// checkInterval is the time between checks of the mirror's age.
-	checkInterval = 50 * time.Millisecond
+	// minimumCheckInterval and maximumCheckInterval limit the time until the next check of the mirror's age.
+	minimumCheckInterval = 50 * time.Millisecond
+	maximumCheckInterval = 200 * time.Millisecond
 )
 
 // Follower reads a stream into a mirror; all fields except Wait must be set.
@@ -58,9 +67,9 @@
 // Run follows the stream until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if age, known := f.Mirror.Age(time.Now()); known && age < f.MaximumAge() {
+		if remaining := f.remaining(time.Now()); remaining > 0 {
 			f.failingSince.Store(nil)
-			if sleeper.Sleep(ctx, checkInterval) != nil {
+			if sleeper.Sleep(ctx, min(maximumCheckInterval, max(minimumCheckInterval, remaining))) != nil {
 				return
 			}
 			continue
@@ -71,6 +80,15 @@
 	}
 }
 
+// remaining returns the time until this instance reads the store itself; zero or less means now.
+func (f *Follower) remaining(now time.Time) time.Duration {
+	age, known := f.Mirror.Age(now)
+	if !known || f.Stream.Era() > f.Mirror.Position().Era {
+		return 0
+	}
+	return f.MaximumAge() - age
+}
+
 // FailingFor returns for how long calls have failed without the mirror becoming fresh, or zero if they have not.
 func (f *Follower) FailingFor(now time.Time) time.Duration {
 	since := f.failingSince.Load()
@@ -83,10 +101,17 @@
 // step makes one call to the store and applies the result.
 func (f *Follower) step(ctx context.Context) error {
 	calledAt := time.Now()
-	readNewest := f.expired || f.Mirror.Next() == 0
-	records, next, err := f.call(ctx, readNewest)
-	if errors.Is(err, ErrExpired) && !readNewest {
-		f.Logger.Info("records expired, reading the newest of each key", zap.String("Stream", f.Name), zap.Error(err))
+	era, position := f.Stream.Era(), f.Mirror.Position()
+	whole := f.expired || position.Offset == 0 || era > position.Era
+	records, next, err := f.call(ctx, whole)
+	if f.Stream.Era() != era {
+		return nil // The answer may mix two eras.
+	}
+	if err == nil && era < position.Era {
+		err = fmt.Errorf("%w: %d, the copy is of era %d", ErrEarlierEra, era, position.Era)
+	}
+	if errors.Is(err, ErrExpired) && !f.expired {
+		f.Logger.Info("no records at this offset, reading the newest of each key", zap.String("Stream", f.Name), zap.Error(err))
 		f.expired = true
 		return nil
 	}
@@ -103,25 +128,30 @@
 		f.lost = false
 		f.Logger.Info("store regained", zap.String("Stream", f.Name))
 	}
-	if readNewest {
-		f.Mirror.Replace(records, next, calledAt)
+	if whole {
+		f.Mirror.Replace(era, records, next, calledAt)
 	} else {
-		f.Mirror.Apply(records, next, calledAt)
+		f.Mirror.Apply(era, records, next, calledAt)
 	}
 	return nil
 }
 
-// call reads the newest record of each key if readNewest is set, and otherwise the records from the mirror's next offset
-// on; peers may have sent the ones before it.
-func (f *Follower) call(ctx context.Context, readNewest bool) ([]mirrorer.Record, identifier.Offset, error) {
+// call reads the whole stream or, if whole is not set, the records from the mirror's next offset on; peers may have sent
+// the ones before it.
+//
+// As long as the store retains all records, one read of them takes the place of many pages of newest records.
+func (f *Follower) call(ctx context.Context, whole bool) ([]mirrorer.Record, identifier.Offset, error) {
 	wait := f.Wait
-	if _, known := f.Mirror.Age(time.Now()); !known || readNewest {
+	if _, known := f.Mirror.Age(time.Now()); !known || whole {
 		wait = 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
 	defer cancel()
-	if readNewest {
+	switch {
+	case f.expired:
 		return f.Stream.Newest(ctx)
+	case whole:
+		return f.Stream.Read(ctx, 0, 0)
 	}
-	return f.Stream.Read(ctx, f.Mirror.Next(), wait)
+	return f.Stream.Read(ctx, f.Mirror.Position().Offset, wait)
 }
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -22,6 +22,13 @@
 	first   identifier.Offset
 	calls   int
 	down    bool
+	era     identifier.Era
+}
+
+func (s *stream) Era() identifier.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
 }
 
 func (s *stream) put(key, value string) {
@@ -148,7 +155,7 @@
 		s.setDown(true)
 		time.Sleep(time.Second)
 		for range 50 {
-			m.Apply(nil, 1, time.Now())
+			m.Apply(0, nil, 1, time.Now())
 			time.Sleep(100 * time.Millisecond)
 		}
 		s.setDown(false)
@@ -172,9 +179,32 @@
 		s.calls = 0
 		s.mu.Unlock()
 		for range 50 {
-			m.Apply(nil, 1, time.Now())
+			m.Apply(0, nil, 1, time.Now())
 			time.Sleep(100 * time.Millisecond)
 		}
 		quicktest.Check(t, s.calls, quicktest.Equals, 0)
 	})
 }
+
+// TestWholeStreamInOneCall checks that a copy starts with one read while the store retains all records, and that it
+// follows the store into a new era in which offsets are lower.
+func TestWholeStreamInOneCall(t *testing.T) {
+	s := &stream{}
+	for i := range 200 {
+		s.put(string(rune('a'+i%20)), "1")
+	}
+	follow(t, s, func(m *mirrorer.Mirror) {
+		s.mu.Lock()
+		s.calls = 0
+		s.records, s.era = s.records[:20], 1
+		s.records[3].Value = []byte("older")
+		s.mu.Unlock()
+		time.Sleep(time.Second)
+		quicktest.Check(t, m.Position(), quicktest.Equals, identifier.Position{Era: 1, Offset: 20})
+		quicktest.Check(t, value(m, "d")+value(m, "e"), quicktest.Equals, "older1")
+		quicktest.Check(t, s.calls < 6, quicktest.IsTrue, quicktest.Commentf("%d calls", s.calls))
+		s.put("d", "2")
+		time.Sleep(time.Second)
+		quicktest.Check(t, value(m, "d"), quicktest.Equals, "2")
+	})
+}
--- a/internal/mirrorer/mirror.go
+++ b/internal/mirrorer/mirror.go
@@ -1,6 +1,9 @@
 package mirrorer
 
 import (
+	"bytes"
+	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -13,17 +16,27 @@
 	Key    string
 	Value  []byte
 	Offset identifier.Offset
+	// outdated is set while the value is that of an earlier era; any record of the current era replaces it.
+	outdated bool
+	// version is that of the value, if versioned is set.
+	version   uint64
+	versioned bool
 }
 
-// Mirror is a copy of a keyed stream; the zero value is empty.
+// Mirror is a copy of a keyed stream in one era of the store; the zero value is empty and of era 0.
 //
-// Records may arrive in any order and more than once; for each key the one with the highest offset is kept.
+// Records may arrive in any order and more than once; for each key the one with the highest offset is kept. Data of an
+// earlier era is ignored. Only Replace changes to a later era, because offsets of different eras are unrelated.
 type Mirror struct {
 	// OnChange is called, without the lock held, for each record that is new or replaces an older one; it may be nil.
 	OnChange func(Record)
 	// Equivalent reports whether a newer value means the same as the older one. The record is then ignored, so that it
 	// is not sent to peers. It may be nil.
 	Equivalent func(older, newer []byte) bool
+	// VersionOf returns the version of a record, or false if it has none. Among versioned values the one with the
+	// highest version is kept, whatever the offsets and eras, and a value without a version does not replace one that has
+	// one. It may be nil.
+	VersionOf func(Record) (uint64, bool)
 	// OutageThreshold is the shortest time without fresh data, while calls failed, that counts as an outage; zero disables
 	// the detection.
 	OutageThreshold time.Duration
@@ -33,57 +46,112 @@
 
 	mu      sync.Mutex
 	records map[string]Record
+	era     identifier.Era
 	next    identifier.Offset
 	freshAt time.Time
 	// recoveredAt is when fresh data arrived after the last outage.
 	recoveredAt time.Time
 }
 
-// Apply merges records into the mirror. Together with the records already in the mirror, they must be all records before
-// the offset next, as of the time asOf.
+// Apply merges records of an era into the mirror. Together with the records already in the mirror, they must be all
+// records before the offset next, as of the time asOf. It has no effect if the mirror is in another era.
 //
 // A zero asOf means that the sender's own copy was never known to be complete; it does not change the mirror's age.
-func (m *Mirror) Apply(records []Record, next identifier.Offset, asOf time.Time) {
-	changed := m.merge(records, next, asOf)
-	if m.OnChange == nil {
-		return
-	}
-	for _, r := range changed {
-		m.OnChange(r)
+func (m *Mirror) Apply(era identifier.Era, records []Record, next identifier.Offset, asOf time.Time) {
+	m.mu.Lock()
+	var changed []Record
+	if era == m.era {
+		changed = m.merge(records, next, asOf)
 	}
+	m.mu.Unlock()
+	m.report(changed)
 }
 
-// Replace merges the newest records of all keys; keys without a record were deleted before next.
-func (m *Mirror) Replace(records []Record, next identifier.Offset, asOf time.Time) {
-	present := map[string]bool{}
+// Replace merges all records of an era, at least the newest one of each key; keys without a record were deleted before
+// next. Older records of a key are not applied. It has no effect if the mirror is in a later era.
+func (m *Mirror) Replace(era identifier.Era, records []Record, next identifier.Offset, asOf time.Time) {
+	m.mu.Lock()
+	if era < m.era {
+		m.mu.Unlock()
+		return
+	}
+	newEra := era > m.era
+	newest := map[string]Record{}
 	for _, r := range records {
-		present[r.Key] = true
+		if old, present := newest[r.Key]; !present || r.Offset > old.Offset {
+			newest[r.Key] = r
+		}
 	}
-	m.mu.Lock()
 	for key, r := range m.records {
-		if !present[key] && len(r.Value) > 0 && r.Offset < next {
-			records = append(records, Record{Key: key, Offset: next - 1})
+		if _, present := newest[key]; !present && len(r.Value) > 0 && (newEra || r.Offset < next) {
+			newest[key] = Record{Key: key, Offset: max(next, 1) - 1}
 		}
 	}
+	records = slices.SortedFunc(maps.Values(newest), func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	if newEra {
+		m.enter(era, records, asOf)
+	}
+	changed := m.merge(records, next, asOf)
 	m.mu.Unlock()
-	m.Apply(records, next, asOf)
+	m.report(changed)
+}
+
+// enter changes to a later era. Values that also exist in the new era move to their new offsets, so that they do not
+// count as changes. The caller must hold mu.
+func (m *Mirror) enter(era identifier.Era, records []Record, asOf time.Time) {
+	old := m.records
+	m.era, m.next, m.records = era, 0, map[string]Record{}
+	if len(old) > 0 {
+		m.recoveredAt = asOf
+	}
+	for _, r := range records {
+		o, known := old[r.Key]
+		switch {
+		case !known:
+		case bytes.Equal(o.Value, r.Value), len(r.Value) > 0 && m.Equivalent != nil && m.Equivalent(o.Value, r.Value):
+			o.Offset, o.outdated = r.Offset, false
+			m.records[r.Key] = o
+		default:
+			o.Offset, o.outdated = 0, true
+			m.records[r.Key] = o
+		}
+	}
 }
 
-// merge stores the records that are newer than the known ones, and returns them.
+func (m *Mirror) report(changed []Record) {
+	if m.OnChange == nil {
+		return
+	}
+	for _, r := range changed {
+		m.OnChange(r)
+	}
+}
+
+// merge stores the records that are newer than the known ones, and returns them. The caller must hold mu.
 func (m *Mirror) merge(records []Record, next identifier.Offset, asOf time.Time) []Record {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	if m.records == nil {
 		m.records = map[string]Record{}
 	}
 	var changed []Record
 	for _, r := range records {
 		old, known := m.records[r.Key]
-		if known && old.Offset >= r.Offset {
-			continue
+		if m.VersionOf != nil {
+			r.version, r.versioned = m.VersionOf(r)
 		}
-		if known && m.Equivalent != nil && len(r.Value) > 0 && m.Equivalent(old.Value, r.Value) {
+		switch compareVersions(old, r) {
+		case olderVersion:
+			old.Offset, old.outdated = max(old.Offset, r.Offset), false
+			m.records[r.Key] = old
 			continue
+		case newerVersion:
+			r.Offset = max(old.Offset, r.Offset)
+		case noVersion:
+			if known && !old.outdated && old.Offset >= r.Offset {
+				continue
+			}
+			if known && m.Equivalent != nil && len(r.Value) > 0 && m.Equivalent(old.Value, r.Value) {
+				continue
+			}
 		}
 		m.records[r.Key] = r
 		changed = append(changed, r)
@@ -98,11 +166,44 @@
 	return changed
 }
 
-// Next returns the offset up to which the mirror is complete.
-func (m *Mirror) Next() identifier.Offset {
+// versionOrder is the order of two values by their versions.
+type versionOrder int
+
+const (
+	noVersion versionOrder = iota
+	olderVersion
+	newerVersion
+)
+
+// compareVersions returns how the version of r compares with that of old. Without a version in old, offsets decide.
+func compareVersions(old, r Record) versionOrder {
+	switch {
+	case !old.versioned:
+		return noVersion
+	case r.versioned && r.version > old.version:
+		return newerVersion
+	}
+	return olderVersion
+}
+
+// Position returns the era of the mirror and the offset up to which it is complete.
+func (m *Mirror) Position() identifier.Position {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return identifier.Position{Era: m.era, Offset: m.next}
+}
+
+// Version returns the highest version among the records, or zero if none has one.
+func (m *Mirror) Version() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.next
+	highest := uint64(0)
+	if m.VersionOf != nil {
+		for _, r := range m.records {
+			highest = max(highest, r.version)
+		}
+	}
+	return highest
 }
 
 // Age returns the time since the mirror was known to be complete, or false if it never was.
@@ -115,7 +216,8 @@
 	return now.Sub(m.freshAt), true
 }
 
-// RecoveredAt returns when fresh data arrived after the last outage, or zero if there was none.
+// RecoveredAt returns when fresh data arrived after the last outage or from a new era of the store, or zero if there was
+// neither.
 //
 // A store that refuses only this instance is not an outage, because peers send fresh data.
 func (m *Mirror) RecoveredAt() time.Time {
@@ -126,15 +228,24 @@
 
 // Since returns the records from an offset on, oldest first.
 func (m *Mirror) Since(from identifier.Offset) []Record {
+	return m.since(func(r Record) bool { return r.Offset >= from })
+}
+
+// Newer returns the records from an offset on, and those whose version is higher than the given one, oldest first.
+func (m *Mirror) Newer(from identifier.Offset, version uint64) []Record {
+	return m.since(func(r Record) bool { return r.Offset >= from || r.version > version })
+}
+
+func (m *Mirror) since(include func(Record) bool) []Record {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var list []Record
 	for _, r := range m.records {
-		if r.Offset >= from {
+		if include(r) {
 			list = append(list, r)
 		}
 	}
-	slices.SortFunc(list, func(a, b Record) int { return int(a.Offset) - int(b.Offset) })
+	slices.SortFunc(list, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	return list
 }
 
--- a/internal/mirrorer/mirror_test.go
+++ b/internal/mirrorer/mirror_test.go
@@ -16,24 +16,24 @@
 func TestOutageNeedsFailuresAndNoFreshData(t *testing.T) {
 	failing := 10 * time.Second
 	m := &mirrorer.Mirror{OutageThreshold: 2 * time.Second, FailingFor: func(time.Time) time.Duration { return failing }}
-	m.Apply(nil, 1, at(0))
+	m.Apply(0, nil, 1, at(0))
 	quicktest.Assert(t, m.RecoveredAt().IsZero(), quicktest.IsTrue, quicktest.Commentf("the first data does not end an outage"))
 	// The store refuses this instance for many seconds while peers send fresh data.
 	for s := 1.0; s < 20; s++ {
-		m.Apply(nil, 1, at(s))
+		m.Apply(0, nil, 1, at(s))
 	}
-	m.Apply([]mirrorer.Record{{Key: "a", Value: []byte("1"), Offset: 1}}, 2, at(20))
+	m.Apply(0, []mirrorer.Record{{Key: "a", Value: []byte("1"), Offset: 1}}, 2, at(20))
 	quicktest.Assert(t, m.RecoveredAt().IsZero(), quicktest.IsTrue)
-	m.Apply(nil, 1, at(25))
+	m.Apply(0, nil, 1, at(25))
 	quicktest.Assert(t, m.RecoveredAt().IsZero(), quicktest.IsTrue, quicktest.Commentf("data from a peer at a lower offset is not fresh"))
 	recoveredAt := time.Time{}
 	m.OnChange = func(mirrorer.Record) { recoveredAt = m.RecoveredAt() }
-	m.Apply([]mirrorer.Record{{Key: "a", Offset: 2}}, 3, at(26))
+	m.Apply(0, []mirrorer.Record{{Key: "a", Offset: 2}}, 3, at(26))
 	quicktest.Assert(t, recoveredAt, quicktest.Equals, at(26), quicktest.Commentf("set before OnChange is called"))
-	m.Apply(nil, 3, at(27))
+	m.Apply(0, nil, 3, at(27))
 	quicktest.Assert(t, m.RecoveredAt(), quicktest.Equals, at(26))
 	// This instance was paused, or its peers restarted, so its own calls have not failed.
 	failing = 0
-	m.Apply(nil, 3, at(37))
+	m.Apply(0, nil, 3, at(37))
 	quicktest.Assert(t, m.RecoveredAt(), quicktest.Equals, at(26), quicktest.Commentf("a pause is not an outage"))
 }
--- a/internal/reporter/windows.go
+++ b/internal/reporter/windows.go
@@ -28,6 +28,9 @@
 	WithLease(ctx context.Context, send func(ctx context.Context, fence identifier.Fence) error) error
 	Close(ctx context.Context, window int64, figures elector.Figures) error
 	Closed() map[int64]elector.Figures
+	// Remembered returns the figures of all windows that are known to have been closed, also of those that the log has
+	// lost. They come before those in the log, where a late record may have taken the place of a lost one.
+	Remembered() map[int64]elector.Figures
 }
 
 // UsagePlatform accepts the figures of a window.
@@ -45,7 +48,9 @@
 	// Now returns the wall clock time, corrected for an error of this machine's clock.
 	Now func() time.Time
 	// Total returns the requests of each team in a window so far.
-	Total  func(window int64) map[identifier.TeamID]uint64
+	Total func(window int64) map[identifier.TeamID]uint64
+	// Held reports whether the figures of a closed window would survive this instance and the log; nil means that they do.
+	Held   func(window int64) bool
 	Logger *zap.Logger
 
 	reported map[int64]bool
@@ -82,23 +87,29 @@
 	}
 }
 
-// report reports the figures that the log holds for a window, after closing the window if necessary. A window without
-// requests is not closed.
+// report reports the figures that the log holds for a window, after closing the window if necessary. A window that the
+// log has lost is closed again with the same figures, and one without requests is not closed.
 func (r *WindowReporter) report(ctx context.Context, window int64) {
-	figures, closed := r.DutyLease.Closed()[window]
-	if !closed {
-		total := r.Total(window)
-		if len(total) == 0 {
+	figures, known := r.DutyLease.Remembered()[window]
+	if _, closed := r.DutyLease.Closed()[window]; !closed {
+		if !known {
+			figures = r.Total(window)
+		}
+		if len(figures) == 0 {
 			return
 		}
-		if err := r.DutyLease.Close(ctx, window, total); err != nil {
+		if err := r.DutyLease.Close(ctx, window, figures); err != nil {
 			r.Logger.Info("cannot close the usage window", zap.Int64("Window", window), zap.Error(err))
 			return
 		}
-		if figures, closed = r.DutyLease.Closed()[window]; !closed {
+		if figures, known = r.DutyLease.Remembered()[window]; !known {
 			return
 		}
 	}
+	// A report with other figures after a loss of both would contradict this one.
+	if r.Held != nil && !r.Held(window) {
+		return
+	}
 	var fence identifier.Fence
 	err := r.DutyLease.WithLease(ctx, func(ctx context.Context, f identifier.Fence) error {
 		fence = f
--- a/internal/reporter/windows_test.go
+++ b/internal/reporter/windows_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,8 +18,16 @@
 
 // fakeLease is a lease whose holder may change, with the closed windows of the log.
 type fakeLease struct {
-	fence  identifier.Fence
-	closed map[int64]elector.Figures
+	fence      identifier.Fence
+	closed     map[int64]elector.Figures
+	remembered map[int64]elector.Figures
+}
+
+func (d *fakeLease) Remembered() map[int64]elector.Figures {
+	all := map[int64]elector.Figures{}
+	maps.Copy(all, d.closed)
+	maps.Copy(all, d.remembered)
+	return all
 }
 
 func (d *fakeLease) Authority() (identifier.Fence, error) {
@@ -100,3 +109,31 @@
 		<-done
 	})
 }
+
+// TestLostCloseIsRepeatedWithTheSameFigures loses the record of a window that a peer remembers, as a store does that
+// comes back from an older copy. The window must be reported with the remembered figures, and no window before a peer
+// holds its figures.
+func TestLostCloseIsRepeatedWithTheSameFigures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		window := time.Now().UnixMilli() / 5000
+		d := &fakeLease{fence: 1, closed: map[int64]elector.Figures{}, remembered: map[int64]elector.Figures{window: {"team": 7}}}
+		p := &platform{reports: map[int64][]elector.Figures{}}
+		held := false
+		w := &reporter.WindowReporter{
+			DutyLease: d, Platform: p, Length: 5 * time.Second, MaximumDelay: 10 * time.Second, Now: time.Now, Logger: zap.NewNop(),
+			Total: func(int64) map[identifier.TeamID]uint64 { return map[identifier.TeamID]uint64{"team": 9} },
+			Held:  func(int64) bool { return held },
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); w.Run(ctx) }()
+		time.Sleep(9 * time.Second)
+		quicktest.Check(t, d.closed[window], quicktest.DeepEquals, elector.Figures{"team": 7})
+		quicktest.Check(t, p.reports, quicktest.HasLen, 0)
+		held = true
+		time.Sleep(time.Second)
+		quicktest.Check(t, p.reports[window], quicktest.DeepEquals, []elector.Figures{{"team": 7}})
+		cancel()
+		<-done
+	})
+}
--- a/internal/tracer/trace.go
+++ b/internal/tracer/trace.go
@@ -34,7 +34,9 @@
 var stateMessages = map[string]string{
 	"target": "Target", "target gone": "Target", "target entry not usable": "Target", "stage ordered": "Target",
 	"configuration in force": "", "store lost": "Stream", "store regained": "Stream", "entry instance starts": "", "leaving": "",
-	"peer": "Peer",
+	"store has come back from an older copy": "", "target says that it leaves": "Target", "target leaves or is gone, says a peer": "Target",
+	"target wants no requests": "Target",
+	"peer":                     "Peer",
 }
 
 // Find returns the trace of a request; the lines must be sorted.
