Drop two functions that nothing uses, name an era by its name

Cause: identifier.Position.Before and mirrorer.Mirror.Since came with the eras and lost their last caller on the way; a parameter of EraChanged was called now, like a time, and holds an era.

Change: both functions are gone, the parameter is called era. No effect on what the program does.

Result: go vet and the tests of mirrorer, follower, coordinator and elector passed.

--- a/internal/coordinator/era.go
+++ b/internal/coordinator/era.go
@@ -22,18 +22,18 @@
 
 // EraObserver is told of new eras of the store and of answers that are discarded because of their era.
 type EraObserver interface {
-	EraChanged(old, now identifier.Era)
+	EraChanged(old, era identifier.Era)
 	EraRejected(err error)
 }
 
 // EraChanged starts what a new era of the store requires beyond the copies of its streams and the lease, which notice it
 // themselves: the member record may be lost, and entries of targets that are gone may be back.
-func (c *Coordinator) EraChanged(old, now identifier.Era) {
+func (c *Coordinator) EraChanged(old, era identifier.Era) {
 	at := time.Now()
 	c.newEraAt.Store(&at)
 	c.metrics.Counter("StoreEras").Inc(1)
-	c.logger.Warn("store has come back from an older copy", zap.Uint64("Was", uint64(old)), zap.Uint64("Era", uint64(now)),
-		zap.Uint64("Missed", uint64(now-old-1)), zap.Uint64("ConfigurationOffset", uint64(c.config.Position().Offset)),
+	c.logger.Warn("store has come back from an older copy", zap.Uint64("Was", uint64(old)), zap.Uint64("Era", uint64(era)),
+		zap.Uint64("Missed", uint64(era-old-1)), zap.Uint64("ConfigurationOffset", uint64(c.config.Position().Offset)),
 		zap.Uint64("TargetsOffset", uint64(c.targets.Position().Offset)), zap.Uint64("MembersOffset", uint64(c.members.Position().Offset)))
 	select {
 	case c.memberLost <- struct{}{}:
--- a/internal/mirrorer/mirror.go
+++ b/internal/mirrorer/mirror.go
@@ -226,22 +226,13 @@
 	return m.recoveredAt
 }
 
-// Since returns the records from an offset on, oldest first.
-func (m *Mirror) Since(from identifier.Offset) []Record {
-	return m.since(func(r Record) bool { return r.Offset >= from })
-}
-
 // Newer returns the records from an offset on, and those whose version is higher than the given one, oldest first.
 func (m *Mirror) Newer(from identifier.Offset, version uint64) []Record {
-	return m.since(func(r Record) bool { return r.Offset >= from || r.version > version })
-}
-
-func (m *Mirror) since(include func(Record) bool) []Record {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var list []Record
 	for _, r := range m.records {
-		if include(r) {
+		if r.Offset >= from || r.version > version {
 			list = append(list, r)
 		}
 	}
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -44,14 +44,6 @@
 	Offset Offset
 }
 
-// Before reports whether p comes before q, by era and then by offset.
-func (p Position) Before(q Position) bool {
-	if p.Era != q.Era {
-		return p.Era < q.Era
-	}
-	return p.Offset < q.Offset
-}
-
 // Fence is a fencing number: it rises with the position of the claim that granted a lease.
 type Fence uint64
 
