--- a/internal/placer/split.go
+++ b/internal/placer/split.go
@@ -13,13 +13,8 @@
 // decodes many of them in a batch. PlanStages keeps a fixed share of the engines on decode, spread over the
 // availability zones, and changes as few engines as possible.
 
-const (
-	// decodeShare is the share of all engines that decode.
-	decodeShare = 0.18
-	// decodeReserve is the fraction of the wanted decode engines that must remain while engines are withdrawn, also if the
-	// platform picks none but decode engines. Others take their place within the time of a stage change.
-	decodeReserve = 1.0 / 3
-)
+// decodeShare is the share of all engines that decode.
+const decodeShare = 0.18
 
 // StageEngine is the input of PlanStages for one engine.
 type StageEngine struct {
@@ -80,7 +75,7 @@
 }
 
 // MaximumWithdrawals returns how many engines of a zone may be withdrawn at once, given the number of decode engines in
-// each zone: any number if enough engines decode in the other zones, else as many as leave the reserve of decode engines.
+// each zone: any number if enough engines decode in the other zones, else one if at least two decode in total.
 func MaximumWithdrawals(decoding map[identifier.ZoneID]int, zone identifier.ZoneID, engines int) int {
 	total := 0
 	for _, n := range decoding {
@@ -89,10 +84,10 @@
 	switch wanted := WantedDecodeEngines(engines); {
 	case total-decoding[zone] >= max(1, wanted-1):
 		return math.MaxInt
-	default:
-		reserve := max(1, int(math.Ceil(decodeReserve*float64(wanted))))
-		return max(0, total-reserve)
+	case total >= 2:
+		return 1
 	}
+	return 0
 }
 
 func change(e *StageEngine, stage registrar.Stage) StageChange {
