--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -72,10 +72,8 @@
 	// ConfigurationKey is the key of the configuration in its stream.
 	ConfigurationKey    string
 	DecodeConfiguration func(data []byte) (matcher.Configuration, error)
-	// ConfigurationVersion returns the version of a configuration, or false if it is not readable.
-	ConfigurationVersion func(data []byte) (uint64, bool)
-	DecodeTarget         func(id string, data []byte) (registrar.Target, error)
-	SameTarget           func(older, newer []byte) bool
+	DecodeTarget        func(id string, data []byte) (registrar.Target, error)
+	SameTarget          func(older, newer []byte) bool
 }
 
 // Handlers creates the HTTP handlers of an entry instance's listeners.
@@ -160,12 +158,7 @@
 
 func (c *Coordinator) wireMirrors() {
 	c.config.OnChange = c.configurationChanged
-	c.config.VersionOf = func(r mirrorer.Record) (uint64, bool) {
-		if r.Key != c.platform.ConfigurationKey {
-			return 0, false
-		}
-		return c.platform.ConfigurationVersion(r.Value)
-	}
+	c.config.VersionOf = c.configurationVersion
 	c.targets.OnChange = c.targetChanged
 	c.targets.Equivalent = c.platform.SameTarget
 	c.members.OnChange = c.memberChanged
@@ -325,6 +318,23 @@
 	c.counts.Add(c.self.Incarnation, counter.Window(c.medianTime(), c.bounds.UsageWindow), team)
 }
 
+// configurationVersion returns the version of a configuration, or false if it is not readable. Once a configuration is in
+// force, the mirror keeps it instead of an unreadable one, which is therefore logged here.
+func (c *Coordinator) configurationVersion(r mirrorer.Record) (uint64, bool) {
+	if r.Key != c.platform.ConfigurationKey {
+		return 0, false
+	}
+	cfg, err := c.platform.DecodeConfiguration(r.Value)
+	if err != nil && c.table.Load() != nil {
+		c.logUnreadable(r, err)
+	}
+	return uint64(cfg.Version), err == nil
+}
+
+func (c *Coordinator) logUnreadable(r mirrorer.Record, err error) {
+	c.logger.Error("configuration not readable, the one before stays in force", zap.Uint64("Offset", uint64(r.Offset)), zap.Error(err))
+}
+
 // configurationChanged puts a newer version in force. An older or unreadable one has no effect.
 func (c *Coordinator) configurationChanged(r mirrorer.Record) {
 	if r.Key != c.platform.ConfigurationKey {
@@ -332,7 +342,7 @@
 	}
 	cfg, err := c.platform.DecodeConfiguration(r.Value)
 	if err != nil {
-		c.logger.Error("configuration not readable, the one before stays in force", zap.Uint64("Offset", uint64(r.Offset)), zap.Error(err))
+		c.logUnreadable(r, err)
 		return
 	}
 	if reported := c.reportedVersion.Load(); c.table.Load() == nil && uint64(cfg.Version) < reported {
