--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -223,12 +223,7 @@
 // expected returns how soon the first target that pauses, or that was ordered to change to a stage, will be ready, or
 // false if there is none.
 func (c *Coordinator) expected(service identifier.ServiceID, stage registrar.Stage, now time.Time) (time.Duration, bool) {
-	soonest, found := time.Duration(0), false
-	for _, t := range c.registry.Available(service, now) {
-		if remaining := c.platform.Gate.Paused(t, now); remaining > 0 && (t.Stage == stage || t.Stage == registrar.AnyStage) && (!found || remaining < soonest) {
-			soonest, found = remaining, true
-		}
-	}
+	soonest, found := c.shortestPause(service, stage, now)
 	s := c.table.Load().Service(service)
 	if s == nil || s.Engine == nil {
 		return soonest, found
@@ -244,6 +239,22 @@
 	return soonest, found
 }
 
+// shortestPause returns when the first target of a service and stage that pauses wants requests again, or false if none
+// pauses.
+func (c *Coordinator) shortestPause(service identifier.ServiceID, stage registrar.Stage, now time.Time) (time.Duration, bool) {
+	shortest, found := time.Duration(0), false
+	for _, t := range c.registry.Available(service, now) {
+		remaining := c.platform.Gate.Paused(t, now)
+		if remaining == 0 || t.Stage != stage && t.Stage != registrar.AnyStage {
+			continue
+		}
+		if !found || remaining < shortest {
+			shortest, found = remaining, true
+		}
+	}
+	return shortest, found
+}
+
 // instanceCount returns the number of live instances, including this one.
 func (c *Coordinator) instanceCount() int { return len(c.peers.Alive(time.Now())) + 1 }
 
--- a/internal/coordinator/gossip.go
+++ b/internal/coordinator/gossip.go
@@ -42,12 +42,8 @@
 // are left out.
 func (c *Coordinator) addPayload(b, last *gossiper.Beat, firstHand bool) {
 	now := time.Now()
-	known := map[string]*gossiper.Stream{}
-	for _, s := range last.GetStreams() {
-		known[s.Name] = s
-	}
 	for name, m := range c.mirrors() {
-		b.Streams = append(b.Streams, newStream(name, m, known[name], last != nil, now))
+		b.Streams = append(b.Streams, newStream(name, m, last, now))
 	}
 	for _, o := range c.registry.Orders(now) {
 		b.Orders = append(b.Orders, &gossiper.Order{Target: string(o.Target), Stage: int32(o.Stage), AgeMilliseconds: (scaler.SettleTime - o.Remaining).Milliseconds()})
@@ -106,7 +102,7 @@
 			continue
 		}
 		b.KnownClosings = append(b.KnownClosings, window)
-		if last.OmitCounts || !last.ReadsCompactStatuses || slices.Contains(last.KnownClosings, window) {
+		if last.OmitCounts || !last.Extended || slices.Contains(last.KnownClosings, window) {
 			continue
 		}
 		closing := &gossiper.Closing{Window: window, Requests: map[string]uint64{}}
@@ -168,27 +164,37 @@
 	c.peers.SendNow()
 }
 
-// newStream returns the position and age of a mirror and the records that the peer lacks according to its own stream,
-// which is nil if it has none. Without withRecords, records are left out.
-func newStream(name string, m *mirrorer.Mirror, peer *gossiper.Stream, withRecords bool, now time.Time) *gossiper.Stream {
+// newStream returns the position and age of a mirror and the records that the peer lacks according to its last message.
+// Without a last message, records are left out.
+func newStream(name string, m *mirrorer.Mirror, last *gossiper.Beat, now time.Time) *gossiper.Stream {
 	position := m.Position()
-	from := identifier.Offset(peer.GetNext())
-	switch {
-	case !withRecords:
-		from = position.Offset
-	case identifier.Era(peer.GetEra()) != position.Era:
-		from = 0
-	}
 	s := &gossiper.Stream{
-		Name: name, Era: uint64(position.Era), From: uint64(from), Next: uint64(position.Offset), AgeMilliseconds: -1, Version: m.Version(),
+		Name: name, Era: uint64(position.Era), From: uint64(position.Offset), Next: uint64(position.Offset), AgeMilliseconds: -1, Version: m.Version(),
 	}
 	if age, known := m.Age(now); known {
 		s.AgeMilliseconds = age.Milliseconds()
 	}
-	if !withRecords || identifier.Era(peer.GetEra()) > position.Era {
+	if last == nil {
+		return s
+	}
+	peer := &gossiper.Stream{}
+	for _, other := range last.Streams {
+		if other.Name == name {
+			peer = other
+		}
+	}
+	s.From = peer.Next
+	if peer.Era != s.Era {
+		s.From = 0
+	}
+	if peer.Era > s.Era {
 		return s
 	}
-	for _, r := range m.Newer(from, peer.GetVersion()) {
+	peerVersion := peer.Version
+	if !last.Extended {
+		peerVersion = s.Version // Earlier builds do not tell theirs.
+	}
+	for _, r := range m.Newer(identifier.Offset(s.From), peerVersion) {
 		s.Records = append(s.Records, &gossiper.Record{Key: r.Key, Value: r.Value, Offset: uint64(r.Offset)})
 	}
 	return s
@@ -208,8 +214,9 @@
 	}
 }
 
-// onMessage applies the payload of a peer's message; relayed is set if the peer sends it to all hubs itself.
-func (c *Coordinator) onMessage(b *gossiper.Beat, now time.Time, relayed bool) {
+// onMessage applies the payload of a peer's message; fromHub is set if the peer is a hub, which sends it to all other hubs
+// itself.
+func (c *Coordinator) onMessage(b *gossiper.Beat, now time.Time, fromHub bool) {
 	c.receiving.Add(1)
 	defer c.receiving.Add(-1)
 	for _, s := range b.Streams {
@@ -228,7 +235,7 @@
 		}
 	}
 	addPart, mergeCount := c.targetStates.AddReported, c.counts.Merge
-	if relayed {
+	if fromHub {
 		addPart, mergeCount = c.targetStates.AddRelayed, c.counts.MergeRelayed
 	}
 	for _, p := range b.Parts {
@@ -276,7 +283,7 @@
 	sender := b.Statuses[0].Member.ID
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if b.OmitCounts || !b.ReadsCompactStatuses {
+	if b.OmitCounts || !b.Extended {
 		delete(c.heldClosings, sender)
 		return
 	}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -73,9 +73,9 @@
 	// is left out, because each hub sends it to all others itself.
 	AddPayload func(b, last *Beat, firstHand bool)
 	// OnStatus is called for each status that is newer than the previous one of its instance, and OnMessage for each
-	// received message, after its statuses; relayed is set if the sender is a hub.
+	// received message, after its statuses; fromHub is set if the sender is a hub.
 	OnStatus  func(s *Status, now time.Time)
-	OnMessage func(b *Beat, now time.Time, relayed bool)
+	OnMessage func(b *Beat, now time.Time, fromHub bool)
 
 	mu    sync.Mutex
 	ctx   context.Context
@@ -286,9 +286,9 @@
 		}
 	}
 	g.mu.Lock()
-	relayed := g.usesHubs() && g.currentTopology(now).hubs[b.Statuses[0].Member.ID]
+	fromHub := g.usesHubs() && g.currentTopology(now).hubs[b.Statuses[0].Member.ID]
 	g.mu.Unlock()
-	g.OnMessage(b, now, relayed)
+	g.OnMessage(b, now, fromHub)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.peers[b.Statuses[0].Member.ID]
@@ -358,7 +358,7 @@
 	now := time.Now()
 	own := g.Status(now)
 	own.Member = g.Self
-	b := &Beat{Statuses: []*Status{own}, ReadsCompactStatuses: true}
+	b := &Beat{Statuses: []*Status{own}, Extended: true}
 	g.mu.Lock()
 	g.sequence++
 	own.Sequence = g.sequence
--- a/internal/gossiper/topology.go
+++ b/internal/gossiper/topology.go
@@ -255,7 +255,7 @@
 		}
 		s := other.statusToRelay(now, p.lastMessage.OmitCounts)
 		unique := g.incarnations[incarnation] == other.Member.ID
-		if requested || !unique || !last.memberKnown || !p.lastMessage.ReadsCompactStatuses {
+		if requested || !unique || !last.memberKnown || !p.lastMessage.Extended {
 			s.Member = other.Member
 		}
 		*last = relayedStatus{sequence: other.status.Sequence, at: now, ready: other.Ready, leaving: other.Leaving, memberKnown: true}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -59,7 +59,8 @@
 	// gone is set once the target was removed, in the store's era goneEra.
 	gone    bool
 	goneEra identifier.Era
-	at      time.Time
+	// at is when these fields last changed; zero means that nothing is known.
+	at time.Time
 	// departedAt is when it was first known to be leaving or gone.
 	departedAt time.Time
 }
