--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -105,6 +105,7 @@
 	retryBudget     *retrier.WindowedBudget
 	peers           *gossiper.Gossiper
 	peerClient      *exchanger.Client
+	gossipMeter     *gossipMeter
 	elector         *elector.Elector
 	stageController *scaler.StageController
 	targetScaler    *scaler.Scaler
@@ -172,7 +173,8 @@
 	c.peerClient = &exchanger.Client{Logger: c.logger, Dial: func(ctx context.Context, addr string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 	}}
-	c.peers = &gossiper.Gossiper{Self: c.self, PeerClient: c.peerClient, Logger: c.logger, Status: c.status, AddPayload: c.addPayload, OnStatus: c.onStatus, OnMessage: c.onMessage}
+	c.gossipMeter = newGossipMeter(c.metrics)
+	c.peers = &gossiper.Gossiper{Self: c.self, PeerClient: &meteredClient{c.peerClient, c.gossipMeter}, Logger: c.logger, Status: c.status, AddPayload: c.addPayload, OnStatus: c.onStatus, OnMessage: c.onMessage}
 }
 
 func (c *Coordinator) wireDuties() {
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -46,6 +46,8 @@
 	}
 	set("Targets", float64(len(c.registry.Targets())))
 	set("Instances", float64(c.instanceCount()))
+	set("GossipPartners", float64(c.peers.Partners()))
+	set("GossipHub", map[bool]float64{true: 1}[c.peers.IsHub(now)])
 	set("InFlight", float64(c.inFlight.Load()))
 	set("Violations", float64(asserter.Violations()))
 	fence, err := c.elector.Authority()
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -61,7 +61,7 @@
 func (c *Coordinator) start(background, duties context.Context, peerLis net.Listener, group *sync.WaitGroup) {
 	peerServer := &exchanger.Server{
 		NewRequest: func() proto.Message { return &gossiper.Beat{} },
-		Answer:     func(req proto.Message) proto.Message { return c.peers.Answer(req.(*gossiper.Beat)) },
+		Answer:     func(req proto.Message) proto.Message { return c.gossipMeter.answer(c.peers, req.(*gossiper.Beat)) },
 		Logger:     c.logger,
 	}
 	targets := c.newFollower(streamTargets, c.platform.Targets, &c.targets, c.copyAge)
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -240,6 +240,19 @@
 	}
 }
 
+// Partners returns the number of peers with which this instance exchanges messages.
+func (g *Gossiper) Partners() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, p := range g.peers {
+		if p.exchanging {
+			n++
+		}
+	}
+	return n
+}
+
 // Alive returns the peers whose status is recent, in the order of their IDs. The list is shared and must not be
 // modified.
 func (g *Gossiper) Alive(now time.Time) []Peer {
