Move the exchange of mirrored records into a package of its own

No change of behaviour: replicator composes and applies the streams of gossip messages, so that a fleet of them can be tested without a store or listeners.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -31,6 +31,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
 	"github.com/coltsfootscale/coltsfootscale/internal/parser"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/internal/replicator"
 	"github.com/coltsfootscale/coltsfootscale/internal/reporter"
 	"github.com/coltsfootscale/coltsfootscale/internal/retrier"
 	"github.com/coltsfootscale/coltsfootscale/internal/scaler"
@@ -97,6 +98,7 @@
 	config          mirrorer.Mirror
 	targets         mirrorer.Mirror
 	members         mirrorer.Mirror
+	replicators     map[string]*replicator.Replicator
 	table           atomic.Pointer[matcher.Table]
 	registry        registrar.Registrar
 	targetStates    chooser.TargetStates
@@ -163,6 +165,7 @@
 	c.targets.OnChange = c.targetChanged
 	c.targets.Equivalent = c.platform.SameTarget
 	c.members.OnChange = c.memberChanged
+	c.replicators = c.newReplicators()
 	c.targets.OutageThreshold = outageThreshold
 	c.targets.FailingFor = func(time.Time) time.Duration { return 0 } // Replaced once the follower is created.
 	c.registry.StoreRestoredAt = c.targets.RecoveredAt
--- a/internal/coordinator/gossip.go
+++ b/internal/coordinator/gossip.go
@@ -13,12 +13,18 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
 	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/internal/replicator"
 	"github.com/coltsfootscale/coltsfootscale/internal/scaler"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
-func (c *Coordinator) mirrors() map[string]*mirrorer.Mirror {
-	return map[string]*mirrorer.Mirror{streamConfiguration: &c.config, streamTargets: &c.targets, streamMembers: &c.members}
+// newReplicators returns the replicators of all mirrored streams by name.
+func (c *Coordinator) newReplicators() map[string]*replicator.Replicator {
+	replicators := map[string]*replicator.Replicator{}
+	for name, m := range map[string]*mirrorer.Mirror{streamConfiguration: &c.config, streamTargets: &c.targets, streamMembers: &c.members} {
+		replicators[name] = &replicator.Replicator{Name: name, Mirror: m}
+	}
+	return replicators
 }
 
 // status returns the current status of this instance.
@@ -42,8 +48,8 @@
 // are left out.
 func (c *Coordinator) addPayload(b, last *gossiper.Beat, firstHand bool) {
 	now := time.Now()
-	for name, m := range c.mirrors() {
-		b.Streams = append(b.Streams, newStream(name, m, last, now))
+	for _, r := range c.replicators {
+		b.Streams = append(b.Streams, r.Compose(last, now))
 	}
 	for _, o := range c.registry.Orders(now) {
 		b.Orders = append(b.Orders, &gossiper.Order{Target: string(o.Target), Stage: int32(o.Stage), AgeMilliseconds: (scaler.SettleTime - o.Remaining).Milliseconds()})
@@ -164,42 +170,6 @@
 	c.peers.SendNow()
 }
 
-// newStream returns the position and age of a mirror and the records that the peer lacks according to its last message.
-// Without a last message, records are left out.
-func newStream(name string, m *mirrorer.Mirror, last *gossiper.Beat, now time.Time) *gossiper.Stream {
-	position := m.Position()
-	s := &gossiper.Stream{
-		Name: name, Era: uint64(position.Era), From: uint64(position.Offset), Next: uint64(position.Offset), AgeMilliseconds: -1, Version: m.Version(),
-	}
-	if age, known := m.Age(now); known {
-		s.AgeMilliseconds = age.Milliseconds()
-	}
-	if last == nil {
-		return s
-	}
-	peer := &gossiper.Stream{}
-	for _, other := range last.Streams {
-		if other.Name == name {
-			peer = other
-		}
-	}
-	s.From = peer.Next
-	if peer.Era != s.Era {
-		s.From = 0
-	}
-	if peer.Era > s.Era {
-		return s
-	}
-	peerVersion := peer.Version
-	if !last.Extended {
-		peerVersion = s.Version // Earlier builds do not tell theirs.
-	}
-	for _, r := range m.Newer(identifier.Offset(s.From), peerVersion) {
-		s.Records = append(s.Records, &gossiper.Record{Key: r.Key, Value: r.Value, Offset: uint64(r.Offset)})
-	}
-	return s
-}
-
 // onStatus applies the loads and demand rates of another instance's status.
 func (c *Coordinator) onStatus(s *gossiper.Status, now time.Time) {
 	loads := map[identifier.TargetID]chooser.Load{}
@@ -228,10 +198,9 @@
 	c.peerHeard.Store(true)
 	// Before the entries of targets, some of which may be outdated.
 	c.applyDepartures(b.Departures, now)
-	mirrors := c.mirrors()
 	for _, s := range b.Streams {
-		if m := mirrors[s.Name]; m != nil {
-			applyStream(m, s, now)
+		if r := c.replicators[s.Name]; r != nil {
+			r.Apply(s, now)
 		}
 	}
 	addPart, mergeCount := c.targetStates.AddReported, c.counts.Merge
@@ -306,30 +275,6 @@
 	return !possible
 }
 
-// applyStream applies the records and the age of a stream that a peer sent.
-func applyStream(m *mirrorer.Mirror, s *gossiper.Stream, now time.Time) {
-	position, era := m.Position(), identifier.Era(s.Era)
-	if era < position.Era || era == position.Era && identifier.Offset(s.From) > position.Offset {
-		return // Records are missing; the peer sends them once it has received this instance's position.
-	}
-	if era > position.Era && (s.From > 0 || s.AgeMilliseconds < 0) {
-		return
-	}
-	records := make([]mirrorer.Record, 0, len(s.Records))
-	for _, r := range s.Records {
-		records = append(records, mirrorer.Record{Key: r.Key, Value: r.Value, Offset: identifier.Offset(r.Offset)})
-	}
-	asOf := time.Time{}
-	if s.AgeMilliseconds >= 0 {
-		asOf = now.Add(-time.Duration(s.AgeMilliseconds) * time.Millisecond)
-	}
-	if era > position.Era {
-		m.Replace(era, records, identifier.Offset(s.Next), asOf)
-		return
-	}
-	m.Apply(era, records, identifier.Offset(s.Next), asOf)
-}
-
 // rank returns the number of live and ready instances that come before this one, by descending capacity, then by ID.
 func (c *Coordinator) rank() int {
 	n := 0
--- /dev/null
+++ b/internal/replicator/doc.go
@@ -0,0 +1,2 @@
+// Package replicator exchanges the records of mirrored streams in gossip messages.
+package replicator
