Send large values compressed, in pieces, from one sender at a time

Cause: a gossip message held the whole configuration, and both hubs of a zone sent it to each instance. With 2,800 routes two copies take longer than the timeout of an exchange (0.8 s) over a link of 10 Mbit/s. Each was then sent again from its beginning, and everything else in these messages was lost with it: a repeated transfer without progress (congestion collapse), and bulk data ahead of urgent data on one connection.

Ruled out: processor time, at most a quarter of a core while links are full.

Change: a record with a value over 8 KB carries its digest. A receiver that lacks the value requests it from one sender and gets it compressed, in pieces of 64 KB; a failed exchange costs one piece, and another sender continues where the first stopped. After a return of the store from an older copy nobody sends a value again that all have. Earlier builds get values whole.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -177,7 +177,10 @@
 		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 	}}
 	c.gossipMeter = newGossipMeter(c.metrics)
-	c.peers = &gossiper.Gossiper{Self: c.self, PeerClient: &meteredClient{c.peerClient, c.gossipMeter}, Logger: c.logger, Status: c.status, AddPayload: c.addPayload, OnStatus: c.onStatus, OnMessage: c.onMessage}
+	c.peers = &gossiper.Gossiper{
+		Self: c.self, PeerClient: &meteredClient{c.peerClient, c.gossipMeter}, Logger: c.logger, Status: c.status,
+		AddPayload: c.addPayload, OnStatus: c.onStatus, OnMessage: c.onMessage, Unfinished: c.unfinished,
+	}
 }
 
 func (c *Coordinator) wireDuties() {
--- a/internal/coordinator/gossip.go
+++ b/internal/coordinator/gossip.go
@@ -22,11 +22,21 @@
 func (c *Coordinator) newReplicators() map[string]*replicator.Replicator {
 	replicators := map[string]*replicator.Replicator{}
 	for name, m := range map[string]*mirrorer.Mirror{streamConfiguration: &c.config, streamTargets: &c.targets, streamMembers: &c.members} {
-		replicators[name] = &replicator.Replicator{Name: name, Mirror: m}
+		replicators[name] = &replicator.Replicator{Name: name, Mirror: m, Logger: c.logger}
 	}
 	return replicators
 }
 
+// unfinished reports whether a value is being transferred from or to the peer that sent the message last.
+func (c *Coordinator) unfinished(last *gossiper.Beat, now time.Time) bool {
+	for _, r := range c.replicators {
+		if r.Unfinished(last, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // status returns the current status of this instance.
 func (c *Coordinator) status(now time.Time) *gossiper.Status {
 	s := &gossiper.Status{Ready: c.Ready(), Leaving: c.leaving.Load(), UnixMilliseconds: now.UnixMilli()}
@@ -200,7 +210,7 @@
 	c.applyDepartures(b.Departures, now)
 	for _, s := range b.Streams {
 		if r := c.replicators[s.Name]; r != nil {
-			r.Apply(s, now)
+			r.Apply(b.Statuses[0].Member.ID, s, now)
 		}
 	}
 	addPart, mergeCount := c.targetStates.AddReported, c.counts.Merge
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -76,6 +76,8 @@
 	// received message, after its statuses; fromHub is set if the sender is a hub.
 	OnStatus  func(s *Status, now time.Time)
 	OnMessage func(b *Beat, now time.Time, fromHub bool)
+	// Unfinished reports whether the next exchange with the peer that sent the message last should follow at once.
+	Unfinished func(last *Beat, now time.Time) bool
 
 	mu    sync.Mutex
 	ctx   context.Context
@@ -371,7 +373,7 @@
 	now := time.Now()
 	own := g.Status(now)
 	own.Member = g.Self
-	b := &Beat{Statuses: []*Status{own}, Extended: true}
+	b := &Beat{Statuses: []*Status{own}, Extended: true, AcceptsReferences: true}
 	g.mu.Lock()
 	g.sequence++
 	own.Sequence = g.sequence
@@ -443,8 +445,11 @@
 		if callDue {
 			exchangedAt = time.Now()
 			err := g.exchangeOnce(ctx, p)
-			if err != nil {
+			switch {
+			case err != nil:
 				pause = g.recordFailure(p, time.Now())
+			case g.unfinished(p):
+				pause = batchDelay
 			}
 			if (err != nil) != lost && ctx.Err() == nil {
 				lost = err != nil
@@ -462,6 +467,14 @@
 	}
 }
 
+// unfinished reports whether the next exchange with a peer follows at once.
+func (g *Gossiper) unfinished(p *peer) bool {
+	g.mu.Lock()
+	last := p.lastMessage
+	g.mu.Unlock()
+	return last != nil && g.Unfinished(last, time.Now())
+}
+
 // sendDelay returns how long a message is held back for further changes, given the time since the last exchange.
 func (g *Gossiper) sendDelay(sinceExchange time.Duration) time.Duration {
 	if g.UsesHubs() {
--- a/internal/replicator/fleet_test.go
+++ b/internal/replicator/fleet_test.go
@@ -165,6 +165,14 @@
 			}
 		},
 		OnMessage: n.receive,
+		Unfinished: func(last *gossiper.Beat, now time.Time) bool {
+			for _, r := range n.replicators {
+				if r.Unfinished(last, now) {
+					return true
+				}
+			}
+			return false
+		},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
@@ -173,7 +181,7 @@
 	f.mu.Unlock()
 	n.group.Go(func() { n.Run(ctx) })
 	for name, m := range map[string]*mirrorer.Mirror{"Configuration": &n.configuration, "Targets": &n.targets} {
-		n.replicators = append(n.replicators, &replicator.Replicator{Name: name, Mirror: m})
+		n.replicators = append(n.replicators, &replicator.Replicator{Name: name, Mirror: m, Logger: zap.NewNop()})
 		m.OnChange = func(mirrorer.Record) { n.passOn() }
 		reads := &follower.Follower{Name: name, Stream: &reader{f.store[name], n}, Mirror: m, Logger: zap.NewNop(), MaximumAge: func() time.Duration {
 			if i == 0 {
@@ -204,7 +212,7 @@
 	for _, r := range n.replicators {
 		for _, s := range b.Streams {
 			if s.Name == r.Name {
-				r.Apply(s, now)
+				r.Apply(b.Statuses[0].Member.ID, s, now)
 			}
 		}
 	}
