Keep strong instances as hubs while exchanges fail, call hubs only when isolated

Cause: two rules for hubs made a loss of messages feed itself. A peer with a failed exchange did not count for the capacity that a hub needs, so that weak instances became hubs within a second, on links that were full already. And an instance that heard nobody took all others for gone, itself for the only hub, and called everybody.

Silence counts against the newest status that was heard, because an instance that hears nobody cannot tell who is gone; a peer is gone if exchanges with it fail as well. An isolated instance calls hubs only, and falls back to the strongest known ones.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -490,7 +490,9 @@
 	p.failedAt = now
 	// The lost message may have held statuses, and members, that the peer now lacks.
 	clear(p.relayed)
-	g.invalidate()
+	if !g.isolated(now) {
+		g.invalidate()
+	}
 	if now.Sub(p.StatusAt) > goneTime {
 		return gonePause
 	}
--- a/internal/gossiper/topology.go
+++ b/internal/gossiper/topology.go
@@ -11,7 +11,8 @@
 // A small fleet is a full mesh: all instances are partners of each other. In a large fleet the live instances with the
 // highest capacity in each availability zone are hubs: the partners of an instance are the hubs of its zone, and all
 // hubs are partners of each other. An instance with far less capacity than the strongest one is never a hub, because
-// gossip messages would saturate its link. The instances of a zone without a hub use two hubs of other zones, selected
+// gossip messages would saturate its link. An instance is not used as a hub for some time after a failed exchange with it,
+// but still shows that weak ones are no hubs. The instances of a zone without a hub use two hubs of other zones, selected
 // by a hash of the IDs. The message rate of an instance therefore does not grow with the fleet, that of a hub grows with
 // its zone, and few messages cross zones. Each instance computes the hubs from its own view; while views differ, an
 // instance may have one partner too many or too few.
@@ -91,7 +92,7 @@
 	case self && other:
 		return true
 	case self:
-		return slices.Contains(g.hubsOf(p.Member.ID, p.Member.Zone), g.Self.ID)
+		return !g.isolated(now) && slices.Contains(g.hubsOf(p.Member.ID, p.Member.Zone), g.Self.ID)
 	case other:
 		return slices.Contains(g.hubsOf(g.Self.ID, g.Self.Zone), p.Member.ID)
 	}
@@ -140,14 +141,35 @@
 	if g.topology.hubs != nil && now.Sub(g.topology.at) < topologyCacheTime {
 		return &g.topology
 	}
-	strongest := g.Self.Capacity
-	eligible := func(p *peer) bool {
-		silent := !p.StatusAt.IsZero() && now.Sub(p.StatusAt) > relayAlive
-		suspect := !p.failedAt.IsZero() && now.Sub(p.failedAt) < suspectTime
-		return !silent && !suspect && !p.Leaving
+	newest := time.Time{}
+	for _, p := range g.peers {
+		if p.StatusAt.After(newest) {
+			newest = p.StatusAt
+		}
+	}
+	present := func(p *peer) bool { return p.isPresent(newest, now) }
+	known := func(p *peer) bool { return !p.Leaving }
+	byZone := g.chooseHubs(present, func(p *peer) bool { return !p.isSuspect(now) })
+	for _, considered := range []func(*peer) bool{present, known} {
+		if onlyHub(byZone, g.Self.ID) {
+			byZone = g.chooseHubs(considered, known)
+		}
+	}
+	g.topology = topology{at: now, byZone: byZone, hubs: map[string]bool{}}
+	for _, ids := range byZone {
+		for _, id := range ids {
+			g.topology.hubs[id] = true
+		}
 	}
+	return &g.topology
+}
+
+// chooseHubs returns the hubs of each zone among the considered peers that are usable. All considered peers count for the
+// capacity that a hub needs. The caller must hold mu.
+func (g *Gossiper) chooseHubs(considered, usable func(p *peer) bool) map[string][]string {
+	strongest := g.Self.Capacity
 	for _, p := range g.peers {
-		if eligible(p) {
+		if considered(p) {
 			strongest = max(strongest, p.Member.Capacity)
 		}
 	}
@@ -162,17 +184,47 @@
 	}
 	add(g.Self)
 	for _, p := range g.peers {
-		if eligible(p) {
+		if considered(p) && usable(p) {
 			add(p.Member)
 		}
 	}
-	g.topology = topology{at: now, byZone: byZone, hubs: map[string]bool{}}
-	for _, ids := range byZone {
-		for _, id := range ids {
-			g.topology.hubs[id] = true
+	return byZone
+}
+
+// onlyHub reports whether there is no hub besides the given instance.
+func onlyHub(byZone map[string][]string, id string) bool {
+	for _, hubs := range byZone {
+		if slices.ContainsFunc(hubs, func(hub string) bool { return hub != id }) {
+			return false
 		}
 	}
-	return &g.topology
+	return true
+}
+
+// isolated reports whether no peer has sent a message recently. An isolated instance calls hubs only: which peers lack a hub
+// is not known to it, and if all instances are isolated, each would call all others. The caller must hold mu.
+func (g *Gossiper) isolated(now time.Time) bool {
+	for _, p := range g.peers {
+		if now.Sub(p.receivedAt) <= hubSilence {
+			return false
+		}
+	}
+	return true
+}
+
+// isSuspect reports whether an exchange with the peer failed recently.
+func (p *peer) isSuspect(now time.Time) bool {
+	return !p.failedAt.IsZero() && now.Sub(p.failedAt) < suspectTime
+}
+
+// isPresent reports whether the peer counts for the choice of hubs; newest is the time of the newest status of any peer.
+//
+// An instance that hears nobody cannot tell which peers are gone: their silence counts against the newest status. A peer
+// is gone, however, if exchanges with it fail as well.
+func (p *peer) isPresent(newest, now time.Time) bool {
+	silent := !p.StatusAt.IsZero() && newest.Sub(p.StatusAt) > relayAlive
+	gone := p.isSuspect(now) && now.Sub(p.StatusAt) > relayAlive
+	return !silent && !gone && !p.Leaving
 }
 
 // compare orders instances by descending capacity, then by ID. The caller must hold mu.
