Let a read from the store take as long as bytes arrive

An instance that starts, or that hears no peer, reads the configuration itself. Two versions of 4,200 routes take 1.5 s over a link of 10 Mbit/s, and a call was cut off after 1 s: it was repeated without end, each time from the beginning, and kept the link full.

Cause: the class of the incident, a transfer that is limited by its whole duration and repeated without progress.

Change: a read is given up once the store has sent nothing for a second (besides the wait that was asked for), and after ten seconds at the latest.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -22,7 +22,7 @@
 	ErrEarlierEra = errors.New("data of an earlier era of the store")
 )
 
-// Stream is a keyed stream of the store.
+// Stream is a keyed stream of the store. A call that makes no progress returns an error within about a second.
 type Stream interface {
 	// Newest returns the newest record of each key and the offset to continue reading from.
 	Newest(ctx context.Context) ([]mirrorer.Record, identifier.Offset, error)
@@ -34,8 +34,9 @@
 }
 
 const (
-	// callTimeout limits one call, not counting its wait for records; a healthy store answers within milliseconds.
-	callTimeout = time.Second
+	// callTimeout limits one call, not counting its wait for records. It is long because a large record may take seconds
+	// over a slow link; the stream ends calls that make no progress.
+	callTimeout = 10 * time.Second
 	// retryPause is the pause after a failed call, which limits the load on a failing store.
 	retryPause = 400 * time.Millisecond
 	// minimumCheckInterval and maximumCheckInterval limit the time until the next check of the mirror's age.
