Test that the age of a copy is not understated

An instance reads the store itself once its copy is 1.5 s old by its own reckoning. With messages up to 350 ms in transit, copies are up to 3.2 s older than they say: what a message was in transit is not counted, and as peers send each other's ages back and forth, the error adds up instead of being bounded by one exchange.

--- a/internal/replicator/fleet_test.go
+++ b/internal/replicator/fleet_test.go
@@ -56,6 +56,8 @@
 	mu    sync.Mutex
 	nodes map[string]*node
 	store map[string]*topic
+	// delay returns how much longer a message is in transit; nil means not at all.
+	delay func() time.Duration
 }
 
 type node struct {
@@ -101,14 +103,31 @@
 	if err := n.fleet.transfer(ctx, &n.out, &to.in, proto.Size(req)); err != nil {
 		return err
 	}
+	if err := n.fleet.wait(ctx); err != nil {
+		return err
+	}
 	answer := to.Answer(proto.Clone(req).(*gossiper.Beat))
 	if err := n.fleet.transfer(ctx, &to.out, &n.in, proto.Size(answer)); err != nil {
 		return err
 	}
+	if err := n.fleet.wait(ctx); err != nil {
+		return err
+	}
 	proto.Merge(reply, answer)
 	return nil
 }
 
+// wait waits for as long as a message is delayed.
+func (f *fleet) wait(ctx context.Context) error {
+	f.mu.Lock()
+	delay := f.delay
+	f.mu.Unlock()
+	if delay == nil {
+		return nil
+	}
+	return sleeper.Sleep(ctx, delay())
+}
+
 // topic is a keyed stream of the store as one node reads it.
 type topic struct {
 	mu      sync.Mutex
