Count the time that a gossip message was in transit as age

Cause: the age of a copy in a message counted from the message's arrival. Hubs send each other's ages back and forth, so that an age rose only while it was held, not while it was in transit; the error adds up with each hop.

Change: a message echoes the last one that its sender got, and for how long it had it. The receiver knows when it sent that one, and counts ages from the earliest time at which the message can have been composed; a reply from when its call was sent. Without an echo the records are taken, the age is not. Messages of earlier builds count as before.

Ruled out: the lease's head (only newer offsets are taken), statuses (only newer sequences).

--- a/internal/coordinator/gossip.go
+++ b/internal/coordinator/gossip.go
@@ -194,9 +194,9 @@
 	}
 }
 
-// onMessage applies the payload of a peer's message; fromHub is set if the peer is a hub, which sends it to all other hubs
-// itself.
-func (c *Coordinator) onMessage(b *gossiper.Beat, now time.Time, fromHub bool) {
+// onMessage applies the payload of a peer's message. A hub sends it to all other hubs itself.
+func (c *Coordinator) onMessage(b *gossiper.Beat, receipt gossiper.Receipt) {
+	now := receipt.At
 	c.receiving.Add(1)
 	defer c.receiving.Add(-1)
 	for _, s := range b.Streams {
@@ -210,11 +210,11 @@
 	c.applyDepartures(b.Departures, now)
 	for _, s := range b.Streams {
 		if r := c.replicators[s.Name]; r != nil {
-			r.Apply(b.Statuses[0].Member.ID, s, now)
+			r.Apply(b, s, receipt)
 		}
 	}
 	addPart, mergeCount := c.targetStates.AddReported, c.counts.Merge
-	if fromHub {
+	if receipt.FromHub {
 		addPart, mergeCount = c.targetStates.AddRelayed, c.counts.MergeRelayed
 	}
 	for _, p := range b.Parts {
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -114,7 +114,7 @@
 }
 
 // MaximumCopyAge returns the age, according to gossip messages, at which the instance of a rank refreshes its copies of
-// configuration and targets at the latest. The actual age may be higher by the duration of an exchange.
+// configuration and targets at the latest. Gossip messages overstate ages, if anything.
 func MaximumCopyAge(usesHubs bool, rank int) time.Duration {
 	if usesHubs && rank >= hubReaders {
 		return readerCopyAge + maximumDelayWithHubs
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -35,6 +35,8 @@
 	aliveCacheTime = 250 * time.Millisecond
 	// maximumUnknown limits the incarnations whose members are requested in one message.
 	maximumUnknown = 64
+	// sentMessages is the number of messages to a peer of which the time is kept.
+	sentMessages = 8
 	// batchDelay lets changes that occur together go into one message.
 	batchDelay = 10 * time.Millisecond
 	// relaySendSpacing is the least time between two exchanges with a partner in a large fleet: a hub has many partners,
@@ -47,6 +49,16 @@
 	Exchange(ctx context.Context, addr string, req, reply proto.Message) error
 }
 
+// Receipt describes the arrival of a message.
+type Receipt struct {
+	At time.Time
+	// NotBefore is the earliest time at which the sender can have composed the message: ages in it count from then, however
+	// long it was in transit. It is zero if that is unknown.
+	NotBefore time.Time
+	// FromHub is set if the sender is a hub.
+	FromHub bool
+}
+
 // Peer is another entry instance with its newest status, received directly or through a hub.
 type Peer struct {
 	Member  *Member
@@ -73,9 +85,9 @@
 	// is left out, because each hub sends it to all others itself.
 	AddPayload func(b, last *Beat, firstHand bool)
 	// OnStatus is called for each status that is newer than the previous one of its instance, and OnMessage for each
-	// received message, after its statuses; fromHub is set if the sender is a hub.
+	// received message, after its statuses.
 	OnStatus  func(s *Status, now time.Time)
-	OnMessage func(b *Beat, now time.Time, fromHub bool)
+	OnMessage func(b *Beat, r Receipt)
 	// Unfinished reports whether the next exchange with the peer that sent the message last should follow at once.
 	Unfinished func(last *Beat, now time.Time) bool
 
@@ -105,6 +117,8 @@
 	lastMessage *Beat
 	receivedAt  time.Time
 	failedAt    time.Time
+	// sent holds the last messages to the peer, oldest first.
+	sent []sentMessage
 	// relayed holds the newest status of each other incarnation that was sent to the peer or received from it.
 	relayed map[memberKey]*relayedStatus
 	// exchanging is set while exchangeLoop runs for the peer.
@@ -113,6 +127,12 @@
 	sendNow    chan struct{}
 }
 
+// sentMessage is the sequence of a message's own status and when the message was composed.
+type sentMessage struct {
+	sequence uint64
+	at       time.Time
+}
+
 // Run exchanges messages with the partners until ctx ends. A peer that is not a partner costs neither a goroutine nor a
 // timer.
 func (g *Gossiper) Run(ctx context.Context) {
@@ -214,16 +234,17 @@
 	reply := &Beat{}
 	ctx, cancel := context.WithTimeout(ctx, ExchangeTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	if err := g.PeerClient.Exchange(ctx, addr, g.compose(nil), reply); err != nil {
 		return err
 	}
-	g.receive(reply)
+	g.receive(reply, sentAt)
 	return nil
 }
 
 // Answer processes a peer's message and returns the reply.
 func (g *Gossiper) Answer(b *Beat) *Beat {
-	p := g.receive(b)
+	p := g.receive(b, g.echoedAt(b))
 	return g.compose(p)
 }
 
@@ -286,8 +307,29 @@
 	return g.sorted
 }
 
-// receive processes a message and returns the peer that sent it, or nil if the message names no sender.
-func (g *Gossiper) receive(b *Beat) *peer {
+// echoedAt returns the earliest time at which a peer can have composed a message: when this instance sent the message that
+// it echoes, and as much later as the peer had it. It is zero if the message echoes none that is remembered.
+func (g *Gossiper) echoedAt(b *Beat) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(b.Statuses) == 0 || b.EchoSequence == 0 {
+		return time.Time{}
+	}
+	p := g.peers[b.Statuses[0].GetMember().GetID()]
+	if p == nil {
+		return time.Time{}
+	}
+	for _, m := range p.sent {
+		if m.sequence == b.EchoSequence {
+			return m.at.Add(time.Duration(b.EchoAgeMilliseconds) * time.Millisecond)
+		}
+	}
+	return time.Time{}
+}
+
+// receive processes a message, which was not composed before the given time, and returns the peer that sent it, or nil if
+// the message names no sender.
+func (g *Gossiper) receive(b *Beat, notBefore time.Time) *peer {
 	if len(b.Statuses) == 0 || b.Statuses[0].GetMember().GetID() == "" {
 		return nil
 	}
@@ -303,7 +345,7 @@
 	g.mu.Lock()
 	fromHub := g.usesHubs() && g.currentTopology(now).hubs[b.Statuses[0].Member.ID]
 	g.mu.Unlock()
-	g.OnMessage(b, now, fromHub)
+	g.OnMessage(b, Receipt{At: now, NotBefore: notBefore, FromHub: fromHub})
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.peers[b.Statuses[0].Member.ID]
@@ -381,6 +423,10 @@
 	firstHand := false
 	if p != nil {
 		lastMessage = p.lastMessage
+		p.sent = append(p.sent[max(0, len(p.sent)-sentMessages+1):], sentMessage{g.sequence, now})
+		if lastMessage != nil {
+			b.EchoSequence, b.EchoAgeMilliseconds = lastMessage.Statuses[0].Sequence, now.Sub(p.receivedAt).Milliseconds()
+		}
 		firstHand = g.bothHubs(p, now)
 		b.OmitStatuses = g.omitsStatuses(p, now)
 		b.Statuses = append(b.Statuses, g.statusesToRelay(p, now)...)
@@ -502,10 +548,10 @@
 func (g *Gossiper) exchangeOnce(ctx context.Context, p *peer) error {
 	ctx, cancel := context.WithTimeout(ctx, ExchangeTimeout)
 	defer cancel()
-	reply := &Beat{}
+	reply, sentAt := &Beat{}, time.Now()
 	if err := g.PeerClient.Exchange(ctx, p.Member.PeerAddress, g.compose(p), reply); err != nil {
 		return err
 	}
-	g.receive(reply)
+	g.receive(reply, sentAt)
 	return nil
 }
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -81,7 +81,7 @@
 			}
 			return s
 		},
-		AddPayload: func(_, _ *gossiper.Beat, _ bool) {}, OnStatus: func(*gossiper.Status, time.Time) {}, OnMessage: func(*gossiper.Beat, time.Time, bool) {},
+		AddPayload: func(_, _ *gossiper.Beat, _ bool) {}, OnStatus: func(*gossiper.Status, time.Time) {}, OnMessage: func(*gossiper.Beat, gossiper.Receipt) {},
 		Unfinished: func(*gossiper.Beat, time.Time) bool { return false },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/replicator/fleet_test.go
+++ b/internal/replicator/fleet_test.go
@@ -224,14 +224,14 @@
 	return s
 }
 
-func (n *node) receive(b *gossiper.Beat, now time.Time, _ bool) {
+func (n *node) receive(b *gossiper.Beat, receipt gossiper.Receipt) {
 	n.fleet.mu.Lock()
 	n.receivingCount++
 	n.fleet.mu.Unlock()
 	for _, r := range n.replicators {
 		for _, s := range b.Streams {
 			if s.Name == r.Name {
-				r.Apply(b.Statuses[0].Member.ID, s, now)
+				r.Apply(b, s, receipt)
 			}
 		}
 	}
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -130,8 +130,8 @@
 	return downloading || r.requested(r.streamOf(last)) != nil
 }
 
-// Apply applies the records and the age of the stream that a peer sent.
-func (r *Replicator) Apply(from string, s *gossiper.Stream, now time.Time) {
+// Apply applies the records and the age of the stream in a peer's message.
+func (r *Replicator) Apply(b *gossiper.Beat, s *gossiper.Stream, receipt gossiper.Receipt) {
 	position, era := r.Mirror.Position(), identifier.Era(s.Era)
 	if era < position.Era || era == position.Era && identifier.Offset(s.From) > position.Offset {
 		return // Records are missing; the peer sends them once it has received this instance's position.
@@ -139,19 +139,32 @@
 	if era > position.Era && (s.From > 0 || s.AgeMilliseconds < 0) {
 		return
 	}
-	records, next, complete := r.resolve(from, s, now)
+	records, next, complete := r.resolve(senderOf(b), s, receipt.At)
 	asOf := time.Time{}
-	if s.AgeMilliseconds >= 0 && complete {
-		asOf = now.Add(-time.Duration(s.AgeMilliseconds) * time.Millisecond)
+	if complete {
+		asOf = completeAsOf(b, s, receipt)
 	}
 	switch {
 	case era == position.Era:
 		r.Mirror.Apply(era, records, next, asOf)
-	case complete:
+	case !asOf.IsZero():
 		r.Mirror.Replace(era, records, next, asOf)
 	}
 }
 
+// completeAsOf returns the time as of which a stream is complete, or zero if that is unknown. The time that the message was in
+// transit counts as age; else the age of a copy that peers send each other would not rise as fast as time passes.
+func completeAsOf(b *gossiper.Beat, s *gossiper.Stream, receipt gossiper.Receipt) time.Time {
+	composedAt := receipt.NotBefore
+	if composedAt.IsZero() && !b.AcceptsReferences {
+		composedAt = receipt.At // Earlier builds echo nothing.
+	}
+	if s.AgeMilliseconds < 0 || composedAt.IsZero() {
+		return time.Time{}
+	}
+	return composedAt.Add(-time.Duration(s.AgeMilliseconds) * time.Millisecond)
+}
+
 // resolve returns the records of a peer's stream with their values and the offset after them. If a value is not there yet,
 // the records end before it, and complete is false.
 func (r *Replicator) resolve(from string, s *gossiper.Stream, now time.Time) (records []mirrorer.Record, next identifier.Offset, complete bool) {
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -39,7 +39,7 @@
 
 // receive applies the message of a peer at a time and returns the reply.
 func (n *instance) receive(b *gossiper.Beat, now time.Time) *gossiper.Beat {
-	n.Apply(b.Statuses[0].Member.ID, b.Streams[0], now)
+	n.Apply(b, b.Streams[0], gossiper.Receipt{At: now, NotBefore: now})
 	return n.message(b)
 }
 
