Deny prompts under which targets crash

Cause: each request is judged by itself. A request that broke is tried at another target, which crashes too, and nothing connects the crashes, which different instances see.

Change: quarantiner counts, for each shared part of a prompt, the moments at which requests with it broke before their first event while their target stopped accepting connections. A part with several such moments, from different requests, and with no completed request since is denied; instances exchange crashes, denials and clearances in gossip messages. A completed request clears its parts, a part that completed lately is no suspect, crashes at the same moment count once, and what a denied part explains is dropped. Until a second prompt separates them, only requests with all parts that the broken ones have in common are denied. A denied request gets 503 at once, with the time until it will be tried again.

Ruled out: denying by key or route (sound requests share them), and counting every broken connection (a check of the target tells a crash from a reset).

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -30,6 +30,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
 	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
 	"github.com/coltsfootscale/coltsfootscale/internal/parser"
+	"github.com/coltsfootscale/coltsfootscale/internal/quarantiner"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
 	"github.com/coltsfootscale/coltsfootscale/internal/replicator"
 	"github.com/coltsfootscale/coltsfootscale/internal/reporter"
@@ -113,6 +114,7 @@
 	targetScaler    *scaler.Scaler
 	windowReporter  *reporter.WindowReporter
 	forward         *forwarder.Forwarder
+	quarantine      quarantiner.Quarantine
 
 	// BodyBuffers limits the memory that request bodies use.
 	BodyBuffers forwarder.BodyBuffers
@@ -208,6 +210,7 @@
 	gate := c.platform.Gate
 	gate.Registry, gate.OnLeaving, gate.Logger, gate.Metrics = &c.registry, c.peers.SendNow, c.logger, c.metrics
 	c.targetStates.SharedPartsOnly = c.peers.UsesHubs
+	c.quarantine.Logger = c.logger
 	c.retryBudget = &retrier.WindowedBudget{
 		Share: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow,
 		MemberCount: c.instanceCount,
@@ -216,7 +219,7 @@
 		Zone: identifier.ZoneID(c.self.Zone), Table: c.table.Load, TableAge: c.tableAge,
 		Targets: c.available, Expected: c.expected, Instances: c.instanceCount,
 		TargetStates: &c.targetStates, Chooser: &chooser.Chooser{Policy: c.settings.Load().Routing.Policy}, MaximumJitter: c.jitter,
-		Backend: c.platform.Backend, Budget: c.retryBudget,
+		Backend: c.platform.Backend, Budget: c.retryBudget, Quarantine: &gossipedQuarantine{&c.quarantine, c.peers},
 		CountRequest: c.countRequest, RecordDemand: c.demand.Add, Logger: c.logger, Metrics: c.metrics,
 	}
 }
--- a/internal/coordinator/gossip.go
+++ b/internal/coordinator/gossip.go
@@ -71,6 +71,7 @@
 	}
 	b.OmitCounts = c.peers.UsesHubs() && !c.peers.IsHub(now) && !c.holdsDuties()
 	b.Departures = c.departures(now)
+	c.addQuarantine(b, now)
 	if last != nil {
 		c.addChanges(b, last, firstHand)
 		c.addClosings(b, last)
@@ -225,6 +226,7 @@
 		mergeCount(counter.Count{Incarnation: n.Incarnation, Window: n.Window, Team: identifier.TeamID(n.Team), Requests: n.Requests})
 	}
 	c.applyClosings(b)
+	c.applyQuarantine(b, now)
 	for _, o := range b.Orders {
 		remaining := scaler.SettleTime - time.Duration(o.AgeMilliseconds)*time.Millisecond
 		c.registry.RecordOrder(identifier.TargetID(o.Target), registrar.Stage(o.Stage), now.Add(remaining))
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -44,6 +44,7 @@
 			set(name, age.Seconds())
 		}
 	}
+	set("PartsDenied", float64(c.quarantine.Denials()))
 	set("Targets", float64(len(c.registry.Targets())))
 	set("Instances", float64(c.instanceCount()))
 	set("GossipPartners", float64(c.peers.Partners()))
--- /dev/null
+++ b/internal/coordinator/quarantine.go
@@ -0,0 +1,84 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
+	"github.com/coltsfootscale/coltsfootscale/internal/quarantiner"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// gossipedQuarantine sends what this instance finds to its peers at once.
+type gossipedQuarantine struct {
+	*quarantiner.Quarantine
+	peers *gossiper.Gossiper
+}
+
+// Crashed counts a request that broke at a crash.
+func (q *gossipedQuarantine) Crashed(c quarantiner.Crash) {
+	if q.Quarantine.Crashed(c, time.Now()) {
+		q.peers.SendNow()
+	}
+}
+
+// Completed clears the shared parts of a request that has completed.
+func (q *gossipedQuarantine) Completed(parts []identifier.PartID, now time.Time) {
+	if q.Quarantine.Completed(parts, now) {
+		q.peers.SendNow()
+	}
+}
+
+// addQuarantine adds the crashes, denials and clearances that peers should know.
+func (c *Coordinator) addQuarantine(b *gossiper.Beat, now time.Time) {
+	age := func(at time.Time) int64 { return now.Sub(at).Milliseconds() }
+	report := c.quarantine.Report(now)
+	for _, crash := range report.Crashes {
+		b.Crashes = append(b.Crashes, &gossiper.Crash{
+			Target: string(crash.Target), StartedAtMilliseconds: crash.StartedAt.UnixMilli(), Request: uint64(crash.Request),
+			Parts: encodeParts(crash.Parts), Began: crash.Began, AgeMilliseconds: age(crash.At),
+		})
+	}
+	for _, d := range report.Denials {
+		b.Denials = append(b.Denials, &gossiper.Denial{Part: uint64(d.Part), Common: encodeParts(d.Common), AgeMilliseconds: age(d.At)})
+	}
+	for _, cleared := range report.Clearances {
+		b.Clearances = append(b.Clearances, &gossiper.Clearance{Part: uint64(cleared.Part), AgeMilliseconds: age(cleared.At)})
+	}
+}
+
+// applyQuarantine takes the crashes, denials and clearances of a peer's message.
+func (c *Coordinator) applyQuarantine(b *gossiper.Beat, now time.Time) {
+	at := func(age int64) time.Time { return now.Add(-time.Duration(age) * time.Millisecond) }
+	var report quarantiner.Report
+	for _, crash := range b.Crashes {
+		report.Crashes = append(report.Crashes, quarantiner.Crash{
+			Target: identifier.TargetID(crash.Target), StartedAt: time.UnixMilli(crash.StartedAtMilliseconds), Request: identifier.PartID(crash.Request),
+			Parts: decodeParts(crash.Parts), Began: crash.Began, At: at(crash.AgeMilliseconds),
+		})
+	}
+	for _, d := range b.Denials {
+		report.Denials = append(report.Denials, quarantiner.Denial{Part: identifier.PartID(d.Part), Common: decodeParts(d.Common), At: at(d.AgeMilliseconds)})
+	}
+	for _, cleared := range b.Clearances {
+		report.Clearances = append(report.Clearances, quarantiner.Clearance{Part: identifier.PartID(cleared.Part), At: at(cleared.AgeMilliseconds)})
+	}
+	if c.quarantine.Apply(report, now) {
+		c.passOn()
+	}
+}
+
+func encodeParts(parts []identifier.PartID) []uint64 {
+	list := make([]uint64, len(parts))
+	for i, p := range parts {
+		list[i] = uint64(p)
+	}
+	return list
+}
+
+func decodeParts(parts []uint64) []identifier.PartID {
+	list := make([]identifier.PartID, len(parts))
+	for i, p := range parts {
+		list[i] = identifier.PartID(p)
+	}
+	return list
+}
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -181,6 +181,7 @@
 	for sleeper.Sleep(ctx, cleanupInterval) == nil {
 		c.registry.Expire(time.Now())
 		c.platform.Gate.Expire(c.registry.Targets(), time.Now())
+		c.quarantine.Expire(time.Now())
 		c.applyOutdatedConfiguration()
 		c.targetStates.Retain(c.registry.Targets(), time.Now())
 		c.demand.Sample(time.Now())
--- a/internal/forwarder/backend.go
+++ b/internal/forwarder/backend.go
@@ -82,6 +82,8 @@
 	Run(ctx context.Context, c *Call, a *Attempt) (*Response, error)
 	// Prefill computes the KV cache of the call's prompt on a target; errors wrap ErrNotRun or ErrOutcomeUnknown.
 	Prefill(ctx context.Context, c *Call, a *Attempt) (*KVHandle, error)
+	// Reachable reports whether a target accepts connections.
+	Reachable(ctx context.Context, t *registrar.Target) bool
 	// Free releases an unused handle.
 	Free(ctx context.Context, h *KVHandle) error
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -11,10 +11,12 @@
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/asserter"
 	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
 	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
+	"github.com/coltsfootscale/coltsfootscale/internal/quarantiner"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
@@ -52,6 +54,14 @@
 	TakeRetry(service identifier.ServiceID) bool
 }
 
+// Quarantine knows the prompt parts under which targets crash.
+type Quarantine interface {
+	// Denied returns how much longer requests with the given shared parts are denied, or zero.
+	Denied(parts []identifier.PartID, now time.Time) time.Duration
+	Crashed(c quarantiner.Crash)
+	Completed(parts []identifier.PartID, now time.Time)
+}
+
 // Forwarder handles client requests; all fields must be set.
 type Forwarder struct {
 	Zone         identifier.ZoneID
@@ -62,6 +72,7 @@
 	Chooser      *chooser.Chooser
 	Backend      Backend
 	Budget       Budget
+	Quarantine   Quarantine
 	// Instances returns how many instances share the targets' connections, including this one.
 	Instances func() int
 	// Expected returns the time until a target that is changing to a stage is expected there, or false if there is none.
@@ -74,6 +85,9 @@
 	CountRequest func(team identifier.TeamID)
 	Logger       *zap.Logger
 	Metrics      tally.Scope
+
+	// reachability lets the requests that break at a target share one check of it.
+	reachability singleflight.Group
 }
 
 // requestState is the state of one request that is being served.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -44,6 +44,8 @@
 	received       []forwarder.Attempt
 	prefillCalls   int
 	freed          int
+	// crashed is set if targets accept no connections after a failed attempt.
+	crashed bool
 }
 
 func (b *backend) Run(_ context.Context, _ *forwarder.Call, a *forwarder.Attempt) (*forwarder.Response, error) {
@@ -70,6 +72,8 @@
 	return &forwarder.KVHandle{Target: a.Target, ID: "h"}, nil
 }
 
+func (b *backend) Reachable(context.Context, *registrar.Target) bool { return !b.crashed }
+
 func (b *backend) Free(context.Context, *forwarder.KVHandle) error { b.freed++; return nil }
 
 type errorReader struct{}
@@ -100,7 +104,11 @@
 	return serveWith(b, route, call, retries, &chooser.TargetStates{})
 }
 
-func serveWith(b forwarder.Backend, route matcher.Route, call *forwarder.Call, retries int, states *chooser.TargetStates) (res result) {
+func serveWith(b forwarder.Backend, route matcher.Route, call *forwarder.Call, retries int, states *chooser.TargetStates) result {
+	return serveQuarantined(b, route, call, retries, states, &quarantine{})
+}
+
+func serveQuarantined(b forwarder.Backend, route matcher.Route, call *forwarder.Call, retries int, states *chooser.TargetStates, q forwarder.Quarantine) (res result) {
 	route.Host, route.Prefix, route.Timeout = "h", "/p/", 5*time.Second
 	if route.Attempts == 0 {
 		route.Attempts = 2
@@ -122,7 +130,7 @@
 		Targets: func(identifier.ServiceID, time.Time) []*registrar.Target {
 			return append([]*registrar.Target(nil), targets...)
 		},
-		TargetStates: states, Chooser: &chooser.Chooser{}, Backend: b, Budget: &budget{retries},
+		TargetStates: states, Chooser: &chooser.Chooser{}, Backend: b, Budget: &budget{retries}, Quarantine: q,
 		RecordDemand:  func(identifier.ServiceID, identifier.Tokens, time.Time) {},
 		MaximumJitter: func() time.Duration { return 0 }, Instances: func() int { return 5 },
 		Expected: func(identifier.ServiceID, registrar.Stage, time.Time) (time.Duration, bool) {
--- a/internal/forwarder/streamed.go
+++ b/internal/forwarder/streamed.go
@@ -27,6 +27,10 @@
 func (rs *requestState) serveStream(ctx context.Context) *Refusal {
 	stream := newStream(rs)
 	for {
+		if refusal := rs.refuseDenied(); refusal != nil {
+			rs.free(rs.unusedCache)
+			return refusal
+		}
 		t, source, refusal := rs.prepare(ctx)
 		if refusal != nil {
 			if stream.lastID > 0 {
@@ -182,6 +186,9 @@
 		case errors.Is(err, ErrNotRun):
 			rs.free(source)
 		}
+		if errors.Is(err, ErrOutcomeUnknown) && ctx.Err() == nil && s.lastID == 0 {
+			rs.reportBroken(t, false)
+		}
 		rs.countFailedAttempt(err)
 		return err
 	}
@@ -191,8 +198,12 @@
 		return rs.relayErrorResponse(ctx, response)
 	}
 	if err := s.relay(response); err != nil {
+		if ctx.Err() == nil && s.lastID == 0 {
+			rs.reportBroken(t, true)
+		}
 		return err
 	}
+	rs.f.Quarantine.Completed(rs.call.sharedParts(), time.Now())
 	rs.f.TargetStates.Succeeded(t.ID, time.Now())
 	return nil
 }
--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -65,13 +65,7 @@
 	if !p.reserve(addr, limit) {
 		return nil, fmt.Errorf("%w: %w: %s", ErrNotSent, ErrConnectionLimit, addr)
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	dial := p.Dial
-	if dial == nil {
-		dial = dialTCP
-	}
-	nc, err := dial(ctx, addr)
+	nc, err := p.dial(ctx, addr)
 	if err != nil {
 		p.release(addr)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -79,6 +73,26 @@
 	return newConn(p, addr, nc), nil
 }
 
+// dial opens a connection within dialTimeout.
+func (p *Pool) dial(ctx context.Context, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if p.Dial != nil {
+		return p.Dial(ctx, addr)
+	}
+	return dialTCP(ctx, addr)
+}
+
+// Reachable reports whether addr accepts connections. The connection that it opens is closed again.
+func (p *Pool) Reachable(ctx context.Context, addr string) bool {
+	nc, err := p.dial(ctx, addr)
+	if err != nil {
+		return false
+	}
+	nc.Close()
+	return true
+}
+
 func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	// Keep-alive probes every second detect a peer that went silent while the connection was idle.
 	d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}}
