Cut off targets that send bytes without end

A plain response of unknown length was relayed until the deadline.

Cause: what is read before the body of a response had no bound, and a body of unknown length neither.

Change: a connection reads at most 1 MB for a request before the body of its response, and a plain response of unknown length is cut off at 64 MB, visibly for the client. Events, error responses, prefills and control calls had bounds already.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -399,7 +399,7 @@
 }
 
 func (b *endlessBackend) Run(_ context.Context, _ *forwarder.Call, a *forwarder.Attempt) (*forwarder.Response, error) {
-	return &forwarder.Response{Status: 200, Header: http.Header{}, Body: io.NopCloser(&b.body)}, nil
+	return &forwarder.Response{Status: 200, Header: http.Header{}, Length: -1, Body: io.NopCloser(&b.body)}, nil
 }
 
 // TestEndlessEventIsBounded checks that a target that never ends a line does not fill the memory of the instance.
@@ -420,3 +420,14 @@
 	}
 	quicktest.Check(t, b.received[1].Target.ID != b.received[0].Target.ID, quicktest.IsTrue)
 }
+
+// TestResponseWithoutEndIsCutOff guards against a target whose response never ends: it must break off visibly.
+func TestResponseWithoutEndIsCutOff(t *testing.T) {
+	const maximumBytes = 100 << 20
+	for _, kind := range []matcher.Kind{matcher.Safe, matcher.Unsafe} {
+		b := &endlessBackend{}
+		res := serveWith(b, matcher.Route{Kind: kind}, &forwarder.Call{}, 0, &chooser.TargetStates{})
+		quicktest.Check(t, res.aborted, quicktest.IsTrue, quicktest.Commentf("%v", kind))
+		quicktest.Check(t, b.body.read < maximumBytes, quicktest.IsTrue, quicktest.Commentf("%v: %d bytes", kind, b.body.read))
+	}
+}
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -130,12 +130,34 @@
 		rs.w.Header().Set("Content-Length", strconv.FormatInt(r.Length, 10))
 	}
 	rs.w.WriteHeader(r.Status)
-	if _, err := io.Copy(rs.w, io.MultiReader(bytes.NewReader(buffered), r.Body)); err != nil {
+	body := io.MultiReader(bytes.NewReader(buffered), r.Body)
+	if r.Length < 0 {
+		body = &boundedReader{body, maximumUnframedBytes}
+	}
+	if _, err := io.Copy(rs.w, body); err != nil {
 		return refuseOutcomeUnknown(ctx, "AnswerBroken", err)
 	}
 	return nil
 }
 
+// maximumUnframedBytes limits a response of unknown length, which a faulty target may never end.
+const maximumUnframedBytes = 64 << 20
+
+// boundedReader fails once the remaining bytes are read.
+type boundedReader struct {
+	io.Reader
+	remaining int
+}
+
+// Read reads from the underlying reader.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if r.remaining -= n; r.remaining < 0 {
+		return n, fmt.Errorf("response exceeds %d bytes", maximumUnframedBytes)
+	}
+	return n, err
+}
+
 // writeBuffered relays a completely buffered response unchanged.
 func (rs *requestState) writeBuffered(r *Response, body []byte) {
 	rs.headerSent, rs.status = true, r.Status
--- a/internal/pooler/exchange.go
+++ b/internal/pooler/exchange.go
@@ -62,6 +62,7 @@
 	pool      *Pool
 	addr      string
 	r         *bufio.Reader
+	input     *limitedInput
 	once      sync.Once
 	idleSince time.Time
 	expiresAt time.Time
@@ -69,11 +70,37 @@
 }
 
 func newConn(p *Pool, addr string, nc net.Conn) *conn {
+	input := &limitedInput{r: nc, remaining: noLimit}
 	return &conn{
-		Conn: nc, pool: p, addr: addr, r: bufio.NewReaderSize(nc, readBufferBytes), expiresAt: time.Now().Add(defaultIdle),
+		Conn: nc, pool: p, addr: addr, r: bufio.NewReaderSize(input, readBufferBytes), input: input, expiresAt: time.Now().Add(defaultIdle),
 	}
 }
 
+// noLimit is the number of remaining bytes of an input without a limit.
+const noLimit = -1
+
+// errTooLong is returned if the bytes before a response's body exceed their limit.
+var errTooLong = fmt.Errorf("no response within %d bytes", maximumBytesBeforeBody)
+
+// limitedInput reads from a connection and fails once the remaining bytes are read.
+type limitedInput struct {
+	r         io.Reader
+	remaining int
+}
+
+// Read reads from the connection.
+func (l *limitedInput) Read(p []byte) (int, error) {
+	if l.remaining == noLimit {
+		return l.r.Read(p)
+	}
+	if l.remaining == 0 {
+		return 0, errTooLong
+	}
+	n, err := l.r.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
 func (c *conn) close() {
 	c.once.Do(func() {
 		c.Conn.Close()
@@ -204,6 +231,7 @@
 // receive reads the head of the response to r, skipping informational responses and a few responses to earlier requests.
 func (x *exchange) receive(r *Request) (*Response, error) {
 	req := &http.Request{Method: r.Method}
+	x.conn.input.remaining = maximumBytesBeforeBody
 	for stray := 0; ; {
 		res, err := http.ReadResponse(x.conn.r, req)
 		if err != nil {
@@ -221,6 +249,7 @@
 			}
 			continue
 		}
+		x.conn.input.remaining = noLimit
 		return &Response{
 			Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, Body: &responseBody{res: res, x: x},
 		}, nil
--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -35,6 +35,9 @@
 	sweepInterval = time.Second
 	// readBufferBytes is the size of the read buffer of each connection.
 	readBufferBytes = 8 << 10
+	// maximumBytesBeforeBody limits what is read for a request before the body of its response: heads, informational
+	// responses and responses to earlier requests.
+	maximumBytesBeforeBody = 1 << 20
 )
 
 // Pool keeps idle connections by address; the zero value is ready to use and dials TCP.
