Count what is left of an order from when a peer's message was composed

A target whose order came to nothing would be left without work for longer.

Change: it counts from the earliest time at which the message can have been composed; of several ends for one stage the latest stands, since each is an understatement. Test: TestOrderReportedByPeersKeepsItsEnd failed before.

--- a/internal/coordinator/gossip.go
+++ b/internal/coordinator/gossip.go
@@ -227,10 +227,7 @@
 	}
 	c.applyClosings(b)
 	c.applyQuarantine(b, now)
-	for _, o := range b.Orders {
-		remaining := scaler.SettleTime - time.Duration(o.AgeMilliseconds)*time.Millisecond
-		c.registry.RecordOrder(identifier.TargetID(o.Target), registrar.Stage(o.Stage), now.Add(remaining))
-	}
+	c.applyOrders(b, receipt)
 	if l := b.Lease; l != nil {
 		c.elector.ReceiveHead(elector.LogHead{
 			Holder: l.Holder, Fence: identifier.Fence(l.Fence),
@@ -240,6 +237,22 @@
 	}
 }
 
+// applyOrders records the orders that a peer knows. What is left of them counts from when the message was composed: peers send
+// each other's orders back and forth, and they would outlast themselves by the time in transit.
+func (c *Coordinator) applyOrders(b *gossiper.Beat, receipt gossiper.Receipt) {
+	composedAt := receipt.NotBefore
+	if composedAt.IsZero() {
+		if b.AcceptsReferences {
+			return // The next message tells when it was composed.
+		}
+		composedAt = receipt.At
+	}
+	for _, o := range b.Orders {
+		remaining := scaler.SettleTime - time.Duration(o.AgeMilliseconds)*time.Millisecond
+		c.registry.RecordOrder(identifier.TargetID(o.Target), registrar.Stage(o.Stage), composedAt.Add(remaining))
+	}
+}
+
 func (c *Coordinator) applyDepartures(departures []*gossiper.Departure, now time.Time) {
 	for _, d := range departures {
 		isNew := c.registry.AddDeparture(registrar.Departure{
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -337,13 +337,16 @@
 }
 
 // RecordOrder records that a target was ordered to change its stage. It counts as changing until its entry shows the
-// new stage, but no longer than until the given time.
+// new stage, but no longer than until the given time, or the latest one if several are given for the same stage.
 func (r *Registrar) RecordOrder(id identifier.TargetID, stage Stage, until time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.orders == nil {
 		r.orders = map[identifier.TargetID]pendingOrder{}
 	}
+	if old := r.orders[id]; old.stage == stage && old.until.After(until) {
+		until = old.until
+	}
 	r.orders[id] = pendingOrder{stage, until}
 }
 
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -107,3 +107,17 @@
 	quicktest.Check(t, peer.AddDeparture(registrar.Departure{Target: "t", StartedAt: startedAt, Revision: 5, Gone: true}, now), quicktest.IsFalse)
 	quicktest.Check(t, peer.Available("s", now), quicktest.HasLen, 1)
 }
+
+// TestOrderReportedByPeersKeepsItsEnd guards against an order whose end moves with each message about it: peers understate what is
+// left of it.
+func TestOrderReportedByPeersKeepsItsEnd(t *testing.T) {
+	var r registrar.Registrar
+	r.Put(target(1, false), now)
+	end := now.Add(6 * time.Second)
+	r.RecordOrder("t", registrar.Answers, end)
+	r.RecordOrder("t", registrar.Answers, end.Add(-time.Second))
+	quicktest.Check(t, r.Available("s", end.Add(-time.Millisecond)), quicktest.HasLen, 0)
+	quicktest.Check(t, r.Available("s", end), quicktest.HasLen, 1)
+	r.RecordOrder("t", registrar.Prompts, end.Add(-2*time.Second))
+	quicktest.Check(t, r.Orders(end.Add(-3*time.Second)), quicktest.HasLen, 0, quicktest.Commentf("an order back to its stage replaces the other"))
+}
