Remember when the last message arrived instead of looking at all peers

isolated() looked at each peer for each partner that is checked, which grows with the square of the fleet. An echo that would lie in the future, which only one of another incarnation can, is ignored.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -103,6 +103,8 @@
 	alive    []Peer
 	aliveAt  time.Time
 	topology topology
+	// heardAt is when the last message of a peer arrived.
+	heardAt time.Time
 	// membersChanged wakes the selection of partners.
 	membersChanged chan struct{}
 	sequence       uint64
@@ -308,7 +310,8 @@
 }
 
 // echoedAt returns the earliest time at which a peer can have composed a message: when this instance sent the message that
-// it echoes, and as much later as the peer had it. It is zero if the message echoes none that is remembered.
+// it echoes, and as much later as the peer had it. It is zero if the message echoes none that is remembered, or one of
+// another incarnation.
 func (g *Gossiper) echoedAt(b *Beat) time.Time {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -320,8 +323,9 @@
 		return time.Time{}
 	}
 	for _, m := range p.sent {
-		if m.sequence == b.EchoSequence {
-			return m.at.Add(time.Duration(b.EchoAgeMilliseconds) * time.Millisecond)
+		at := m.at.Add(time.Duration(b.EchoAgeMilliseconds) * time.Millisecond)
+		if m.sequence == b.EchoSequence && !at.After(time.Now()) {
+			return at
 		}
 	}
 	return time.Time{}
@@ -343,6 +347,7 @@
 		}
 	}
 	g.mu.Lock()
+	g.heardAt = now
 	fromHub := g.usesHubs() && g.currentTopology(now).hubs[b.Statuses[0].Member.ID]
 	g.mu.Unlock()
 	g.OnMessage(b, Receipt{At: now, NotBefore: notBefore, FromHub: fromHub})
--- a/internal/gossiper/topology.go
+++ b/internal/gossiper/topology.go
@@ -203,14 +203,7 @@
 
 // isolated reports whether no peer has sent a message recently. An isolated instance calls hubs only: which peers lack a hub
 // is not known to it, and if all instances are isolated, each would call all others. The caller must hold mu.
-func (g *Gossiper) isolated(now time.Time) bool {
-	for _, p := range g.peers {
-		if now.Sub(p.receivedAt) <= hubSilence {
-			return false
-		}
-	}
-	return true
-}
+func (g *Gossiper) isolated(now time.Time) bool { return now.Sub(g.heardAt) > hubSilence }
 
 // isSuspect reports whether an exchange with the peer failed recently.
 func (p *peer) isSuspect(now time.Time) bool {
