Explain refusals of denied prompts in trace, name parts as requests do

trace now gives the cause of PromptDenied and shows the denial among the beliefs; part IDs are logged in hexadecimal, as in requests.

--- a/internal/quarantiner/quarantine.go
+++ b/internal/quarantiner/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -203,11 +204,18 @@
 		return !other.denied() && !slices.Contains(e.common, p)
 	})
 	if q.Logger != nil {
-		q.Logger.Warn("prompt part denied, targets crash under it", zap.Uint64("Part", uint64(part)), zap.Any("Common", e.common),
+		var common []string
+		for _, p := range e.common {
+			common = append(common, hexadecimal(p))
+		}
+		q.Logger.Warn("prompt part denied, targets crash under it", zap.String("Part", hexadecimal(part)), zap.Strings("Common", common),
 			zap.Int("Score", e.score()), zap.Int("Requests", len(e.requests)))
 	}
 }
 
+// hexadecimal returns a part's ID as requests name it.
+func hexadecimal(p identifier.PartID) string { return strconv.FormatUint(uint64(p), 16) }
+
 // Completed clears the shared parts of a request that has completed. It reports whether peers should know of it.
 func (q *Quarantine) Completed(parts []identifier.PartID, now time.Time) bool {
 	q.mu.Lock()
@@ -231,7 +239,7 @@
 		return false
 	}
 	if e.denied() && q.Logger != nil {
-		q.Logger.Info("prompt part no longer denied, a request with it has completed", zap.Uint64("Part", uint64(c.Part)))
+		q.Logger.Info("prompt part no longer denied, a request with it has completed", zap.String("Part", hexadecimal(c.Part)))
 	}
 	delete(q.evidence, c.Part)
 	if q.cleared == nil {
--- a/internal/tracer/trace.go
+++ b/internal/tracer/trace.go
@@ -35,8 +35,8 @@
 	"target": "Target", "target gone": "Target", "target entry not usable": "Target", "stage ordered": "Target",
 	"configuration in force": "", "store lost": "Stream", "store regained": "Stream", "entry instance starts": "", "leaving": "",
 	"store has come back from an older copy": "", "target says that it leaves": "Target", "target leaves or is gone, says a peer": "Target",
-	"target wants no requests": "Target",
-	"peer":                     "Peer",
+	"target wants no requests": "Target", "prompt part denied, targets crash under it": "Part",
+	"peer": "Peer",
 }
 
 // Find returns the trace of a request; the lines must be sorted.
@@ -112,6 +112,7 @@
 	"AnswerTargetFull":    "the targets for answers refused it; it did not run",
 	"PromptTargetsFailed": "no target prefilled its prompt",
 	"RetryBudgetSpent":    "one more send would have exceeded the retry budget that all instances share",
+	"PromptDenied":        "targets crash under a part of its prompt, so it was not sent",
 	"TargetFailed":        "the connection to a target broke after it had been sent; it may have run",
 	"StreamBroken":        "its stream broke off at a target; it may have run",
 	"AnswerBroken":        "its answer broke off at a target; it may have run",
--- a/internal/tracer/trace_test.go
+++ b/internal/tracer/trace_test.go
@@ -20,6 +20,8 @@
 {"Time":"2026-07-01T10:00:03.6Z","Message":"request refused","Instance":"front-1","RequestID":"r1","Reason":"TargetFailed","Status":502,"After":0.6}
 {"Time":"2026-07-01T10:00:04Z","Message":"request served","Instance":"front-1","RequestID":"r2","After":0.02,"AnswerTarget":"i-2","Status":500}
 {"Time":"2026-07-01T10:00:05Z","Message":"request refused","Instance":"front-1","RequestID":"r4","Reason":"NoTarget","Status":503,"After":0.0001}
+{"Time":"2026-07-01T10:00:06Z","Message":"prompt part denied, targets crash under it","Instance":"front-1","Part":"ab","Common":["ab"]}
+{"Time":"2026-07-01T10:00:07Z","Message":"request refused","Instance":"front-1","RequestID":"r5","Reason":"PromptDenied","Status":503,"After":0.0001}
 {"Time":"soon","Message":"x"}
 {"broken
 `
@@ -28,7 +30,7 @@
 	lines, unreadable, err := tracer.Read(strings.NewReader(logs), "all.log")
 	quicktest.Assert(t, err, quicktest.IsNil)
 	quicktest.Assert(t, unreadable, quicktest.HasLen, 2)
-	quicktest.Check(t, strings.HasPrefix(unreadable[1].String(), "all.log:12: "), quicktest.IsTrue, quicktest.Commentf("%v", unreadable[1]))
+	quicktest.Check(t, strings.HasPrefix(unreadable[1].String(), "all.log:14: "), quicktest.IsTrue, quicktest.Commentf("%v", unreadable[1]))
 	tracer.Sort(lines)
 	trace, err := tracer.Find(lines, "r1")
 	quicktest.Assert(t, err, quicktest.IsNil)
@@ -48,6 +50,10 @@
 	trace, err = tracer.Find(lines, "r4")
 	quicktest.Assert(t, err, quicktest.IsNil)
 	quicktest.Check(t, trace.StateLines, quicktest.HasLen, 3, quicktest.Commentf("the configuration and the last line of each target"))
+	trace, err = tracer.Find(lines, "r5")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, trace.Cause(), quicktest.Equals, "answered 503 after 100µs: targets crash under a part of its prompt, so it was not sent")
+	quicktest.Check(t, trace.StateLines[len(trace.StateLines)-1].Text("Part"), quicktest.Equals, "ab")
 	_, err = tracer.Find(lines, "r3")
 	quicktest.Check(t, errors.Is(err, tracer.ErrUnknownRequest), quicktest.IsTrue)
 }
