Do not tell a client that a safe request has not run after an attempt that may have

A safe request whose first attempt broke after it had been sent, and that the second target refused with no attempt left, was answered 503, which promises that it has not run.

Cause: of the refusals after an attempt only this one was not checked against what had started. The class, a promise made without looking at earlier attempts, was looked for elsewhere: all other refusals in servePlain and serveStream go through the check.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -177,6 +177,7 @@
 		"unsafe, retried if it has not run":          {matcher.Unsafe, []step{notRun, done}, 200, "ok", 2, 1},
 		"unsafe, the first target cannot be reached": {matcher.Unsafe, []step{notSent, done}, 200, "ok", 2, 1},
 		"refused by all":                             {matcher.Unsafe, []step{notRun, notRun}, 503, "TargetsFull\n", 2, 0},
+		"safe, it may have run before it is refused": {matcher.Safe, []step{broken, notRun}, 502, "TargetsFull\n", 2, 1},
 	} {
 		b := &backend{runs: tc.runs}
 		res := serve(b, matcher.Route{Kind: tc.kind}, &forwarder.Call{}, 5)
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -47,7 +47,7 @@
 		case errors.Is(err, ErrNotSent) && ctx.Err() == nil:
 		case errors.Is(err, ErrNotRun):
 			if !rs.takeRetry() {
-				return refuseNotRun("TargetsFull", defaultRetryAfter, err)
+				return rs.adjustRefusal(refuseNotRun("TargetsFull", defaultRetryAfter, err))
 			}
 		case rs.route.Kind != matcher.Safe || ctx.Err() != nil || !rs.takeRetry():
 			return refuseOutcomeUnknown(ctx, "TargetFailed", err)
