Keep a pause that the next incarnation of a target has said

Cause: a pause was bound to the incarnation that the request was meant for. A target that had started again, before its entry showed it, turned such a request away; the pause was forgotten with the next entry.

Change: a pause also holds for an incarnation that had started when it was said, by the target's clock and with a second of tolerance, and a late answer for an earlier incarnation shortens no later pause. Marks of leaving targets need no such rule: the next answer repeats them.

Test: TestPauseSaidByNextIncarnation failed before.

--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -46,7 +46,7 @@
 // Gatekeeper records the notices of targets; the zero value admits all requests to targets that have not asked for a
 // pause. Exported fields must be set before use.
 //
-// What a target has said concerns one incarnation. It depends neither on the store nor on peers.
+// What a target has said concerns one incarnation, as far as that can be told. It depends neither on the store nor on peers.
 type Gatekeeper struct {
 	// Registry may be nil; marks of leaving targets then have no effect.
 	Registry Registry
@@ -65,12 +65,22 @@
 	invalid map[identifier.TargetID]time.Time
 }
 
-// pause is the time for which one incarnation of a target wants no requests.
+// pause is the time for which a target wants no requests. startedAt is the start of the incarnation that the answered request
+// was meant for. The answer may be that of the next one, which then had started before saidAt.
 type pause struct {
 	startedAt time.Time
+	saidAt    time.Time
 	until     time.Time
 }
 
+// clockTolerance allows for the difference between the clocks of a target, which tells its start, and of this instance.
+const clockTolerance = time.Second
+
+// appliesTo reports whether the pause may be that of a target's incarnation.
+func (p *pause) appliesTo(t *registrar.Target) bool {
+	return p.startedAt.Equal(t.StartedAt) || t.StartedAt.After(p.startedAt) && t.StartedAt.Before(p.saidAt.Add(clockTolerance))
+}
+
 // Admit returns an error that wraps ErrWithheld if nothing may be sent to the target.
 func (g *Gatekeeper) Admit(t *registrar.Target, now time.Time) error {
 	if g.Registry != nil && g.Registry.Departed(t.ID, t.StartedAt) {
@@ -90,7 +100,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p, ok := g.pauses[t.ID]
-	if !ok || !p.startedAt.Equal(t.StartedAt) {
+	if !ok || !p.appliesTo(t) {
 		return 0
 	}
 	return max(0, p.until.Sub(now))
@@ -110,21 +120,26 @@
 	if n.Pause > 0 {
 		length := min(n.Pause, MaximumPause)
 		spread := min(maximumReturnSpread, time.Duration(returnSpreadFraction*float64(length)))
-		g.pause(t, now.Add(length+rand.N(max(spread, 1))))
+		g.pause(t, now, now.Add(length+rand.N(max(spread, 1))))
 		g.report("TargetPauses", "target wants no requests", t, zap.Duration("For", length))
 	}
 }
 
-func (g *Gatekeeper) pause(t *registrar.Target, until time.Time) {
+func (g *Gatekeeper) pause(t *registrar.Target, saidAt, until time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.pauses == nil {
 		g.pauses = map[identifier.TargetID]pause{}
 	}
-	if old := g.pauses[t.ID]; old.startedAt.Equal(t.StartedAt) && old.until.After(until) {
-		return
+	next := pause{startedAt: t.StartedAt, saidAt: saidAt, until: until}
+	// A late answer may be to a request that was meant for an earlier incarnation.
+	if old, ok := g.pauses[t.ID]; ok && !old.startedAt.Before(t.StartedAt) {
+		if old.until.After(until) {
+			return
+		}
+		next.startedAt = old.startedAt
 	}
-	g.pauses[t.ID] = pause{startedAt: t.StartedAt, until: until}
+	g.pauses[t.ID] = next
 	g.pausing.Store(int64(len(g.pauses)))
 }
 
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -53,6 +53,20 @@
 	}
 }
 
+// TestPauseSaidByNextIncarnation guards against a pause that is lost because the request that the target turned away was meant
+// for the incarnation before: the target had started again before its entry showed it.
+func TestPauseSaidByNextIncarnation(t *testing.T) {
+	var g gatekeeper.Gatekeeper
+	before, restarted := newTarget(now), newTarget(now.Add(10*time.Second))
+	said := now.Add(10*time.Second + 20*time.Millisecond)
+	g.Observe(before, gatekeeper.Notice{Pause: 5 * time.Second}, said)
+	quicktest.Check(t, g.Paused(restarted, said.Add(time.Second)) > 0, quicktest.IsTrue)
+	quicktest.Check(t, g.Paused(newTarget(said.Add(2*time.Second)), said.Add(3*time.Second)), quicktest.Equals, time.Duration(0), quicktest.Commentf("started after it had asked"))
+	g.Observe(restarted, gatekeeper.Notice{Pause: 8 * time.Second}, said)
+	g.Observe(before, gatekeeper.Notice{Pause: time.Second}, said)
+	quicktest.Check(t, g.Paused(restarted, said.Add(7*time.Second)) > 0, quicktest.IsTrue, quicktest.Commentf("a late answer shortens no pause"))
+}
+
 // TestInstancesReturnApart checks that many instances that a target turned away at the same moment do not return at the
 // same moment.
 func TestInstancesReturnApart(t *testing.T) {
