Count the time of discovery from the start of the instance

Cause: members are read often in the first 6 s, counted from the start of the process. In the tests several instances share a process; in production both starts are the same, so that no operator saw it. The two waits of a starting instance for peers counted in the same way.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -123,8 +123,9 @@
 	metrics tally.Scope
 	closer  func() error
 
-	leaving  atomic.Bool
-	inFlight atomic.Int64
+	startedAt time.Time
+	leaving   atomic.Bool
+	inFlight  atomic.Int64
 	// receiving is the number of messages of peers that are being processed.
 	receiving atomic.Int32
 
@@ -144,7 +145,7 @@
 // New returns an entry instance that is ready to Run; reload reads the settings again.
 func New(settings *parser.EntrySettings, p Platform, handlers Handlers, reload func() (*parser.EntrySettings, error), logger *zap.Logger) *Coordinator {
 	c := &Coordinator{platform: p, handlers: handlers, logger: logger, reload: reload, sendProgress: map[string]*sendProgress{},
-		memberLost: make(chan struct{}, 1), heldClosings: map[string][]int64{}}
+		memberLost: make(chan struct{}, 1), heldClosings: map[string][]int64{}, startedAt: time.Now()}
 	c.settings.Store(settings)
 	c.bounds = settings.Bounds
 	c.openMetrics()
--- a/internal/coordinator/era.go
+++ b/internal/coordinator/era.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
 	"github.com/coltsfootscale/coltsfootscale/internal/sleeper"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
@@ -75,7 +74,7 @@
 // awaitPeer waits for the first message of a peer if the store has ever come back from an older copy: the peer may know
 // a newer configuration than the store.
 func (c *Coordinator) awaitPeer(ctx context.Context) {
-	for !c.peerHeard.Load() && gossiper.Monotonic(time.Now()) < firstPeerTimeout {
+	for !c.peerHeard.Load() && time.Since(c.startedAt) < firstPeerTimeout {
 		if _, storeRead := c.members.Age(time.Now()); storeRead && c.platform.Store.Era() == 0 {
 			return
 		}
@@ -89,7 +88,7 @@
 // there is none in force and the newer one does not arrive.
 func (c *Coordinator) applyOutdatedConfiguration() {
 	r, known := c.config.Get(c.platform.ConfigurationKey)
-	if !known || c.table.Load() != nil || gossiper.Monotonic(time.Now()) < reportedVersionTimeout {
+	if !known || c.table.Load() != nil || time.Since(c.startedAt) < reportedVersionTimeout {
 		return
 	}
 	c.logger.Warn("announced configuration has not arrived", zap.Uint64("Version", c.reportedVersion.Load()))
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -100,7 +100,7 @@
 
 // memberCopyAge is copyAge for the members, most of which register in the first seconds and which rarely change later.
 func (c *Coordinator) memberCopyAge() time.Duration {
-	if gossiper.Monotonic(time.Now()) < discoveryTime {
+	if time.Since(c.startedAt) < discoveryTime {
 		return discoveryCopyAge
 	}
 	return memberCopyAge + c.readDelay()
