--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -22,7 +22,7 @@
 )
 
 // TestCopiesAreReadInTime checks the longest time until an instance reads from the store that a target leaves: the age
-// of its copy, understated by an exchange that took as long as its timeout, plus the call to the store.
+// of its copy, which it checks after an exchange that took as long as its timeout, plus the call to the store.
 func TestCopiesAreReadInTime(t *testing.T) {
 	worst := coordinator.MaximumCopyAge(false, hubRank) + gossiper.ExchangeTimeout + storeCallTime
 	quicktest.Check(t, worst < smallBound, quicktest.IsTrue, quicktest.Commentf("small: %v", worst))
--- a/internal/coordinator/gossip.go
+++ b/internal/coordinator/gossip.go
@@ -240,12 +240,9 @@
 // applyOrders records the orders that a peer knows. What is left of them counts from when the message was composed: peers send
 // each other's orders back and forth, and they would outlast themselves by the time in transit.
 func (c *Coordinator) applyOrders(b *gossiper.Beat, receipt gossiper.Receipt) {
-	composedAt := receipt.NotBefore
+	composedAt := receipt.ComposedAt(b)
 	if composedAt.IsZero() {
-		if b.AcceptsReferences {
-			return // The next message tells when it was composed.
-		}
-		composedAt = receipt.At
+		return // The next message tells when it was composed.
 	}
 	for _, o := range b.Orders {
 		remaining := scaler.SettleTime - time.Duration(o.AgeMilliseconds)*time.Millisecond
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -59,6 +59,15 @@
 	FromHub bool
 }
 
+// ComposedAt returns the time from which ages in the message count, or zero if it is unknown. Earlier builds echo nothing; what
+// they send counts from its arrival.
+func (r Receipt) ComposedAt(b *Beat) time.Time {
+	if r.NotBefore.IsZero() && !b.AcceptsReferences {
+		return r.At
+	}
+	return r.NotBefore
+}
+
 // Peer is another entry instance with its newest status, received directly or through a hub.
 type Peer struct {
 	Member  *Member
--- a/internal/gossiper/topology.go
+++ b/internal/gossiper/topology.go
@@ -150,6 +150,7 @@
 	present := func(p *peer) bool { return p.isPresent(newest, now) }
 	known := func(p *peer) bool { return !p.Leaving }
 	byZone := g.chooseHubs(present, func(p *peer) bool { return !p.isSuspect(now) })
+	// Without another hub the suspects are used, and without these all known members.
 	for _, considered := range []func(*peer) bool{present, known} {
 		if onlyHub(byZone, g.Self.ID) {
 			byZone = g.chooseHubs(considered, known)
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -157,10 +157,7 @@
 // completeAsOf returns the time as of which a stream is complete, or zero if that is unknown. The time that the message was in
 // transit counts as age; else the age of a copy that peers send each other would not rise as fast as time passes.
 func completeAsOf(b *gossiper.Beat, s *gossiper.Stream, receipt gossiper.Receipt) time.Time {
-	composedAt := receipt.NotBefore
-	if composedAt.IsZero() && !b.AcceptsReferences {
-		composedAt = receipt.At // Earlier builds echo nothing.
-	}
+	composedAt := receipt.ComposedAt(b)
 	if s.AgeMilliseconds < 0 || composedAt.IsZero() {
 		return time.Time{}
 	}
