--- /dev/null
+++ b/internal/apportioner/limit_test.go
@@ -0,0 +1,65 @@
+package apportioner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/apportioner"
+	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+)
+
+var (
+	started = time.Unix(1000, 0)
+	now     = time.Unix(2000, 0)
+)
+
+func newTarget(startedAt time.Time) *registrar.Target {
+	return &registrar.Target{ID: "t", Service: "s", StartedAt: startedAt}
+}
+
+func named(rate apportioner.Rate, at time.Time) apportioner.Limit {
+	return apportioner.Limit{Target: "t", StartedAt: started, Named: true, Rate: rate, At: at}
+}
+
+func ended(at time.Time) apportioner.Limit {
+	return apportioner.Limit{Target: "t", StartedAt: started, At: at}
+}
+
+// TestNewestAnswerTellsTheLimit guards against a limit that ends because of an answer to a request that was sent before the
+// target named it.
+func TestNewestAnswerTellsTheLimit(t *testing.T) {
+	var a apportioner.Apportioner
+	check := func(want apportioner.Rate) {
+		t.Helper()
+		rate, limited := a.Limit(newTarget(started))
+		quicktest.Check(t, rate, quicktest.Equals, want)
+		quicktest.Check(t, limited, quicktest.Equals, want > 0)
+	}
+	check(0)
+	a.Observe(named(2.5, now))
+	check(2.5)
+	a.Observe(ended(now.Add(-time.Millisecond)))
+	check(2.5)
+	a.Observe(named(1.5, now.Add(time.Second)))
+	a.Observe(named(2.5, now.Add(500*time.Millisecond)))
+	check(1.5)
+	a.Observe(ended(now.Add(2 * time.Second)))
+	check(0)
+	quicktest.Check(t, a.Limited(), quicktest.Equals, 0)
+}
+
+// TestLimitHoldsForOneIncarnation checks that a limit ends with the target's process, and that it holds for one that started
+// before it was named though its entry did not yet show that.
+func TestLimitHoldsForOneIncarnation(t *testing.T) {
+	var a apportioner.Apportioner
+	a.Observe(named(2.5, now))
+	_, limited := a.Limit(newTarget(now.Add(-time.Second)))
+	quicktest.Check(t, limited, quicktest.IsTrue)
+	_, limited = a.Limit(newTarget(now.Add(3 * time.Second)))
+	quicktest.Check(t, limited, quicktest.IsFalse)
+	a.Retain(nil)
+	_, limited = a.Limit(newTarget(started))
+	quicktest.Check(t, limited, quicktest.IsFalse)
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -210,6 +210,7 @@
 	bounds := c.bounds
 	gate := c.platform.Gate
 	gate.Registry, gate.OnLeaving, gate.Logger, gate.Metrics = &c.registry, c.peers.SendNow, c.logger, c.metrics
+	gate.Limits.Logger, gate.Limits.Metrics = c.logger, c.metrics
 	c.targetStates.SharedPartsOnly = c.peers.UsesHubs
 	c.quarantine.Logger = c.logger
 	c.retryBudget = &retrier.WindowedBudget{
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -45,6 +45,7 @@
 		}
 	}
 	set("PartsDenied", float64(c.quarantine.Denials()))
+	set("LimitedTargets", float64(c.platform.Gate.Limits.Limited()))
 	set("Targets", float64(len(c.registry.Targets())))
 	set("Instances", float64(c.instanceCount()))
 	set("GossipPartners", float64(c.peers.Partners()))
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/coltsfootscale/coltsfootscale/internal/apportioner"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
@@ -33,6 +34,11 @@
 	Leaving bool
 	// Pause is how long the target wants no requests from this instance; zero if it does not say.
 	Pause time.Duration
+	// Limited is set if the target names a limit for the requests of all instances together, which is Limit. Unlimited is set
+	// if it names none; neither is set if the answer does not tell.
+	Limited   bool
+	Limit     apportioner.Rate
+	Unlimited bool
 	// Invalid describes a value that could not be used, or is empty.
 	Invalid string
 }
@@ -52,6 +58,8 @@
 	Registry Registry
 	// OnLeaving is called when a target says for the first time that it leaves; it may be nil.
 	OnLeaving func()
+	// Limits keeps the limits that targets name.
+	Limits apportioner.Apportioner
 	// Logger and Metrics may be nil.
 	Logger  *zap.Logger
 	Metrics tally.Scope
@@ -92,6 +100,15 @@
 	return nil
 }
 
+// Send is Admit for a request that is sent right after it, which it counts.
+func (g *Gatekeeper) Send(t *registrar.Target, now time.Time) error {
+	if err := g.Admit(t, now); err != nil {
+		return err
+	}
+	g.Limits.Sent(t)
+	return nil
+}
+
 // Paused returns how much longer the target wants no requests, or zero.
 func (g *Gatekeeper) Paused(t *registrar.Target, now time.Time) time.Duration {
 	if g.pausing.Load() == 0 {
@@ -106,11 +123,17 @@
 	return max(0, p.until.Sub(now))
 }
 
-// Observe applies the notice in an answer of the target.
-func (g *Gatekeeper) Observe(t *registrar.Target, n Notice, now time.Time) {
+// Observe applies the notice in an answer of the target to a request that was sent at sentAt.
+func (g *Gatekeeper) Observe(t *registrar.Target, n Notice, sentAt, now time.Time) {
 	if n.Invalid != "" {
 		g.reportInvalid(t, n.Invalid)
 	}
+	switch {
+	case n.Limited:
+		g.Limits.Observe(apportioner.Limit{Target: t.ID, StartedAt: t.StartedAt, Named: true, Rate: n.Limit, At: now})
+	case n.Unlimited:
+		g.Limits.Observe(apportioner.Limit{Target: t.ID, StartedAt: t.StartedAt, At: sentAt})
+	}
 	if n.Leaving && g.Registry != nil && g.Registry.MarkLeaving(t.ID, t.StartedAt, now) {
 		g.report("TargetsLeaving", "target says that it leaves", t)
 		if g.OnLeaving != nil {
@@ -149,6 +172,7 @@
 	for _, t := range targets {
 		known[t.ID] = true
 	}
+	g.Limits.Retain(targets)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id, p := range g.pauses {
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -25,12 +25,12 @@
 	target := newTarget(now)
 	registry.Put(*target, now)
 	quicktest.Assert(t, g.Admit(target, now), quicktest.IsNil)
-	g.Observe(target, gatekeeper.Notice{Leaving: true}, now)
-	g.Observe(target, gatekeeper.Notice{Leaving: true}, now)
+	g.Observe(target, gatekeeper.Notice{Leaving: true}, now, now)
+	g.Observe(target, gatekeeper.Notice{Leaving: true}, now, now)
 	quicktest.Check(t, g.Admit(target, now), quicktest.ErrorIs, gatekeeper.ErrWithheld)
 	quicktest.Check(t, registry.Available("s", now), quicktest.HasLen, 0)
 	quicktest.Check(t, told, quicktest.Equals, 1)
-	g.Observe(target, gatekeeper.Notice{}, now.Add(time.Second))
+	g.Observe(target, gatekeeper.Notice{}, now, now.Add(time.Second))
 	quicktest.Check(t, g.Admit(target, now.Add(time.Hour)), quicktest.ErrorIs, gatekeeper.ErrWithheld, quicktest.Commentf("it never goes"))
 	quicktest.Check(t, g.Admit(newTarget(now.Add(time.Second)), now), quicktest.IsNil)
 }
@@ -43,8 +43,8 @@
 	} {
 		var g gatekeeper.Gatekeeper
 		target := newTarget(now)
-		g.Observe(target, gatekeeper.Notice{Pause: c.asked}, now)
-		g.Observe(target, gatekeeper.Notice{Pause: c.asked / 4}, now)
+		g.Observe(target, gatekeeper.Notice{Pause: c.asked}, now, now)
+		g.Observe(target, gatekeeper.Notice{Pause: c.asked / 4}, now, now)
 		quicktest.Check(t, g.Admit(target, now.Add(c.want-time.Millisecond)), quicktest.ErrorIs, gatekeeper.ErrWithheld)
 		quicktest.Check(t, g.Admit(target, now.Add(c.want+time.Second)), quicktest.IsNil)
 		quicktest.Check(t, g.Admit(newTarget(now.Add(time.Second)), now), quicktest.IsNil, quicktest.Commentf("started again"))
@@ -59,11 +59,11 @@
 	var g gatekeeper.Gatekeeper
 	before, restarted := newTarget(now), newTarget(now.Add(10*time.Second))
 	said := now.Add(10*time.Second + 20*time.Millisecond)
-	g.Observe(before, gatekeeper.Notice{Pause: 5 * time.Second}, said)
+	g.Observe(before, gatekeeper.Notice{Pause: 5 * time.Second}, now, said)
 	quicktest.Check(t, g.Paused(restarted, said.Add(time.Second)) > 0, quicktest.IsTrue)
 	quicktest.Check(t, g.Paused(newTarget(said.Add(2*time.Second)), said.Add(3*time.Second)), quicktest.Equals, time.Duration(0), quicktest.Commentf("started after it had asked"))
-	g.Observe(restarted, gatekeeper.Notice{Pause: 8 * time.Second}, said)
-	g.Observe(before, gatekeeper.Notice{Pause: time.Second}, said)
+	g.Observe(restarted, gatekeeper.Notice{Pause: 8 * time.Second}, now, said)
+	g.Observe(before, gatekeeper.Notice{Pause: time.Second}, now, said)
 	quicktest.Check(t, g.Paused(restarted, said.Add(7*time.Second)) > 0, quicktest.IsTrue, quicktest.Commentf("a late answer shortens no pause"))
 }
 
@@ -75,7 +75,7 @@
 	back := 0
 	for range instances {
 		var g gatekeeper.Gatekeeper
-		g.Observe(target, gatekeeper.Notice{Pause: pause}, now)
+		g.Observe(target, gatekeeper.Notice{Pause: pause}, now, now)
 		if g.Admit(target, now.Add(pause+400*time.Millisecond)) == nil {
 			back++
 		}
