Instances take turns at targets that name a limit for all of them together

Cause: nothing kept Server-Limit; and a bound on all instances together cannot be kept by each alone, which divides by the peers that it happens to hear.

Change: the apportioner gives each instance its turns from the time of day, the rate and its place among all instances that may be running. Peers that are silent keep their places for ten minutes, so that cut-off instances use no more than their own turns. Why it works: all turns of the fleet add up to the limit whatever messages are lost; in any window no more requests are sent than turns begin in it and the second before.

--- a/internal/apportioner/limit_test.go
+++ b/internal/apportioner/limit_test.go
@@ -38,14 +38,14 @@
 		quicktest.Check(t, limited, quicktest.Equals, want > 0)
 	}
 	check(0)
-	a.Observe(named(2.5, now))
+	a.Observe(named(2.5, now), now)
 	check(2.5)
-	a.Observe(ended(now.Add(-time.Millisecond)))
+	a.Observe(ended(now.Add(-time.Millisecond)), now)
 	check(2.5)
-	a.Observe(named(1.5, now.Add(time.Second)))
-	a.Observe(named(2.5, now.Add(500*time.Millisecond)))
+	a.Observe(named(1.5, now.Add(time.Second)), now)
+	a.Observe(named(2.5, now.Add(500*time.Millisecond)), now)
 	check(1.5)
-	a.Observe(ended(now.Add(2 * time.Second)))
+	a.Observe(ended(now.Add(2*time.Second)), now)
 	check(0)
 	quicktest.Check(t, a.Limited(), quicktest.Equals, 0)
 }
@@ -54,7 +54,7 @@
 // before it was named though its entry did not yet show that.
 func TestLimitHoldsForOneIncarnation(t *testing.T) {
 	var a apportioner.Apportioner
-	a.Observe(named(2.5, now))
+	a.Observe(named(2.5, now), now)
 	_, limited := a.Limit(newTarget(now.Add(-time.Second)))
 	quicktest.Check(t, limited, quicktest.IsTrue)
 	_, limited = a.Limit(newTarget(now.Add(3 * time.Second)))
@@ -63,3 +63,19 @@
 	_, limited = a.Limit(newTarget(started))
 	quicktest.Check(t, limited, quicktest.IsFalse)
 }
+
+// TestInstanceThatKnowsNoOthersSendsNothing guards against a started instance that takes the shares of all others until it has
+// read who they are.
+func TestInstanceThatKnowsNoOthersSendsNothing(t *testing.T) {
+	known := apportioner.Place{}
+	a := apportioner.Apportioner{Place: func(time.Time) apportioner.Place { return known }}
+	target := newTarget(started)
+	quicktest.Check(t, a.Take(target, now), quicktest.IsTrue, quicktest.Commentf("no limit is known"))
+	a.Observe(named(1000, now), now)
+	for i := range 100 {
+		quicktest.Check(t, a.Take(target, now.Add(time.Duration(i)*10*time.Millisecond)), quicktest.IsFalse)
+	}
+	quicktest.Check(t, a.Wait(target, now.Add(time.Second)) > 0, quicktest.IsTrue)
+	known = apportioner.Place{Instances: 2}
+	quicktest.Check(t, a.Take(target, now.Add(2*time.Second)), quicktest.IsTrue)
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -210,7 +210,7 @@
 	bounds := c.bounds
 	gate := c.platform.Gate
 	gate.Registry, gate.OnLeaving, gate.Logger, gate.Metrics = &c.registry, c.peers.SendNow, c.logger, c.metrics
-	gate.Limits.Logger, gate.Limits.Metrics = c.logger, c.metrics
+	c.wireLimits(&gate.Limits)
 	c.targetStates.SharedPartsOnly = c.peers.UsesHubs
 	c.quarantine.Logger = c.logger
 	c.retryBudget = &retrier.WindowedBudget{
@@ -226,17 +226,17 @@
 	}
 }
 
-// available returns the targets of a service that accept new requests and want them from this instance.
+// available returns the targets of a service that accept new requests and want them from this instance now.
 func (c *Coordinator) available(service identifier.ServiceID, now time.Time) []*registrar.Target {
 	return slices.DeleteFunc(c.registry.Available(service, now), func(t *registrar.Target) bool {
-		return c.platform.Gate.Paused(t, now) > 0
+		return c.platform.Gate.Wait(t, now) > 0
 	})
 }
 
-// expected returns how soon the first target that pauses, or that was ordered to change to a stage, will be ready, or
-// false if there is none.
+// expected returns how soon the first target that wants no requests now, or that was ordered to change to a stage, will be
+// ready, or false if there is none.
 func (c *Coordinator) expected(service identifier.ServiceID, stage registrar.Stage, now time.Time) (time.Duration, bool) {
-	soonest, found := c.shortestPause(service, stage, now)
+	soonest, found := c.shortestWait(service, stage, now)
 	s := c.table.Load().Service(service)
 	if s == nil || s.Engine == nil {
 		return soonest, found
@@ -252,12 +252,12 @@
 	return soonest, found
 }
 
-// shortestPause returns when the first target of a service and stage that pauses wants requests again, or false if none
-// pauses.
-func (c *Coordinator) shortestPause(service identifier.ServiceID, stage registrar.Stage, now time.Time) (time.Duration, bool) {
+// shortestWait returns when the first target of a service and stage that wants none now wants requests again, or false if
+// there is none.
+func (c *Coordinator) shortestWait(service identifier.ServiceID, stage registrar.Stage, now time.Time) (time.Duration, bool) {
 	shortest, found := time.Duration(0), false
 	for _, t := range c.registry.Available(service, now) {
-		remaining := c.platform.Gate.Paused(t, now)
+		remaining := c.platform.Gate.Wait(t, now)
 		if remaining == 0 || t.Stage != stage && t.Stage != registrar.AnyStage {
 			continue
 		}
--- a/internal/coordinator/gossip.go
+++ b/internal/coordinator/gossip.go
@@ -72,6 +72,7 @@
 	b.OmitCounts = c.peers.UsesHubs() && !c.peers.IsHub(now) && !c.holdsDuties()
 	b.Departures = c.departures(now)
 	c.addQuarantine(b, now)
+	c.addLimits(b, last, now)
 	if last != nil {
 		c.addChanges(b, last, firstHand)
 		c.addClosings(b, last)
@@ -227,6 +228,7 @@
 	}
 	c.applyClosings(b)
 	c.applyQuarantine(b, now)
+	c.applyLimits(b, receipt)
 	c.applyOrders(b, receipt)
 	if l := b.Lease; l != nil {
 		c.elector.ReceiveHead(elector.LogHead{
--- /dev/null
+++ b/internal/coordinator/limits.go
@@ -0,0 +1,53 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/apportioner"
+	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// wireLimits lets the instances take turns at targets that name a limit, and tell each other of the limits.
+func (c *Coordinator) wireLimits(a *apportioner.Apportioner) {
+	a.Logger, a.Metrics, a.OnChange = c.logger, c.metrics, c.peers.SendNow
+	a.TimeOfDay = func(time.Time) time.Time { return c.medianTime() }
+	a.Place = func(now time.Time) apportioner.Place {
+		rank, instances := c.peers.Place(now)
+		if _, known := c.members.Age(now); !known && instances == 1 {
+			return apportioner.Place{}
+		}
+		return apportioner.Place{Rank: rank, Instances: instances}
+	}
+}
+
+// addLimits adds the limits that changed recently, or all if the peer knows fewer.
+func (c *Coordinator) addLimits(b, last *gossiper.Beat, now time.Time) {
+	limits := &c.platform.Gate.Limits
+	b.KnownLimits = uint32(limits.Limited())
+	for _, l := range limits.Report(last != nil && last.KnownLimits < b.KnownLimits, now) {
+		b.Limits = append(b.Limits, &gossiper.Limit{
+			Target: string(l.Target), StartedAtMilliseconds: l.StartedAt.UnixMilli(), Named: l.Named, RequestsPerSecond: float64(l.Rate),
+			AgeMilliseconds: now.Sub(l.At).Milliseconds(),
+		})
+	}
+}
+
+// applyLimits takes the limits of a peer's message. Their ages count from the earliest time at which it can have been
+// composed: peers send each other's reports back and forth, and a limit must not become newer by that.
+func (c *Coordinator) applyLimits(b *gossiper.Beat, receipt gossiper.Receipt) {
+	composedAt := receipt.ComposedAt(b)
+	if composedAt.IsZero() {
+		composedAt = receipt.At.Add(-gossiper.ExchangeTimeout)
+	}
+	var reported []apportioner.Limit
+	for _, l := range b.Limits {
+		reported = append(reported, apportioner.Limit{
+			Target: identifier.TargetID(l.Target), StartedAt: time.UnixMilli(l.StartedAtMilliseconds), Named: l.Named,
+			Rate: apportioner.Rate(l.RequestsPerSecond), At: composedAt.Add(-time.Duration(l.AgeMilliseconds) * time.Millisecond),
+		})
+	}
+	if c.platform.Gate.Limits.Apply(reported, receipt.At) {
+		c.passOn()
+	}
+}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -100,15 +100,27 @@
 	return nil
 }
 
-// Send is Admit for a request that is sent right after it, which it counts.
-func (g *Gatekeeper) Send(t *registrar.Target, now time.Time) error {
+// Send is Admit for a request that is sent right after it. It counts the request against the target's limit, and stops it if
+// that allows none now. A control call, of which there are few, is counted only.
+func (g *Gatekeeper) Send(t *registrar.Target, control bool, now time.Time) error {
 	if err := g.Admit(t, now); err != nil {
 		return err
 	}
-	g.Limits.Sent(t)
+	if control {
+		g.Limits.Charge(t, now)
+		return nil
+	}
+	if !g.Limits.Take(t, now) {
+		return fmt.Errorf("%w: the limit of %s allows none now", ErrWithheld, t.ID)
+	}
 	return nil
 }
 
+// Wait returns how much longer the target wants no requests from this instance, or its limit allows none, or zero.
+func (g *Gatekeeper) Wait(t *registrar.Target, now time.Time) time.Duration {
+	return max(g.Paused(t, now), g.Limits.Wait(t, now))
+}
+
 // Paused returns how much longer the target wants no requests, or zero.
 func (g *Gatekeeper) Paused(t *registrar.Target, now time.Time) time.Duration {
 	if g.pausing.Load() == 0 {
@@ -130,9 +142,9 @@
 	}
 	switch {
 	case n.Limited:
-		g.Limits.Observe(apportioner.Limit{Target: t.ID, StartedAt: t.StartedAt, Named: true, Rate: n.Limit, At: now})
+		g.Limits.Observe(apportioner.Limit{Target: t.ID, StartedAt: t.StartedAt, Named: true, Rate: n.Limit, At: now}, now)
 	case n.Unlimited:
-		g.Limits.Observe(apportioner.Limit{Target: t.ID, StartedAt: t.StartedAt, At: sentAt})
+		g.Limits.Observe(apportioner.Limit{Target: t.ID, StartedAt: t.StartedAt, At: sentAt}, now)
 	}
 	if n.Leaving && g.Registry != nil && g.Registry.MarkLeaving(t.ID, t.StartedAt, now) {
 		g.report("TargetsLeaving", "target says that it leaves", t)
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -29,6 +29,8 @@
 	retryPause = 500 * time.Millisecond
 	gonePause  = 3 * time.Second
 	goneTime   = 15 * time.Second
+	// memberMemory is how long a silent peer may be running: partitions last minutes.
+	memberMemory = 10 * time.Minute
 	// partnerCheckInterval is how often the partners are selected anew if nothing has changed.
 	partnerCheckInterval = time.Second
 	// aliveCacheTime is how long the list of live peers is reused.
@@ -122,7 +124,8 @@
 
 type peer struct {
 	Peer
-	status *Status
+	status     *Status
+	knownSince time.Time
 	// lastMessage is the newest message received from the peer itself, at receivedAt; failedAt is when an exchange with
 	// it last failed.
 	lastMessage *Beat
@@ -235,7 +238,7 @@
 		g.incarnations[m.Incarnation] = m.ID
 	}
 	delete(g.unknown, m.Incarnation)
-	g.peers[m.ID] = &peer{Peer: Peer{Member: m}, relayed: map[memberKey]*relayedStatus{}, sendNow: make(chan struct{}, 1)}
+	g.peers[m.ID] = &peer{Peer: Peer{Member: m}, knownSince: time.Now(), relayed: map[memberKey]*relayedStatus{}, sendNow: make(chan struct{}, 1)}
 	g.sorted = nil
 	g.invalidate()
 }
@@ -306,6 +309,31 @@
 	return list
 }
 
+// Place returns this instance's position among all instances that may be running, in the order of their IDs, and their
+// number.
+//
+// Who is silent may be cut off from this instance and run all the same, for memberMemory after its last status. A member of which
+// none has been seen counts as long after its record.
+func (g *Gossiper) Place(now time.Time) (rank, instances int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	instances = 1
+	for _, p := range g.peers {
+		silent := now.Sub(p.StatusAt)
+		if p.StatusAt.IsZero() {
+			silent = now.Sub(p.knownSince)
+		}
+		if silent > memberMemory || p.Leaving && silent > g.aliveTime() {
+			continue
+		}
+		instances++
+		if p.Member.ID < g.Self.ID {
+			rank++
+		}
+	}
+	return rank, instances
+}
+
 // sortedPeers returns all peers in the order of their IDs. The caller must hold mu.
 func (g *Gossiper) sortedPeers() []*peer {
 	if g.sorted == nil {
