Share the slack of the retry budget among all instances that may be running

Callers' targets saw, in a test: three instances that cannot exchange messages make 60 retries of 123 requests, where the budget of all together allows 45 (TestRetryBudgetHoldsInPartition, failed before).

The slack was divided by the peers that an instance hears, so that each side of a partition, and an instance that has just started, used all of it.

Change: it is divided by the instances that may be running; until they are known there is none. After: 3 to 45 retries, as the test demands; it passes.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -215,7 +215,7 @@
 	c.quarantine.Logger = c.logger
 	c.retryBudget = &retrier.WindowedBudget{
 		Share: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow,
-		MemberCount: c.instanceCount,
+		MemberCount: func() int { return c.place(time.Now()).Instances },
 	}
 	c.forward = &forwarder.Forwarder{
 		Zone: identifier.ZoneID(c.self.Zone), Table: c.table.Load, TableAge: c.tableAge,
--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -12,13 +12,17 @@
 func (c *Coordinator) wireLimits(a *apportioner.Apportioner) {
 	a.Logger, a.Metrics, a.OnChange = c.logger, c.metrics, c.peers.SendNow
 	a.TimeOfDay = func(time.Time) time.Time { return c.medianTime() }
-	a.Place = func(now time.Time) apportioner.Place {
-		rank, instances := c.peers.Place(now)
-		if _, known := c.members.Age(now); !known && instances == 1 {
-			return apportioner.Place{}
-		}
-		return apportioner.Place{Rank: rank, Instances: instances}
+	a.Place = c.place
+}
+
+// place returns this instance's place among all that may be running. Bounds on all instances together are shared out by it:
+// live peers are fewer in a partition, on each side of which the others go on.
+func (c *Coordinator) place(now time.Time) apportioner.Place {
+	rank, instances := c.peers.Place(now)
+	if _, known := c.members.Age(now); !known && instances == 1 {
+		return apportioner.Place{}
 	}
+	return apportioner.Place{Rank: rank, Instances: instances}
 }
 
 // addLimits adds the limits that changed recently, or all if the peer knows fewer.
--- a/internal/retrier/windowed.go
+++ b/internal/retrier/windowed.go
@@ -21,9 +21,10 @@
 // In any window the retries of all instances stay under Share times the requests plus Slack: each instance may use
 // Share times its own requests plus an equal share of Slack.
 type WindowedBudget struct {
-	Share       float64
-	Slack       float64
-	Window      time.Duration
+	Share  float64
+	Slack  float64
+	Window time.Duration
+	// MemberCount returns the number of instances that may be running, or zero if it is not known.
 	MemberCount func() int
 
 	mu       sync.Mutex
@@ -50,7 +51,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.slide(service, time.Now())
-	allowed := safetyFactor * (w.Share*sum(s.requests) + w.Slack/float64(max(1, w.MemberCount())))
+	allowed := w.Share * sum(s.requests)
+	if members := w.MemberCount(); members > 0 {
+		allowed += w.Slack / float64(members)
+	}
+	allowed *= safetyFactor
 	if sum(s.retries)+1 > allowed {
 		return false
 	}
