Share a target's connections among all instances that may be running

A target that accepts 12 connections from all instances together got 36 from three that cannot exchange messages (TestConnectionLimitHoldsInPartition, failed before).

Change: that of the instances that may be running; until they are known, the least share. After: at most 12, the test passes.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -215,11 +215,11 @@
 	c.quarantine.Logger = c.logger
 	c.retryBudget = &retrier.WindowedBudget{
 		Share: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow,
-		MemberCount: func() int { return c.place(time.Now()).Instances },
+		MemberCount: c.memberCount,
 	}
 	c.forward = &forwarder.Forwarder{
 		Zone: identifier.ZoneID(c.self.Zone), Table: c.table.Load, TableAge: c.tableAge,
-		Targets: c.available, Expected: c.expected, Instances: c.instanceCount,
+		Targets: c.available, Expected: c.expected, Instances: c.memberCount,
 		TargetStates: &c.targetStates, Chooser: &chooser.Chooser{Policy: c.settings.Load().Routing.Policy}, MaximumJitter: c.jitter,
 		Backend: c.platform.Backend, Budget: c.retryBudget, Quarantine: &gossipedQuarantine{&c.quarantine, c.peers},
 		CountRequest: c.countRequest, RecordDemand: c.demand.Add, Logger: c.logger, Metrics: c.metrics,
--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -55,3 +55,6 @@
 		c.passOn()
 	}
 }
+
+// memberCount returns the number of instances that may be running, this one with them, or zero if it is not known yet.
+func (c *Coordinator) memberCount() int { return c.place(time.Now()).Instances }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -73,7 +73,7 @@
 	Backend      Backend
 	Budget       Budget
 	Quarantine   Quarantine
-	// Instances returns how many instances share the targets' connections, including this one.
+	// Instances returns how many instances may share the targets' connections, including this one, or zero if it is not known.
 	Instances func() int
 	// Expected returns the time until a target that is changing to a stage is expected there, or false if there is none.
 	Expected func(service identifier.ServiceID, stage registrar.Stage, now time.Time) (time.Duration, bool)
@@ -244,7 +244,11 @@
 	if s == nil || s.ConnectionLimit <= 0 {
 		return 0
 	}
-	return max(minimumConnections, s.ConnectionLimit/max(1, rs.f.Instances()))
+	n := rs.f.Instances()
+	if n == 0 {
+		return minimumConnections
+	}
+	return max(minimumConnections, s.ConnectionLimit/n)
 }
 
 // candidates returns the targets of the given stages that have not failed in this request.
