No least share of four connections to a target

64 instances opened up to 256 connections to a target that accepts 110 (TestSharesOfConnectionsAddUpToTheLimit, failed before with 28 x 4, 64 x 4 and 110 x 4).

One connection remains, without which an instance could not use the target; only fleets with more instances than connections exceed the limit.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -42,8 +42,9 @@
 	staleConfigurationAge = 1500 * time.Millisecond
 	// plainServiceTime is the usual duration of a call to a plain target.
 	plainServiceTime = 20 * time.Millisecond
-	// minimumConnections is the number of connections to a target that each instance may open, however small its share.
-	minimumConnections = 4
+	// minimumConnections is the number of connections to a target that each instance may open, however small its share:
+	// without one it could not use the target.
+	minimumConnections = 1
 	// minimumRemaining is the least time before the deadline at which a retry is still worthwhile.
 	minimumRemaining = 5 * time.Millisecond
 )
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -108,14 +108,21 @@
 	return serveQuarantined(b, route, call, retries, states, &quarantine{})
 }
 
-func serveQuarantined(b forwarder.Backend, route matcher.Route, call *forwarder.Call, retries int, states *chooser.TargetStates, q forwarder.Quarantine) (res result) {
+func serveQuarantined(b forwarder.Backend, route matcher.Route, call *forwarder.Call, retries int, states *chooser.TargetStates, q forwarder.Quarantine) result {
+	return serveAmong(b, route, call, retries, states, q, 5)
+}
+
+const connectionLimit = 110
+
+// serveAmong is serveQuarantined at one of several instances.
+func serveAmong(b forwarder.Backend, route matcher.Route, call *forwarder.Call, retries int, states *chooser.TargetStates, q forwarder.Quarantine, instances int) (res result) {
 	route.Host, route.Prefix, route.Timeout = "h", "/p/", 5*time.Second
 	if route.Attempts == 0 {
 		route.Attempts = 2
 	}
 	route.WeightedServices = []matcher.WeightedService{{Service: "s", Weight: 1}}
 	table := matcher.New(matcher.Configuration{Version: 1, Routes: []matcher.Route{route}, Teams: []matcher.Team{{ID: "team", Keys: []string{"key"}}},
-		Services: []matcher.Service{{ID: "s", ConnectionLimit: 110}}})
+		Services: []matcher.Service{{ID: "s", ConnectionLimit: connectionLimit}}})
 	targets := []*registrar.Target{{ID: "p1", Stage: registrar.Prompts}, {ID: "p2", Stage: registrar.Prompts}, {ID: "a1", Stage: registrar.Answers}, {ID: "a2", Stage: registrar.Answers}}
 	if route.ID == "changing" {
 		targets = targets[:2]
@@ -132,7 +139,7 @@
 		},
 		TargetStates: states, Chooser: &chooser.Chooser{}, Backend: b, Budget: &budget{retries}, Quarantine: q,
 		RecordDemand:  func(identifier.ServiceID, identifier.Tokens, time.Time) {},
-		MaximumJitter: func() time.Duration { return 0 }, Instances: func() int { return 5 },
+		MaximumJitter: func() time.Duration { return 0 }, Instances: func() int { return instances },
 		Expected: func(identifier.ServiceID, registrar.Stage, time.Time) (time.Duration, bool) {
 			return 2 * time.Second, true
 		},
@@ -333,6 +340,16 @@
 	quicktest.Assert(t, b.received[0].Connections, quicktest.Equals, 22, quicktest.Commentf("a fifth of 110"))
 }
 
+// TestSharesOfConnectionsAddUpToTheLimit guards against a least share that many instances together open beyond what a target accepts.
+func TestSharesOfConnectionsAddUpToTheLimit(t *testing.T) {
+	for _, instances := range []int{5, 28, 64, 110} {
+		b := &backend{runs: []step{{status: 200, body: "ok"}}}
+		serveAmong(b, matcher.Route{}, &forwarder.Call{}, 0, &chooser.TargetStates{}, &quarantine{}, instances)
+		quicktest.Check(t, b.received[0].Connections > 0, quicktest.IsTrue)
+		quicktest.Check(t, instances*b.received[0].Connections <= connectionLimit, quicktest.IsTrue, quicktest.Commentf("%d instances with %d connections each", instances, b.received[0].Connections))
+	}
+}
+
 func TestAdmission(t *testing.T) {
 	for name, tc := range map[string]struct {
 		call   forwarder.Call
