Name alike requests in logs: digest of method, host, path, team and body

Plain requests that break are checked for a crash of their target as prompted ones are, and logged; nothing is refused yet.

--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/quarantiner"
@@ -33,17 +35,32 @@
 	return rs.adjustRefusal(refuseNotRun("PromptDenied", remaining, nil))
 }
 
+// digest returns what a request has in common with its repetitions. Of a body that is not held as a whole it covers the start.
+func (rs *requestState) digest() identifier.RequestDigest {
+	if rs.requestDigest == 0 {
+		d := xxhash.New()
+		for _, field := range []string{rs.call.Method, rs.call.Host, rs.call.URI, string(rs.teamID())} {
+			fmt.Fprintf(d, "%d:%s", len(field), field)
+		}
+		d.Write(rs.call.Body.Buffered)
+		rs.requestDigest = identifier.RequestDigest(max(1, d.Sum64()))
+	}
+	return rs.requestDigest
+}
+
+// digestField shows the digest in logs, in the form in which other logs name it.
+func (rs *requestState) digestField() zap.Field {
+	return zap.String("Digest", strconv.FormatUint(uint64(rs.digest()), 16))
+}
+
 // reportBroken reports, in the background, a request that broke before its first event if its target has crashed. began is
 // set if its answer had begun.
 func (rs *requestState) reportBroken(t *registrar.Target, began bool) {
-	parts := rs.call.sharedParts()
-	if len(parts) == 0 {
-		return
+	f, id, digest := rs.f, rs.call.ID, rs.digestField()
+	crash := quarantiner.Crash{Target: t.ID, StartedAt: t.StartedAt, Parts: rs.call.sharedParts(), Began: began, At: time.Now()}
+	if n := len(crash.Parts); n > 0 {
+		crash.Request = rs.call.Parts[n].ID
 	}
-	crash := quarantiner.Crash{
-		Target: t.ID, StartedAt: t.StartedAt, Request: rs.call.Parts[len(parts)].ID, Parts: parts, Began: began, At: time.Now(),
-	}
-	f, id := rs.f, rs.call.ID
 	go func() {
 		key := string(t.ID) + "/" + strconv.FormatInt(t.StartedAt.UnixMilli(), 10)
 		reachable, _, _ := f.reachability.Do(key, func() (any, error) {
@@ -54,7 +71,10 @@
 		if reachable.(bool) {
 			return
 		}
-		f.Logger.Info("target crashed", zap.String("RequestID", string(id)), zap.String("Target", string(t.ID)), zap.Bool("Began", began))
-		f.Quarantine.Crashed(crash)
+		f.Logger.Info("target crashed", zap.String("RequestID", string(id)), digest, zap.String("Target", string(t.ID)), zap.Bool("Began", began))
+		f.Metrics.Counter("RequestsBrokenByCrashes").Inc(1)
+		if len(crash.Parts) > 0 {
+			f.Quarantine.Crashed(crash)
+		}
 	}()
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -113,6 +113,8 @@
 	// headerSent is set once the response header has been sent to the client.
 	headerSent bool
 	logEntry   logEntry
+	// requestDigest is zero until it is needed.
+	requestDigest identifier.RequestDigest
 	// status is the status of the target's response.
 	status int
 }
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -30,6 +30,9 @@
 		if err != nil || response.Status >= http.StatusInternalServerError {
 			rs.logFailedAttempt(choice.Target, response, err)
 		}
+		if errors.Is(err, ErrOutcomeUnknown) && ctx.Err() == nil {
+			rs.reportBroken(choice.Target, false)
+		}
 		// A case that does not return leads to an attempt on another target.
 		switch {
 		case err == nil && !rs.retryableFailure(response):
@@ -63,7 +66,7 @@
 	if response != nil {
 		status = response.Status
 	}
-	rs.f.Logger.Info("target failed", zap.String("RequestID", string(rs.call.ID)), zap.String("Target", string(t.ID)),
+	rs.f.Logger.Info("target failed", zap.String("RequestID", string(rs.call.ID)), rs.digestField(), zap.String("Target", string(t.ID)),
 		zap.Int("Status", status), zap.Int("Sends", rs.attempts), zap.Duration("After", time.Since(rs.start)), zap.Error(err))
 }
 
--- a/internal/forwarder/streamed.go
+++ b/internal/forwarder/streamed.go
@@ -42,7 +42,7 @@
 		if err == nil {
 			return nil
 		}
-		rs.f.Logger.Info("answer target failed", zap.String("RequestID", string(rs.call.ID)),
+		rs.f.Logger.Info("answer target failed", zap.String("RequestID", string(rs.call.ID)), rs.digestField(),
 			zap.String("Target", string(t.ID)), zap.Int("Event", stream.lastID), zap.Error(err))
 		rs.f.TargetStates.Failed(t.ID, time.Now())
 		rs.failedTargets = append(rs.failedTargets, t.ID)
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -23,6 +23,9 @@
 // KeyID identifies a key without revealing it.
 type KeyID string
 
+// RequestDigest identifies requests that are alike: same method, host, URI, team and body.
+type RequestDigest uint64
+
 // RequestID identifies one request of a caller.
 type RequestID string
 
