Deny requests under which targets crash, known again by their digest

Cause: each attempt was judged by itself. The quarantine connected crashes by shared parts of prompts only, so that plain requests, and a single prompted one, were sent on for ever.

Change: requests that are alike share a digest; three crashed targets under it, at whichever instances, deny it for ten minutes. Crashes count only if the target's entry shows them within eight seconds, since a target that cannot be reached looks the same. A part is not denied if one request broke at all moments that speak against it, and denials of parts are reported a second after the last crash, as crashes of the same moment may still arrive.

Ruled out: dropping a crash from one request because another one explains it. In the test's streams the innocent one was sometimes denied first, and the deadly one then never (9 crashes).

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -212,7 +212,7 @@
 	gate.Registry, gate.OnLeaving, gate.Logger, gate.Metrics = &c.registry, c.peers.SendNow, c.logger, c.metrics
 	c.wireLimits(&gate.Limits)
 	c.targetStates.SharedPartsOnly = c.peers.UsesHubs
-	c.quarantine.Logger = c.logger
+	c.quarantine.Logger, c.quarantine.Gone = c.logger, c.targetGone
 	c.retryBudget = &retrier.WindowedBudget{
 		Share: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow,
 		MemberCount: c.memberCount,
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -44,6 +44,7 @@
 			set(name, age.Seconds())
 		}
 	}
+	set("RequestsDenied", float64(c.quarantine.RequestDenials(now)))
 	set("PartsDenied", float64(c.quarantine.Denials()))
 	set("LimitedTargets", float64(c.platform.Gate.Limits.Limited()))
 	set("Targets", float64(len(c.registry.Targets())))
--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -1,10 +1,12 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
 	"github.com/coltsfootscale/coltsfootscale/internal/quarantiner"
+	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
@@ -21,9 +23,9 @@
 	}
 }
 
-// Completed clears the shared parts of a request that has completed.
-func (q *gossipedQuarantine) Completed(parts []identifier.PartID, now time.Time) {
-	if q.Quarantine.Completed(parts, now) {
+// Completed clears a request that has completed, and its shared parts.
+func (q *gossipedQuarantine) Completed(digest identifier.RequestDigest, parts []identifier.PartID, now time.Time) {
+	if q.Quarantine.Completed(digest, parts, now) {
 		q.peers.SendNow()
 	}
 }
@@ -34,7 +36,7 @@
 	report := c.quarantine.Report(now)
 	for _, crash := range report.Crashes {
 		b.Crashes = append(b.Crashes, &gossiper.Crash{
-			Target: string(crash.Target), StartedAtMilliseconds: crash.StartedAt.UnixMilli(), Request: uint64(crash.Request),
+			Target: string(crash.Target), StartedAtMilliseconds: crash.StartedAt.UnixMilli(), Request: uint64(crash.Request), Digest: uint64(crash.Digest),
 			Parts: encodeParts(crash.Parts), Began: crash.Began, AgeMilliseconds: age(crash.At),
 		})
 	}
@@ -42,7 +44,7 @@
 		b.Denials = append(b.Denials, &gossiper.Denial{Part: uint64(d.Part), Common: encodeParts(d.Common), AgeMilliseconds: age(d.At)})
 	}
 	for _, cleared := range report.Clearances {
-		b.Clearances = append(b.Clearances, &gossiper.Clearance{Part: uint64(cleared.Part), AgeMilliseconds: age(cleared.At)})
+		b.Clearances = append(b.Clearances, &gossiper.Clearance{Part: uint64(cleared.Part), Digest: uint64(cleared.Digest), AgeMilliseconds: age(cleared.At)})
 	}
 }
 
@@ -52,7 +54,7 @@
 	var report quarantiner.Report
 	for _, crash := range b.Crashes {
 		report.Crashes = append(report.Crashes, quarantiner.Crash{
-			Target: identifier.TargetID(crash.Target), StartedAt: time.UnixMilli(crash.StartedAtMilliseconds), Request: identifier.PartID(crash.Request),
+			Target: identifier.TargetID(crash.Target), StartedAt: time.UnixMilli(crash.StartedAtMilliseconds), Request: identifier.PartID(crash.Request), Digest: identifier.RequestDigest(crash.Digest),
 			Parts: decodeParts(crash.Parts), Began: crash.Began, At: at(crash.AgeMilliseconds),
 		})
 	}
@@ -60,7 +62,7 @@
 		report.Denials = append(report.Denials, quarantiner.Denial{Part: identifier.PartID(d.Part), Common: decodeParts(d.Common), At: at(d.AgeMilliseconds)})
 	}
 	for _, cleared := range b.Clearances {
-		report.Clearances = append(report.Clearances, quarantiner.Clearance{Part: identifier.PartID(cleared.Part), At: at(cleared.AgeMilliseconds)})
+		report.Clearances = append(report.Clearances, quarantiner.Clearance{Part: identifier.PartID(cleared.Part), Digest: identifier.RequestDigest(cleared.Digest), At: at(cleared.AgeMilliseconds)})
 	}
 	if c.quarantine.Apply(report, now) {
 		c.passOn()
@@ -82,3 +84,9 @@
 	}
 	return list
 }
+
+// targetGone reports whether an incarnation of a target is no longer listed.
+func (c *Coordinator) targetGone(id identifier.TargetID, startedAt time.Time) bool {
+	targets := c.registry.Targets()
+	return targets != nil && !slices.ContainsFunc(targets, func(t *registrar.Target) bool { return t.ID == id && t.StartedAt.Equal(startedAt) })
+}
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -28,11 +28,14 @@
 
 // refuseDenied refuses a request under which targets crash, or returns nil.
 func (rs *requestState) refuseDenied() *Refusal {
-	remaining := rs.f.Quarantine.Denied(rs.call.sharedParts(), time.Now())
-	if remaining == 0 {
-		return nil
+	now := time.Now()
+	if remaining := rs.f.Quarantine.DeniedRequest(rs.digest(), now); remaining > 0 {
+		return rs.adjustRefusal(refuseNotRun("RequestDenied", remaining, nil))
 	}
-	return rs.adjustRefusal(refuseNotRun("PromptDenied", remaining, nil))
+	if remaining := rs.f.Quarantine.Denied(rs.call.sharedParts(), now); remaining > 0 {
+		return rs.adjustRefusal(refuseNotRun("PromptDenied", remaining, nil))
+	}
+	return nil
 }
 
 // digest returns what a request has in common with its repetitions. Of a body that is not held as a whole it covers the start.
@@ -57,7 +60,7 @@
 // set if its answer had begun.
 func (rs *requestState) reportBroken(t *registrar.Target, began bool) {
 	f, id, digest := rs.f, rs.call.ID, rs.digestField()
-	crash := quarantiner.Crash{Target: t.ID, StartedAt: t.StartedAt, Parts: rs.call.sharedParts(), Began: began, At: time.Now()}
+	crash := quarantiner.Crash{Target: t.ID, StartedAt: t.StartedAt, Digest: rs.digest(), Parts: rs.call.sharedParts(), Began: began, At: time.Now()}
 	if n := len(crash.Parts); n > 0 {
 		crash.Request = rs.call.Parts[n].ID
 	}
@@ -73,8 +76,6 @@
 		}
 		f.Logger.Info("target crashed", zap.String("RequestID", string(id)), digest, zap.String("Target", string(t.ID)), zap.Bool("Began", began))
 		f.Metrics.Counter("RequestsBrokenByCrashes").Inc(1)
-		if len(crash.Parts) > 0 {
-			f.Quarantine.Crashed(crash)
-		}
+		f.Quarantine.Crashed(crash)
 	}()
 }
--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -43,7 +43,9 @@
 	q.crashes = append(q.crashes, c)
 }
 
-func (q *quarantine) Completed(parts []identifier.PartID, _ time.Time) {
+func (q *quarantine) DeniedRequest(identifier.RequestDigest, time.Time) time.Duration { return 0 }
+
+func (q *quarantine) Completed(_ identifier.RequestDigest, parts []identifier.PartID, _ time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.completed = append(q.completed, parts...)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -55,12 +55,14 @@
 	TakeRetry(service identifier.ServiceID) bool
 }
 
-// Quarantine knows the prompt parts under which targets crash.
+// Quarantine knows the prompt parts and the requests under which targets crash.
 type Quarantine interface {
+	// DeniedRequest returns how much longer a request is denied, with all that are alike, or zero.
+	DeniedRequest(digest identifier.RequestDigest, now time.Time) time.Duration
 	// Denied returns how much longer requests with the given shared parts are denied, or zero.
 	Denied(parts []identifier.PartID, now time.Time) time.Duration
 	Crashed(c quarantiner.Crash)
-	Completed(parts []identifier.PartID, now time.Time)
+	Completed(digest identifier.RequestDigest, parts []identifier.PartID, now time.Time)
 }
 
 // Forwarder handles client requests; all fields must be set.
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -22,6 +22,9 @@
 // servePlain tries targets of a plain service until one gives a final response.
 func (rs *requestState) servePlain(ctx context.Context) *Refusal {
 	for {
+		if refusal := rs.refuseDenied(); refusal != nil {
+			return refusal
+		}
 		choice, ok := rs.chooseAnswerTarget()
 		if !ok {
 			return rs.refuseNoTarget()
@@ -113,6 +116,9 @@
 	}
 	rs.markStarted()
 	buffered, err := io.ReadAll(io.LimitReader(response.Body, bufferedResponseBytes))
+	if err == nil {
+		rs.f.Quarantine.Completed(rs.digest(), nil, time.Now())
+	}
 	if err != nil {
 		response.Body.Close()
 		return nil, nil, fmt.Errorf("%w: reading the response body: %w", ErrOutcomeUnknown, err)
--- a/internal/forwarder/streamed.go
+++ b/internal/forwarder/streamed.go
@@ -203,7 +203,7 @@
 		}
 		return err
 	}
-	rs.f.Quarantine.Completed(rs.call.sharedParts(), time.Now())
+	rs.f.Quarantine.Completed(rs.digest(), rs.call.sharedParts(), time.Now())
 	rs.f.TargetStates.Succeeded(t.ID, time.Now())
 	return nil
 }
--- a/internal/quarantiner/quarantine.go
+++ b/internal/quarantiner/quarantine.go
@@ -30,6 +30,9 @@
 	denialLifetime = 10 * time.Minute
 	// reportTime is how long crashes and clearances are reported to peers: some messages.
 	reportTime = 3 * time.Second
+	// denialDelay is how long after its last crash a denied part is reported: until then other crashes at the same moment, of
+	// which peers have told later, may show that one request explains them all.
+	denialDelay = time.Second
 	// maximumReports limits the crashes in one report.
 	maximumReports = 128
 )
@@ -38,15 +41,25 @@
 type Crash struct {
 	Target    identifier.TargetID
 	StartedAt time.Time
-	// Request identifies the request by the part of the prompt that is its own.
+	// Request is the part of the prompt that is the request's own, or zero.
 	Request identifier.PartID
-	// Parts are the parts that it shares with others.
+	// Digest identifies the request among those that are alike, or is zero if it is not known.
+	Digest identifier.RequestDigest
+	// Parts are the parts of the prompt that it shares with others.
 	Parts []identifier.PartID
 	// Began is set if the answer had begun.
 	Began bool
 	At    time.Time
 }
 
+// identity tells requests apart.
+func (c *Crash) identity() identifier.RequestDigest {
+	if c.Digest != 0 {
+		return c.Digest
+	}
+	return identifier.RequestDigest(c.Request)
+}
+
 // Denial is a part under which targets crash.
 type Denial struct {
 	Part identifier.PartID
@@ -57,10 +70,11 @@
 	At time.Time
 }
 
-// Clearance is a part with which a request has completed.
+// Clearance is a part with which a request has completed or, if Digest is set, a request that has.
 type Clearance struct {
-	Part identifier.PartID
-	At   time.Time
+	Part   identifier.PartID
+	Digest identifier.RequestDigest
+	At     time.Time
 }
 
 // Report is what an instance tells its peers.
@@ -72,11 +86,14 @@
 
 // Quarantine collects crashes and completed requests; the zero value is ready to use.
 //
-// A part is denied if requests with it broke at several crashes, at different moments, and none has completed since. A completed
-// request clears its parts.
+// A part is denied if requests with it broke at several crashes, at different moments, and none has completed since, unless one
+// request broke at all of them. A request is denied, with all that are alike, if it broke at several crashes and none has
+// completed. A completed request clears itself and its parts.
 type Quarantine struct {
 	// Logger may be nil.
 	Logger *zap.Logger
+	// Gone reports whether the incarnation of a target has ended; nil means that each that accepted no connection has.
+	Gone func(target identifier.TargetID, startedAt time.Time) bool
 
 	mu       sync.Mutex
 	evidence map[identifier.PartID]*evidence
@@ -84,26 +101,28 @@
 	cleared  map[identifier.PartID]time.Time
 	// completed holds when a request with a part last completed at this instance.
 	completed map[identifier.PartID]time.Time
+	requests  requests
 }
 
 // crashKey identifies a request at a target.
 type crashKey struct {
-	target    identifier.TargetID
-	startedAt int64
-	request   identifier.PartID
+	incarnation
+	request identifier.RequestDigest
 }
 
 // evidence holds the crashes that count against a part.
 type evidence struct {
 	moments  []moment
-	requests map[identifier.PartID]bool
+	requests map[identifier.RequestDigest]bool
 	common   []identifier.PartID
 }
 
-// moment is a time of crashes with the highest weight among them.
+// moment is a time of crashes with the highest weight among them, and the requests that broke. A denial of which a peer has told
+// is a moment without requests.
 type moment struct {
-	at    time.Time
-	score int
+	at       time.Time
+	score    int
+	requests map[identifier.RequestDigest]bool
 }
 
 func (e *evidence) score() int {
@@ -126,7 +145,17 @@
 }
 
 func (e *evidence) denied() bool {
-	return len(e.requests) >= minimumRequests && e.score() >= denyScore
+	return len(e.requests) >= minimumRequests && e.score() >= denyScore && !e.oneRequest()
+}
+
+// oneRequest reports whether one request broke at all moments, which then explains them as well as the part.
+func (e *evidence) oneRequest() bool {
+	for r := range e.moments[0].requests {
+		if !slices.ContainsFunc(e.moments, func(m moment) bool { return !m.requests[r] }) {
+			return true
+		}
+	}
+	return false
 }
 
 // matches reports whether a prompt contains all parts that the requests that broke have in common.
@@ -136,7 +165,7 @@
 
 // add counts a crash.
 func (e *evidence) add(c Crash) {
-	e.requests[c.Request] = true
+	e.requests[c.identity()] = true
 	e.common = slices.DeleteFunc(e.common, func(p identifier.PartID) bool { return !slices.Contains(c.Parts, p) })
 	score := queuedScore
 	if c.Began {
@@ -145,10 +174,11 @@
 	for i := range e.moments {
 		if m := &e.moments[i]; c.At.Sub(m.at).Abs() < momentLength {
 			m.score = max(m.score, score)
+			m.requests[c.identity()] = true
 			return
 		}
 	}
-	e.moments = append(e.moments, moment{c.At, score})
+	e.moments = append(e.moments, moment{c.At, score, map[identifier.RequestDigest]bool{c.identity(): true}})
 }
 
 // Denied returns how much longer requests with the given shared parts are denied, or zero if they are not.
@@ -158,6 +188,13 @@
 	return q.denied(parts, now)
 }
 
+// DeniedRequest returns how much longer a request is denied, with all that are alike, or zero if it is not.
+func (q *Quarantine) DeniedRequest(digest identifier.RequestDigest, now time.Time) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.requests.denied(digest, now)
+}
+
 func (q *Quarantine) denied(parts []identifier.PartID, now time.Time) time.Duration {
 	for _, p := range parts {
 		if e := q.evidence[p]; e != nil && e.denied() && e.matches(parts) {
@@ -171,33 +208,68 @@
 func (q *Quarantine) Crashed(c Crash, now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	key := crashKey{c.Target, c.StartedAt.UnixMilli(), c.Request}
-	if _, known := q.crashes[key]; known || now.Sub(c.At) > evidenceLifetime {
+	key := crashKey{incarnationOf(&c), c.identity()}
+	if _, known := q.crashes[key]; known || q.requests.knows(&c) {
+		return false
+	}
+	age := now.Sub(c.At)
+	if age > evidenceLifetime && (c.Digest == 0 || age > crashLifetime || !q.gone(&c)) {
 		return false
 	}
 	if q.crashes == nil {
 		q.crashes, q.evidence = map[crashKey]Crash{}, map[identifier.PartID]*evidence{}
 	}
-	q.crashes[key] = c
-	if q.denied(c.Parts, now) > 0 {
-		return true // The denied part explains it.
+	if age <= evidenceLifetime {
+		q.crashes[key] = c
 	}
+	if q.requests.add(c) {
+		q.denyRequest(c.Digest)
+	}
+	if age <= evidenceLifetime {
+		q.addEvidence(c)
+	}
+	return true
+}
+
+// addEvidence counts a crash against the parts of the request. The caller must hold mu.
+func (q *Quarantine) addEvidence(c Crash) {
 	for _, p := range c.Parts {
-		if c.At.Sub(q.completed[p]) < recentCompletion || !q.cleared[p].Before(c.At) {
+		if c.At.Sub(q.completed[p]) < recentCompletion || !q.cleared[p].Before(c.At) || q.requests.explains(&c, p) {
 			continue
 		}
 		e := q.evidence[p]
 		if e == nil {
-			e = &evidence{requests: map[identifier.PartID]bool{}, common: slices.Clone(c.Parts)}
+			e = &evidence{requests: map[identifier.RequestDigest]bool{}, common: slices.Clone(c.Parts)}
 			q.evidence[p] = e
 		}
-		if e.add(c); e.denied() {
+		wasDenied := e.denied()
+		if e.add(c); e.denied() && !wasDenied {
 			q.deny(p, e)
 		}
 	}
-	return true
 }
 
+// denyRequest logs a denied request, and drops the crashes that it explains from the evidence against parts that it does not
+// have. The caller must hold mu.
+func (q *Quarantine) denyRequest(digest identifier.RequestDigest) {
+	s := q.requests.suspects[digest]
+	if q.Logger != nil {
+		q.Logger.Warn("request denied, targets crash under it", zap.String("Digest", hexadecimal(identifier.PartID(digest))), zap.Int("Crashes", len(s.crashes)))
+	}
+	for p, e := range q.evidence {
+		if slices.Contains(s.parts, p) {
+			continue
+		}
+		e.moments = slices.DeleteFunc(e.moments, func(m moment) bool { return s.crashedAt(m.at) })
+		if len(e.moments) == 0 {
+			delete(q.evidence, p)
+		}
+	}
+}
+
+// gone reports whether the target's incarnation has ended. The caller must hold mu.
+func (q *Quarantine) gone(c *Crash) bool { return q.Gone == nil || q.Gone(c.Target, c.StartedAt) }
+
 // deny logs a denied part and drops the evidence against the parts that it explains. The caller must hold mu.
 func (q *Quarantine) deny(part identifier.PartID, e *evidence) {
 	maps.DeleteFunc(q.evidence, func(p identifier.PartID, other *evidence) bool {
@@ -216,17 +288,17 @@
 // hexadecimal returns a part's ID as requests name it.
 func hexadecimal(p identifier.PartID) string { return strconv.FormatUint(uint64(p), 16) }
 
-// Completed clears the shared parts of a request that has completed. It reports whether peers should know of it.
-func (q *Quarantine) Completed(parts []identifier.PartID, now time.Time) bool {
+// Completed clears a request that has completed, and its shared parts. It reports whether peers should know of it.
+func (q *Quarantine) Completed(digest identifier.RequestDigest, parts []identifier.PartID, now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.completed == nil {
 		q.completed = map[identifier.PartID]time.Time{}
 	}
-	isNews := false
+	isNews := q.requests.complete(digest, now)
 	for _, p := range parts {
 		q.completed[p] = now
-		isNews = q.clear(Clearance{p, now}) || isNews
+		isNews = q.clear(Clearance{Part: p, At: now}) || isNews
 	}
 	return isNews
 }
@@ -234,6 +306,9 @@
 // clear drops the evidence against a part up to the time of a clearance, and reports whether there was any. The caller must
 // hold mu.
 func (q *Quarantine) clear(c Clearance) bool {
+	if c.Digest != 0 {
+		return q.requests.clear(c.Digest, c.At)
+	}
 	e := q.evidence[c.Part]
 	if e == nil || e.lastAt().After(c.At) {
 		return false
@@ -263,13 +338,15 @@
 		slices.SortFunc(r.Crashes, func(a, b Crash) int { return b.At.Compare(a.At) })
 		r.Crashes = r.Crashes[:maximumReports]
 	}
+	r.Crashes = append(r.Crashes, q.requests.deniedCrashes(now)...)
 	for p, at := range q.cleared {
 		if now.Sub(at) <= reportTime {
-			r.Clearances = append(r.Clearances, Clearance{p, at})
+			r.Clearances = append(r.Clearances, Clearance{Part: p, At: at})
 		}
 	}
+	r.Clearances = append(r.Clearances, q.requests.clearances(now)...)
 	for p, e := range q.evidence {
-		if e.denied() {
+		if e.denied() && now.Sub(e.lastAt()) >= denialDelay {
 			r.Denials = append(r.Denials, Denial{Part: p, Common: slices.Clone(e.common), At: e.lastAt()})
 		}
 	}
@@ -286,12 +363,12 @@
 	defer q.mu.Unlock()
 	for _, d := range r.Denials {
 		e := q.evidence[d.Part]
-		if e != nil && e.denied() || !q.cleared[d.Part].Before(d.At) || now.Sub(d.At) > denialLifetime {
+		if e != nil && e.denied() || !q.cleared[d.Part].Before(d.At) || now.Sub(d.At) > denialLifetime || q.requests.explainsDenial(&d) {
 			continue
 		}
-		e = &evidence{moments: []moment{{d.At, denyScore}}, common: d.Common, requests: map[identifier.PartID]bool{}}
+		e = &evidence{moments: []moment{{at: d.At, score: denyScore}}, common: d.Common, requests: map[identifier.RequestDigest]bool{}}
 		for i := range minimumRequests {
-			e.requests[identifier.PartID(i)] = true
+			e.requests[identifier.RequestDigest(i)] = true
 		}
 		if q.evidence == nil {
 			q.evidence = map[identifier.PartID]*evidence{}
@@ -311,18 +388,32 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	maps.DeleteFunc(q.crashes, func(_ crashKey, c Crash) bool { return now.Sub(c.At) > evidenceLifetime })
+	q.requests.expire(now, q.gone)
 	maps.DeleteFunc(q.completed, func(_ identifier.PartID, at time.Time) bool { return now.Sub(at) > recentCompletion })
 	maps.DeleteFunc(q.cleared, func(_ identifier.PartID, at time.Time) bool { return now.Sub(at) > denialLifetime })
 	for p, e := range q.evidence {
 		switch age := now.Sub(e.lastAt()); {
 		case e.denied() && age > denialLifetime:
-			e.moments = []moment{{now, denyScore - 1}} // One more crash denies it again.
+			e.moments = []moment{{at: now, score: denyScore - 1}} // One more crash denies it again.
 		case !e.denied() && age > evidenceLifetime:
 			delete(q.evidence, p)
 		}
 	}
 }
 
+// RequestDenials returns the number of denied requests.
+func (q *Quarantine) RequestDenials(now time.Time) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := 0
+	for digest := range q.requests.suspects {
+		if q.requests.denied(digest, now) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Denials returns the number of denied parts.
 func (q *Quarantine) Denials() int {
 	q.mu.Lock()
--- a/internal/quarantiner/quarantine_test.go
+++ b/internal/quarantiner/quarantine_test.go
@@ -140,7 +140,7 @@
 			crashed = append(crashed, r.target)
 			rest = append(rest, r)
 		case r.age >= endAfter:
-			s.nodes[r.instance].Completed(r.parts, s.now)
+			s.nodes[r.instance].Completed(0, r.parts, s.now)
 		default:
 			rest = append(rest, r)
 		}
@@ -268,7 +268,7 @@
 	quicktest.Check(t, q.Denied(parts, now) > 0, quicktest.IsTrue)
 
 	late.Apply(q.Report(now), now)
-	quicktest.Check(t, q.Completed(parts, now), quicktest.IsTrue)
+	quicktest.Check(t, q.Completed(0, parts, now), quicktest.IsTrue)
 	quicktest.Check(t, q.Denied(parts, now), quicktest.Equals, time.Duration(0))
 	late.Apply(q.Report(now), now)
 	quicktest.Check(t, late.Denied(parts, now), quicktest.Equals, time.Duration(0))
--- a/internal/tracer/trace.go
+++ b/internal/tracer/trace.go
@@ -112,6 +112,7 @@
 	"AnswerTargetFull":    "the targets for answers refused it; it did not run",
 	"PromptTargetsFailed": "no target prefilled its prompt",
 	"RetryBudgetSpent":    "one more send would have exceeded the retry budget that all instances share",
+	"RequestDenied":       "targets crash under it, so it was not sent",
 	"PromptDenied":        "targets crash under a part of its prompt, so it was not sent",
 	"TargetFailed":        "the connection to a target broke after it had been sent; it may have run",
 	"StreamBroken":        "its stream broke off at a target; it may have run",
