--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -85,8 +85,11 @@
 	return list
 }
 
-// targetGone reports whether an incarnation of a target is no longer listed.
+// targetGone reports whether an incarnation of a target is no longer listed, or may not be: the list is outdated.
 func (c *Coordinator) targetGone(id identifier.TargetID, startedAt time.Time) bool {
+	if age, known := c.targets.Age(time.Now()); !known || age > outageThreshold {
+		return true
+	}
 	targets := c.registry.Targets()
-	return targets != nil && !slices.ContainsFunc(targets, func(t *registrar.Target) bool { return t.ID == id && t.StartedAt.Equal(startedAt) })
+	return !slices.ContainsFunc(targets, func(t *registrar.Target) bool { return t.ID == id && t.StartedAt.Equal(startedAt) })
 }
