Do not count a withheld request as a failure of its target

Two requests that see the same turn at a target with a limit race for it; the one that comes second is withheld and goes elsewhere. TestWithheldRequestIsNoFailure failed before.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
 	"github.com/coltsfootscale/coltsfootscale/internal/forwarder"
+	"github.com/coltsfootscale/coltsfootscale/internal/gatekeeper"
 	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
@@ -340,6 +341,25 @@
 	quicktest.Assert(t, b.received[0].Connections, quicktest.Equals, 22, quicktest.Commentf("a fifth of 110"))
 }
 
+// TestWithheldRequestIsNoFailure guards against targets that are avoided as failing because a request was withheld from them: they
+// would get less than the limit that they name.
+func TestWithheldRequestIsNoFailure(t *testing.T) {
+	withheld := step{err: fmt.Errorf("%w: %w", forwarder.ErrNotSent, gatekeeper.ErrWithheld)}
+	for _, kind := range []matcher.Kind{matcher.Safe, matcher.Stream} {
+		for _, tc := range []struct {
+			first  step
+			failed bool
+		}{{withheld, false}, {notSent, true}} {
+			var states chooser.TargetStates
+			b := &backend{runs: []step{tc.first, {status: 200, body: first}}}
+			res := serveWith(b, matcher.Route{Kind: kind}, &forwarder.Call{}, 5, &states)
+			quicktest.Check(t, res.Code, quicktest.Equals, http.StatusOK)
+			score := states.Candidates([]*registrar.Target{b.received[0].Target}, nil, time.Now())[0].FailureScore
+			quicktest.Check(t, score > 0, quicktest.Equals, tc.failed)
+		}
+	}
+}
+
 // TestSharesOfConnectionsAddUpToTheLimit guards against a least share that many instances together open beyond what a target accepts.
 func TestSharesOfConnectionsAddUpToTheLimit(t *testing.T) {
 	for _, instances := range []int{5, 28, 64, 110} {
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -15,8 +15,10 @@
 	"go.uber.org/zap"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
+	"github.com/coltsfootscale/coltsfootscale/internal/gatekeeper"
 	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
 // servePlain tries targets of a plain service until one gives a final response.
@@ -58,11 +60,19 @@
 		case rs.route.Kind != matcher.Safe || ctx.Err() != nil || !rs.takeRetry():
 			return refuseOutcomeUnknown(ctx, "TargetFailed", err)
 		}
-		rs.f.TargetStates.Failed(choice.Target.ID, time.Now())
-		rs.failedTargets = append(rs.failedTargets, choice.Target.ID)
+		rs.avoid(choice.Target.ID, err)
 	}
 }
 
+// avoid excludes a target from further attempts of this request after a failed one, which counts as a failure of the target
+// unless the request was withheld from it.
+func (rs *requestState) avoid(id identifier.TargetID, err error) {
+	if !errors.Is(err, gatekeeper.ErrWithheld) {
+		rs.f.TargetStates.Failed(id, time.Now())
+	}
+	rs.failedTargets = append(rs.failedTargets, id)
+}
+
 // logFailedAttempt logs the target of a failed attempt, with its status if it responded.
 func (rs *requestState) logFailedAttempt(t *registrar.Target, response *Response, err error) {
 	status := 0
--- a/internal/forwarder/streamed.go
+++ b/internal/forwarder/streamed.go
@@ -44,8 +44,7 @@
 		}
 		rs.f.Logger.Info("answer target failed", zap.String("RequestID", string(rs.call.ID)), rs.digestField(),
 			zap.String("Target", string(t.ID)), zap.Int("Event", stream.lastID), zap.Error(err))
-		rs.f.TargetStates.Failed(t.ID, time.Now())
-		rs.failedTargets = append(rs.failedTargets, t.ID)
+		rs.avoid(t.ID, err)
 		switch {
 		case ctx.Err() != nil:
 			return refuseOutcomeUnknown(ctx, "Interrupted", err)
@@ -100,8 +99,7 @@
 		rs.f.Logger.Info("prompt target failed", zap.String("RequestID", string(rs.call.ID)),
 			zap.String("Target", string(promptChoice.Target.ID)), zap.Duration("Predicted", promptChoice.Predicted), zap.Error(err))
 		rs.prefillFailed = true
-		rs.f.TargetStates.Failed(promptChoice.Target.ID, time.Now())
-		rs.failedTargets = append(rs.failedTargets, promptChoice.Target.ID)
+		rs.avoid(promptChoice.Target.ID, err)
 		switch {
 		case ctx.Err() != nil:
 			return nil, nil, &Refusal{Status: http.StatusGatewayTimeout, Reason: "PromptTimeout", Err: err}
