A fleet that starts together reads the store seldom

Change: readers rank among all live instances, ready or not; one that hears nobody leaves it to others as the last one does; the members follow the same order from the start. The longest age of a copy is what it was (TestCopiesAreReadInTime).

TestFleetThatStartsTogetherReadsSeldom names the load; it does not compile before.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -37,3 +37,20 @@
 	worst := coordinator.MaximumCopyAge(true, hubRank) + 2*gossiper.RelayInterval + gossiper.ExchangeTimeout
 	quicktest.Check(t, worst < largeBound, quicktest.IsTrue, quicktest.Commentf("%v", worst))
 }
+
+// TestFleetThatStartsTogetherReadsSeldom guards against a start of all instances at once in which each takes itself for the first one
+// and reads the store as often, and against hundreds of them that all read the members again and again.
+func TestFleetThatStartsTogetherReadsSeldom(t *testing.T) {
+	first := coordinator.Reader{UsesHubs: true}
+	for name, r := range map[string]coordinator.Reader{
+		"nobody is heard yet":             {UsesHubs: true, Isolated: true},
+		"many are heard, none serves yet": {UsesHubs: true, Rank: leafRank},
+	} {
+		quicktest.Check(t, r.CopyAge(), quicktest.Equals, coordinator.MaximumCopyAge(true, leafRank), quicktest.Commentf(name))
+		for _, sinceStart := range []time.Duration{time.Second, time.Minute} {
+			later := r.MemberCopyAge(sinceStart) - first.MemberCopyAge(sinceStart)
+			quicktest.Check(t, later, quicktest.Equals, r.CopyAge()-first.CopyAge(), quicktest.Commentf(name))
+		}
+	}
+	quicktest.Check(t, coordinator.Reader{}.CopyAge() < coordinator.MaximumCopyAge(false, 0), quicktest.IsTrue, quicktest.Commentf("the only instance"))
+}
--- a/internal/coordinator/gossip.go
+++ b/internal/coordinator/gossip.go
@@ -299,12 +299,16 @@
 	return !possible
 }
 
-// rank returns the number of live and ready instances that come before this one, by descending capacity, then by ID.
+// isStronger reports whether a member comes before this instance, by descending capacity, then by ID.
+func (c *Coordinator) isStronger(m *gossiper.Member) bool {
+	return cmp.Or(cmp.Compare(c.self.Capacity, m.Capacity), cmp.Compare(m.ID, c.self.ID)) < 0
+}
+
+// rank returns the number of live and ready instances that come before this one.
 func (c *Coordinator) rank() int {
 	n := 0
 	for _, p := range c.peers.Alive(time.Now()) {
-		stronger := cmp.Or(cmp.Compare(c.self.Capacity, p.Member.Capacity), cmp.Compare(p.Member.ID, c.self.ID)) < 0
-		if p.Ready && !p.Leaving && stronger {
+		if p.Ready && !p.Leaving && c.isStronger(p.Member) {
 			n++
 		}
 	}
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -94,32 +94,23 @@
 	}
 }
 
-// copyAge returns the age at which this instance refreshes its copies of configuration and targets from the store. It
-// rises with the rank, so that usually only the first instance reads and the others receive the records from peers.
-func (c *Coordinator) copyAge() time.Duration { return readerCopyAge + c.readDelay() }
+func (c *Coordinator) copyAge() time.Duration { return c.reader().CopyAge() }
 
-// memberCopyAge is copyAge for the members, most of which register in the first seconds and which rarely change later.
 func (c *Coordinator) memberCopyAge() time.Duration {
-	if time.Since(c.startedAt) < discoveryTime {
-		return discoveryCopyAge
-	}
-	return memberCopyAge + c.readDelay()
-}
-
-// readDelay returns the delay by rank before this instance reads the store itself.
-func (c *Coordinator) readDelay() time.Duration {
-	rank := c.rank()
-	maximum := MaximumCopyAge(c.peers.UsesHubs(), rank) - readerCopyAge
-	return min(maximum, time.Duration(rank)*rankDelay)
+	return c.reader().MemberCopyAge(time.Since(c.startedAt))
 }
 
-// MaximumCopyAge returns the age, according to gossip messages, at which the instance of a rank refreshes its copies of
-// configuration and targets at the latest. Gossip messages overstate ages, if anything.
-func MaximumCopyAge(usesHubs bool, rank int) time.Duration {
-	if usesHubs && rank >= hubReaders {
-		return readerCopyAge + maximumDelayWithHubs
+// reader describes this instance as a reader of the store.
+func (c *Coordinator) reader() Reader {
+	r := Reader{UsesHubs: c.peers.UsesHubs()}
+	alive := c.peers.Alive(time.Now())
+	for _, p := range alive {
+		if !p.Leaving && c.isStronger(p.Member) {
+			r.Rank++
+		}
 	}
-	return readerCopyAge + maximumDelay
+	r.Isolated = len(alive) == 0 && c.memberCount() > 1
+	return r
 }
 
 // contactSeeds contacts the seed addresses of the settings until a peer is alive.
