A prefilled prompt waits up to a second for an answer target

A prompt was prefilled, then refused because no answer target took requests at that moment: all had named limits and no turn was due, or the last one was about to change its stage. The prefill was lost, and the client came back to have it done again.

Change: it waits until the target that is expected first, no more than a second and half of the time that is left. Without an expected one it is refused at once, as before. TestPrefilledPromptWaitsForAnswerTarget failed before (503).

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
@@ -115,6 +116,9 @@
 
 const connectionLimit = 110
 
+// answersWait is how long answer targets accept nothing once the prompt is prefilled, on the route "answers wait".
+const answersWait = 300 * time.Millisecond
+
 // serveAmong is serveQuarantined at one of several instances.
 func serveAmong(b forwarder.Backend, route matcher.Route, call *forwarder.Call, retries int, states *chooser.TargetStates, q forwarder.Quarantine, instances int) (res result) {
 	route.Host, route.Prefix, route.Timeout = "h", "/p/", 5*time.Second
@@ -133,16 +137,27 @@
 	} else if !route.HasPrompts {
 		targets = []*registrar.Target{{ID: "x1"}, {ID: "x2"}}
 	}
+	expected, prefilled := 2*time.Second, func() bool { return false }
+	if fake, ok := b.(*backend); ok && route.ID == "answers wait" {
+		expected, prefilled = answersWait, func() bool { return fake.prefillCalls > 0 }
+	}
+	answersFrom := time.Time{}
 	f := &forwarder.Forwarder{
 		Table: func() *matcher.Table { return table }, TableAge: func() time.Duration { return 0 },
-		Targets: func(identifier.ServiceID, time.Time) []*registrar.Target {
+		Targets: func(_ identifier.ServiceID, now time.Time) []*registrar.Target {
+			if prefilled() && answersFrom.IsZero() {
+				answersFrom = now.Add(answersWait)
+			}
+			if now.Before(answersFrom) {
+				return append([]*registrar.Target(nil), targets[:2]...)
+			}
 			return append([]*registrar.Target(nil), targets...)
 		},
 		TargetStates: states, Chooser: &chooser.Chooser{}, Backend: b, Budget: &budget{retries}, Quarantine: q,
 		RecordDemand:  func(identifier.ServiceID, identifier.Tokens, time.Time) {},
 		MaximumJitter: func() time.Duration { return 0 }, Instances: func() int { return instances },
 		Expected: func(identifier.ServiceID, registrar.Stage, time.Time) (time.Duration, bool) {
-			return 2 * time.Second, true
+			return expected, true
 		},
 		CountRequest: func(identifier.TeamID) { res.started++ },
 		Logger:       zap.NewNop(), Metrics: tally.NoopScope,
@@ -341,6 +356,20 @@
 	quicktest.Assert(t, b.received[0].Connections, quicktest.Equals, 22, quicktest.Commentf("a fifth of 110"))
 }
 
+// TestPrefilledPromptWaitsForAnswerTarget guards against prompts that are prefilled and then refused because no answer target takes
+// requests at that moment, though one is expected right after: all answer targets name limits, or one is about to change its stage.
+func TestPrefilledPromptWaitsForAnswerTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		b := &backend{runs: []step{{status: 200, body: first}}}
+		res := serve(b, matcher.Route{ID: "answers wait", Kind: matcher.Stream, HasPrompts: true}, &forwarder.Call{}, 5)
+		quicktest.Check(t, res.Code, quicktest.Equals, http.StatusOK)
+		quicktest.Check(t, time.Since(started) >= answersWait, quicktest.IsTrue)
+		quicktest.Check(t, b.prefillCalls, quicktest.Equals, 1)
+		synctest.Wait()
+	})
+}
+
 // TestWithheldRequestIsNoFailure guards against targets that are avoided as failing because a request was withheld from them: they
 // would get less than the limit that they name.
 func TestWithheldRequestIsNoFailure(t *testing.T) {
--- a/internal/forwarder/streamed.go
+++ b/internal/forwarder/streamed.go
@@ -14,12 +14,20 @@
 
 	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/internal/sleeper"
 )
 
 // maximumPrefills is the number of prefills of one request after which a failed one is not retried; prefills that were
 // not sent do not count.
 const maximumPrefills = 3
 
+// maximumAnswerWait limits how long a prefilled prompt waits for an answer target, in waits of at least minimumAnswerWait. A
+// prefilled prompt is kept for some seconds.
+const (
+	maximumAnswerWait = time.Second
+	minimumAnswerWait = 20 * time.Millisecond
+)
+
 // freeTimeout bounds the release of a KV cache handle; a handle that is not released expires by itself.
 const freeTimeout = time.Second
 
@@ -66,7 +74,7 @@
 	for {
 		if handle := rs.unusedCache; handle != nil {
 			rs.unusedCache = nil
-			return rs.pairWithAnswerTarget(handle)
+			return rs.pairWithAnswerTarget(ctx, handle)
 		}
 		answerChoice, ok := rs.chooseAnswerTarget()
 		if !ok {
@@ -94,7 +102,7 @@
 		rs.prefills++
 		handle, err := rs.prefill(ctx, promptChoice)
 		if err == nil {
-			return rs.pairWithAnswerTarget(handle)
+			return rs.pairWithAnswerTarget(ctx, handle)
 		}
 		rs.f.Logger.Info("prompt target failed", zap.String("RequestID", string(rs.call.ID)),
 			zap.String("Target", string(promptChoice.Target.ID)), zap.Duration("Predicted", promptChoice.Predicted), zap.Error(err))
@@ -111,14 +119,25 @@
 	}
 }
 
-// pairWithAnswerTarget chooses the answer target for a prefilled prompt.
-func (rs *requestState) pairWithAnswerTarget(handle *KVHandle) (*registrar.Target, *KVHandle, *Refusal) {
-	choice, ok := rs.chooseAnswerTarget()
-	if !ok {
-		rs.free(handle)
-		return nil, nil, rs.refuseNoTarget()
+// pairWithAnswerTarget chooses the answer target for a prefilled prompt. If none accepts requests now but one is expected to
+// soon, it waits for that: refusing the request would waste the prefill.
+func (rs *requestState) pairWithAnswerTarget(ctx context.Context, handle *KVHandle) (*registrar.Target, *KVHandle, *Refusal) {
+	for waited := time.Duration(0); ; {
+		if choice, ok := rs.chooseAnswerTarget(); ok {
+			return choice.Target, handle, nil
+		}
+		wait, expected := rs.f.Expected(rs.service, registrar.Answers, time.Now())
+		wait = max(wait, minimumAnswerWait)
+		if !expected || waited+wait > maximumAnswerWait || wait > time.Until(rs.deadline)/2 {
+			rs.free(handle)
+			return nil, nil, rs.refuseNoTarget()
+		}
+		if err := sleeper.Sleep(ctx, wait); err != nil {
+			rs.free(handle)
+			return nil, nil, rs.adjustRefusal(refuseNotRun("NoTarget", defaultRetryAfter, err))
+		}
+		waited += wait
 	}
-	return choice.Target, handle, nil
 }
 
 // jitter returns a new jitter that covers the possible error of the loads reported by peers.
