A started instance that knows fewer members than its seeds takes no shares

In a fleet that starts together each instance reads the members before the others have registered; it then knows only itself, and took the whole limit, budget and connections for up to two seconds.

Change: within its first six seconds an instance that knows fewer members than its settings name seeds counts as not knowing them: no turns, no slack, the least share of connections.

--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -17,14 +17,29 @@
 
 // place returns this instance's place among all that may be running. Bounds on all instances together are shared out by it:
 // live peers are fewer in a partition, on each side of which the others go on.
+//
+// It is not known as long as the members are not, and while a started instance knows fewer than the settings name: in a fleet
+// that starts together each one reads the members before the others have registered.
 func (c *Coordinator) place(now time.Time) apportioner.Place {
 	rank, instances := c.peers.Place(now)
-	if _, known := c.members.Age(now); !known && instances == 1 {
+	_, known := c.members.Age(now)
+	if !known && instances == 1 || instances < c.seedCount() && now.Sub(c.startedAt) < discoveryTime {
 		return apportioner.Place{}
 	}
 	return apportioner.Place{Rank: rank, Instances: instances}
 }
 
+// seedCount returns the number of instances that the settings name, this one with them.
+func (c *Coordinator) seedCount() int {
+	n := 1
+	for _, seed := range c.settings.Load().Seeds {
+		if seed != c.self.PeerAddress {
+			n++
+		}
+	}
+	return n
+}
+
 // addLimits adds the limits that changed recently, or all if the peer knows fewer.
 func (c *Coordinator) addLimits(b, last *gossiper.Beat, now time.Time) {
 	limits := &c.platform.Gate.Limits
