Replace answer engines that name limits while others go on with prompts

Change: engines with a limit do not count for the wanted number but one; others without a limit take their place, as long as one remains for prompts, and return when the limits end. Without the change three of ten rows of TestLimitedAnswerEnginesAreReplaced fail (aPPP, aAPP, aaPPPPPPPPP).

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -198,7 +198,7 @@
 	}
 	c.stageController = &scaler.StageController{
 		Holder: c.self.ID, DutyLease: c.elector, OrderSender: c.platform.OrderSender, ScalingDown: c.targetScaler.ScalingDown,
-		Table: c.table.Load, Targets: c.registry.NotLeaving, Announce: c.announceOrders, Logger: c.logger,
+		Table: c.table.Load, Targets: c.registry.NotLeaving, Limited: c.namesLimit, Announce: c.announceOrders, Logger: c.logger,
 	}
 	c.windowReporter = &reporter.WindowReporter{
 		DutyLease: c.elector, Platform: c.platform.Usage, Length: bounds.UsageWindow, MaximumDelay: bounds.UsageLate,
--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -5,6 +5,7 @@
 
 	"github.com/coltsfootscale/coltsfootscale/internal/apportioner"
 	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
+	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
@@ -73,3 +74,8 @@
 
 // memberCount returns the number of instances that may be running, this one with them, or zero if it is not known yet.
 func (c *Coordinator) memberCount() int { return c.place(time.Now()).Instances }
+
+func (c *Coordinator) namesLimit(t *registrar.Target) bool {
+	_, limited := c.platform.Gate.Limits.Limit(t)
+	return limited
+}
--- a/internal/placer/fleet_test.go
+++ b/internal/placer/fleet_test.go
@@ -1,7 +1,9 @@
 package placer_test
 
 import (
+	"strings"
 	"testing"
+	"unicode"
 
 	"github.com/frankban/quicktest"
 
@@ -95,3 +97,30 @@
 	quicktest.Assert(t, placer.WantedDecodeEngines(1), quicktest.Equals, 1)
 	quicktest.Assert(t, placer.WantedDecodeEngines(2), quicktest.Equals, 1)
 }
+
+// TestLimitedAnswerEnginesAreReplaced guards against a service whose only answer engines name a limit, while engines without one go on
+// with prompts. Lower-case letters are engines with a limit.
+func TestLimitedAnswerEnginesAreReplaced(t *testing.T) {
+	for _, tc := range []struct {
+		stages  string
+		changes []placer.StageChange
+	}{
+		{"APPP", nil},
+		{"aPPP", []placer.StageChange{{ID: "b", Stage: registrar.Answers}}},
+		{"aAPP", nil},
+		{"ApPP", nil},
+		{"aAPPPPPPPPP", nil}, // One of two that decode is without a limit.
+		{"aaPPPPPPPPP", []placer.StageChange{{ID: "c", Stage: registrar.Answers}}},
+		{"aPpp", nil}, // The last engine without a limit goes on with prompts.
+		{"aP", nil},
+		{"a", nil},
+		{"AAPP", []placer.StageChange{{ID: "a", Stage: registrar.Prompts}}}, // The limit has ended.
+	} {
+		list := stageEngines(strings.ToUpper(tc.stages), "x")
+		for i, letter := range tc.stages {
+			list[i].Limited = unicode.IsLower(letter)
+		}
+		changes := placer.PlanStages(list, placer.WantedDecodeEngines(len(list)))
+		quicktest.Check(t, changes, quicktest.DeepEquals, tc.changes, quicktest.Commentf(tc.stages))
+	}
+}
--- a/internal/placer/split.go
+++ b/internal/placer/split.go
@@ -24,6 +24,8 @@
 	Cheap bool
 	// Busy engines are changing their stage, or must not change it now.
 	Busy bool
+	// Limited engines accept few requests, in whatever stage.
+	Limited bool
 }
 
 // StageChange is an order to change an engine's stage.
@@ -40,8 +42,26 @@
 	return min(engines-1, max(1, int(math.Round(decodeShare*float64(engines)))))
 }
 
-// PlanStages returns the changes that bring the number of decode engines to wanted, and applies them to engines.
+// withReplacements returns how many engines should decode if wanted should in usual times: as many more as leave all but one of
+// these without a limit, as far as another engine without one goes on with prompts.
+func withReplacements(engines []StageEngine, wanted int) int {
+	unlimited, limitedDecoding := 0, 0
+	for _, e := range engines {
+		switch {
+		case !e.Limited:
+			unlimited++
+		case e.Stage == registrar.Answers:
+			limitedDecoding++
+		}
+	}
+	needed := min(max(1, wanted-1), unlimited-1)
+	return max(wanted, limitedDecoding+needed)
+}
+
+// PlanStages returns the changes that bring the number of decode engines to wanted, or to more while some of them are limited, and
+// applies them to engines.
 func PlanStages(engines []StageEngine, wanted int) []StageChange {
+	wanted = withReplacements(engines, wanted)
 	byZone := map[identifier.ZoneID]int{}
 	decoding, ready := 0, 0
 	for _, e := range engines {
@@ -101,7 +121,7 @@
 	var best *StageEngine
 	for i := range engines {
 		e := &engines[i]
-		if e.Stage != stage || e.Busy {
+		if e.Stage != stage || e.Busy || e.Limited {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(cheapRank(*e, stage), cheapRank(*best, stage)), cmp.Compare(rank(*e), rank(*best)), cmp.Compare(e.ID, best.ID)) < 0 {
--- a/internal/scaler/stages.go
+++ b/internal/scaler/stages.go
@@ -71,6 +71,8 @@
 	Targets     func(service identifier.ServiceID) []*registrar.Target
 	// ScalingDown reports whether targets of a service are being withdrawn, which may include one in the decode stage.
 	ScalingDown func(service identifier.ServiceID) bool
+	// Limited reports whether a target accepts few requests; nil means that none does.
+	Limited func(t *registrar.Target) bool
 	// Announce reports Pending to the other instances at once.
 	Announce func()
 	Logger   *zap.Logger
@@ -149,7 +151,7 @@
 			continue
 		}
 		byID[t.ID] = t
-		e := placer.StageEngine{ID: t.ID, Zone: t.Zone, Stage: t.Stage, Cheap: t.Cheap}
+		e := placer.StageEngine{ID: t.ID, Zone: t.Zone, Stage: t.Stage, Cheap: t.Cheap, Limited: c.Limited != nil && c.Limited(t)}
 		// An order counts as carried out while the target still has time to report its new stage.
 		if o, ordered := c.settling(t.ID); ordered {
 			e.Stage, e.Busy = o.stage, true
