--- a/internal/quarantiner/quarantine.go
+++ b/internal/quarantiner/quarantine.go
@@ -174,7 +174,9 @@
 	for i := range e.moments {
 		if m := &e.moments[i]; c.At.Sub(m.at).Abs() < momentLength {
 			m.score = max(m.score, score)
-			m.requests[c.identity()] = true
+			if m.requests != nil {
+				m.requests[c.identity()] = true
+			}
 			return
 		}
 	}
--- a/internal/quarantiner/request_test.go
+++ b/internal/quarantiner/request_test.go
@@ -112,3 +112,13 @@
 	quicktest.Check(t, q.Denied([]identifier.PartID{8}, now), quicktest.Equals, time.Duration(0))
 	quicktest.Check(t, q.Report(now.Add(2*time.Second)).Denials, quicktest.HasLen, 0)
 }
+
+// TestCrashAtTheMomentOfAPeersDenial guards against a process that ends because it sees a crash at the moment of a denial of which a
+// peer has told it.
+func TestCrashAtTheMomentOfAPeersDenial(t *testing.T) {
+	q := &quarantiner.Quarantine{}
+	q.Crashed(broke(soundRequest, 0, start), start)
+	q.Apply(quarantiner.Report{Denials: []quarantiner.Denial{{Part: 7, Common: []identifier.PartID{7}, At: start}}}, start)
+	q.Crashed(broke(deadlyRequest, 1, start.Add(100*time.Millisecond), 7), start.Add(100*time.Millisecond))
+	quicktest.Check(t, q.Denied([]identifier.PartID{7}, start.Add(time.Second)) > 0, quicktest.IsTrue)
+}
