The first crash that an instance sees keeps the denials of its peers

They told it again with the next message, so that requests with a denied part passed for a quarter of a second. TestFirstCrashKeepsDenialsOfPeers failed before.

--- a/internal/quarantiner/quarantine.go
+++ b/internal/quarantiner/quarantine.go
@@ -219,7 +219,7 @@
 		return false
 	}
 	if q.crashes == nil {
-		q.crashes, q.evidence = map[crashKey]Crash{}, map[identifier.PartID]*evidence{}
+		q.crashes = map[crashKey]Crash{}
 	}
 	if age <= evidenceLifetime {
 		q.crashes[key] = c
@@ -239,6 +239,9 @@
 		if c.At.Sub(q.completed[p]) < recentCompletion || !q.cleared[p].Before(c.At) || q.requests.explains(&c, p) {
 			continue
 		}
+		if q.evidence == nil {
+			q.evidence = map[identifier.PartID]*evidence{}
+		}
 		e := q.evidence[p]
 		if e == nil {
 			e = &evidence{requests: map[identifier.RequestDigest]bool{}, common: slices.Clone(c.Parts)}
--- a/internal/quarantiner/request_test.go
+++ b/internal/quarantiner/request_test.go
@@ -122,3 +122,12 @@
 	q.Crashed(broke(deadlyRequest, 1, start.Add(100*time.Millisecond), 7), start.Add(100*time.Millisecond))
 	quicktest.Check(t, q.Denied([]identifier.PartID{7}, start.Add(time.Second)) > 0, quicktest.IsTrue)
 }
+
+// TestFirstCrashKeepsDenialsOfPeers guards against denials that peers have told of and that are forgotten with the first crash which an
+// instance sees itself.
+func TestFirstCrashKeepsDenialsOfPeers(t *testing.T) {
+	q := &quarantiner.Quarantine{}
+	q.Apply(quarantiner.Report{Denials: []quarantiner.Denial{{Part: 7, Common: []identifier.PartID{7}, At: start}}}, start)
+	q.Crashed(broke(soundRequest, 0, start.Add(time.Minute), 8), start.Add(time.Minute))
+	quicktest.Check(t, q.Denied([]identifier.PartID{7}, start.Add(time.Minute)) > 0, quicktest.IsTrue)
+}
