--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -409,7 +409,7 @@
 		return
 	}
 	c.logger.Info("target", zap.String("Target", r.Key), zap.String("Service", string(t.Service)), zap.String("Zone", string(t.Zone)),
-		zap.Stringer("Stage", t.Stage), zap.Bool("Leaving", t.Leaving), zap.Bool("Cheap", t.Cheap), zap.Uint64("Beat", t.Revision), zap.Uint64("Offset", uint64(r.Offset)))
+		zap.Stringer("Stage", t.Stage), zap.String("Build", string(t.Build)), zap.Bool("Leaving", t.Leaving), zap.Bool("Cheap", t.Cheap), zap.Uint64("Beat", t.Revision), zap.Uint64("Offset", uint64(r.Offset)))
 	c.passOn()
 }
 
--- a/internal/forwarder/backend.go
+++ b/internal/forwarder/backend.go
@@ -38,6 +38,9 @@
 	Body   Body
 	// LastEvent is the ID of the last event that the client received, or empty.
 	LastEvent string
+	// Origin is the request that brought the first event of the stream that this one goes on with, or empty if the client
+	// names none.
+	Origin identifier.RequestID
 	// Parts are the parts of the prompt; AnswerTokens is the maximum number of tokens to generate.
 	Parts        []chooser.Part
 	AnswerTokens identifier.Tokens
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -125,6 +125,7 @@
 type logEntry struct {
 	promptTarget identifier.TargetID
 	answerTarget identifier.TargetID
+	build        identifier.Build
 	predicted    time.Duration
 	uncached     identifier.Tokens
 	prefillTook  time.Duration
@@ -176,7 +177,8 @@
 		zap.String("RequestID", string(rs.call.ID)), zap.String("Route", string(rs.route.ID)), zap.Duration("After", time.Since(rs.start)),
 		zap.String("PromptTarget", string(rs.logEntry.promptTarget)), zap.Duration("Predicted", rs.logEntry.predicted),
 		zap.Int64("FreshTokens", int64(rs.logEntry.uncached)), zap.Duration("PromptTook", rs.logEntry.prefillTook),
-		zap.String("AnswerTarget", string(rs.logEntry.answerTarget)), zap.Duration("FirstEvent", rs.logEntry.firstEvent),
+		zap.String("AnswerTarget", string(rs.logEntry.answerTarget)), zap.String("Build", string(rs.logEntry.build)),
+		zap.String("Origin", string(rs.call.Origin)), zap.String("LastEvent", rs.call.LastEvent), zap.Duration("FirstEvent", rs.logEntry.firstEvent),
 		zap.Int("Status", rs.status), zap.Int("Sends", rs.attempts))
 }
 
@@ -188,7 +190,8 @@
 	rs.f.Logger.Info(message,
 		zap.String("RequestID", string(rs.call.ID)), zap.String("Route", string(route)),
 		zap.String("Reason", r.Reason), zap.Int("Status", r.Status), zap.Duration("After", time.Since(rs.start)),
-		zap.Int("Sends", rs.attempts), zap.Duration("Deadline", rs.call.Deadline), zap.Error(r.Err))
+		zap.Int("Sends", rs.attempts), zap.Duration("Deadline", rs.call.Deadline),
+		zap.String("Origin", string(rs.call.Origin)), zap.String("LastEvent", rs.call.LastEvent), zap.Error(r.Err))
 }
 
 // admit determines the route, team and deadline of a request.
--- a/internal/forwarder/streamed.go
+++ b/internal/forwarder/streamed.go
@@ -51,7 +51,7 @@
 			return nil
 		}
 		rs.f.Logger.Info("answer target failed", zap.String("RequestID", string(rs.call.ID)), rs.digestField(),
-			zap.String("Target", string(t.ID)), zap.Int("Event", stream.lastID), zap.Error(err))
+			zap.String("Target", string(t.ID)), zap.String("Build", string(t.Build)), zap.Int("Event", stream.lastID), zap.Error(err))
 		rs.avoid(t.ID, err)
 		switch {
 		case ctx.Err() != nil:
@@ -194,7 +194,7 @@
 	end := rs.f.TargetStates.Begin(t.ID, chooser.Load{Answers: 1, AnswerTokens: tokens}, time.Now())
 	defer end()
 	rs.attempts++
-	rs.logEntry.answerTarget = t.ID
+	rs.logEntry.answerTarget, rs.logEntry.build = t.ID, t.Build
 	response, err := rs.f.Backend.Run(ctx, rs.call, rs.attempt(t, source, s.lastEvent))
 	if err != nil {
 		switch {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -34,6 +34,7 @@
 	Address string
 	Zone    identifier.ZoneID
 	Stage   Stage
+	Build   identifier.Build
 	// Leaving targets accept no new requests.
 	Leaving bool
 	// Slots is the number of requests that it runs concurrently.
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -17,6 +17,9 @@
 // TargetID identifies a target.
 type TargetID string
 
+// Build is the version of a target's software. What two builds generate does not fit into one stream.
+type Build string
+
 // ModelID identifies a model.
 type ModelID string
 
