Streams go on only at the build that began them

Cause: which build began a stream was not kept anywhere; each attempt chose its target by load, also within one answer.

A stream is pinned to the service and build of its first event. The pin is announced to four peers before that event goes out; whoever takes the stream up asks for it. What nobody knows is refused with a true 503, unless only one build was listed since the stream can have begun; peers tell restarted instances how long that is. A take-up that has not run gets 503 instead of 502.

Ruled out: asking the instance that began it only (lost with it), gossip (later than the retry), a choice computed from the ID (instances list different builds at one moment), records in the store (a call for each stream).

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -61,6 +61,8 @@
 	FailureScore float64
 	// Age is the time since this instance first saw the target.
 	Age time.Duration
+	// Surcharge is an additional cost.
+	Surcharge time.Duration
 }
 
 // Jitter adds a random cost of up to MaximumJitter to each target. It spreads the choices of instances that see the
@@ -184,7 +186,7 @@
 
 // penalty returns the cost of a target apart from its load.
 func penalty(c *Candidate, zone identifier.ZoneID) time.Duration {
-	cost := time.Duration(c.FailureScore * float64(failureCost))
+	cost := c.Surcharge + time.Duration(c.FailureScore*float64(failureCost))
 	if c.Target.Zone != zone {
 		cost += crossZoneCost
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -30,6 +30,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
 	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
 	"github.com/coltsfootscale/coltsfootscale/internal/parser"
+	"github.com/coltsfootscale/coltsfootscale/internal/pinner"
 	"github.com/coltsfootscale/coltsfootscale/internal/quarantiner"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
 	"github.com/coltsfootscale/coltsfootscale/internal/replicator"
@@ -115,6 +116,9 @@
 	windowReporter  *reporter.WindowReporter
 	forward         *forwarder.Forwarder
 	quarantine      quarantiner.Quarantine
+	pins            *pinner.Pinner
+	datagrams       datagrams
+	sightings       pinner.Sightings
 
 	// BodyBuffers limits the memory that request bodies use.
 	BodyBuffers forwarder.BodyBuffers
@@ -148,6 +152,9 @@
 		memberLost: make(chan struct{}, 1), heldClosings: map[string][]int64{}, startedAt: time.Now()}
 	c.settings.Store(settings)
 	c.bounds = settings.Bounds
+	if settings.FirstStart {
+		c.sightings.Cover(c.startedAt.Add(-firstStartSpan))
+	}
 	c.openMetrics()
 	c.self = &gossiper.Member{
 		ID: string(settings.Instance), Incarnation: uuid.NewString()[:incarnationDigits], Zone: string(settings.Zone),
@@ -213,6 +220,7 @@
 	c.wireLimits(&gate.Limits)
 	c.targetStates.SharedPartsOnly = c.peers.UsesHubs
 	c.quarantine.Logger, c.quarantine.Gone = c.logger, c.targetGone
+	c.pins = &pinner.Pinner{Peers: c.pinPeers, Network: &c.datagrams, Logger: c.logger}
 	c.retryBudget = &retrier.WindowedBudget{
 		Share: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow,
 		MemberCount: c.memberCount,
@@ -222,6 +230,7 @@
 		Targets: c.available, Expected: c.expected, Instances: c.memberCount,
 		TargetStates: &c.targetStates, Chooser: &chooser.Chooser{Policy: c.settings.Load().Routing.Policy}, MaximumJitter: c.jitter,
 		Backend: c.platform.Backend, Budget: c.retryBudget, Quarantine: &gossipedQuarantine{&c.quarantine, c.peers},
+		Pins: c.pins, SoleBuild: c.soleBuild,
 		CountRequest: c.countRequest, RecordDemand: c.demand.Add, Logger: c.logger, Metrics: c.metrics,
 	}
 }
@@ -408,6 +417,7 @@
 		c.logger.Info("older target entry ignored", zap.String("Target", r.Key), zap.Uint64("Beat", t.Revision), zap.Uint64("Offset", uint64(r.Offset)))
 		return
 	}
+	c.recordSighting(&t, time.Now())
 	c.logger.Info("target", zap.String("Target", r.Key), zap.String("Service", string(t.Service)), zap.String("Zone", string(t.Zone)),
 		zap.Stringer("Stage", t.Stage), zap.String("Build", string(t.Build)), zap.Bool("Leaving", t.Leaving), zap.Bool("Cheap", t.Cheap), zap.Uint64("Beat", t.Revision), zap.Uint64("Offset", uint64(r.Offset)))
 	c.passOn()
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -40,6 +40,9 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
+	if c.datagrams.conn, err = net.ListenPacket("udp", settings.PeerListen); err != nil {
+		return errors.Join(fmt.Errorf("listen for datagrams of peers: %w", err), peerLis.Close())
+	}
 	asserter.OnViolation(func(invariant asserter.Invariant, detail string) {
 		c.logger.Error("invariant violated", zap.String("Invariant", string(invariant)), zap.String("Detail", detail))
 	})
@@ -75,6 +78,7 @@
 		targets.Run,
 		c.newFollower(streamMembers, c.platform.Members, &c.members, c.memberCopyAge).Run,
 		func(ctx context.Context) { peerServer.Serve(ctx, peerLis) },
+		func(ctx context.Context) { c.datagrams.receive(ctx, c.pins.Receive, c.logger) },
 	} {
 		group.Go(func() { task(background) })
 	}
@@ -171,6 +175,7 @@
 func (c *Coordinator) cleanUp(ctx context.Context) {
 	for sleeper.Sleep(ctx, cleanupInterval) == nil {
 		c.registry.Expire(time.Now())
+		c.recordSightings(time.Now())
 		c.platform.Gate.Expire(c.registry.Targets(), time.Now())
 		c.quarantine.Expire(time.Now())
 		c.applyOutdatedConfiguration()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/asserter"
 	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
 	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
+	"github.com/coltsfootscale/coltsfootscale/internal/pinner"
 	"github.com/coltsfootscale/coltsfootscale/internal/quarantiner"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
@@ -76,6 +77,10 @@
 	Backend      Backend
 	Budget       Budget
 	Quarantine   Quarantine
+	Pins         Pins
+	// SoleBuild returns the only build of a service at which a stream that a client goes on with can have begun, or false if
+	// there were several, or it is not known.
+	SoleBuild func(service identifier.ServiceID) (identifier.Build, bool)
 	// Instances returns how many instances may share the targets' connections, including this one, or zero if it is not known.
 	Instances func() int
 	// Expected returns the time until a target that is changing to a stage is expected there, or false if there is none.
@@ -112,6 +117,10 @@
 	failedTargets []identifier.TargetID
 	// started is set once a target has started to run the request, or may have.
 	started bool
+	// pin is where the stream began, once that is known; only targets of that build may generate its events.
+	pin *pinner.Pin
+	// begun is set once the first event of this request is about to be sent.
+	begun bool
 	// headerSent is set once the response header has been sent to the client.
 	headerSent bool
 	logEntry   logEntry
@@ -270,7 +279,12 @@
 
 // chooseAnswerTarget chooses the answer target among the targets of the decode stage and those without a stage.
 func (rs *requestState) chooseAnswerTarget() (chooser.Choice, bool) {
-	list := rs.candidates(nil, registrar.Answers, registrar.AnyStage)
+	list := slices.DeleteFunc(rs.candidates(nil, registrar.Answers, registrar.AnyStage), func(c chooser.Candidate) bool {
+		return !rs.admitsAnswer(c.Target)
+	})
+	if rs.route.Resumable && rs.pin == nil {
+		chargeLoneBuilds(list)
+	}
 	if rs.route.HasPrompts {
 		return rs.f.Chooser.Answer(rs.f.Zone, rs.jitter(), list)
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -21,6 +21,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/forwarder"
 	"github.com/coltsfootscale/coltsfootscale/internal/gatekeeper"
 	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
+	"github.com/coltsfootscale/coltsfootscale/internal/pinner"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
@@ -78,6 +79,15 @@
 
 func (b *backend) Free(context.Context, *forwarder.KVHandle) error { b.freed++; return nil }
 
+// noPins knows nothing of any stream.
+type noPins struct{}
+
+func (noPins) Announce(context.Context, pinner.Key, pinner.Pin) bool { return true }
+
+func (noPins) Find(context.Context, pinner.Key) (pinner.Pin, error) {
+	return pinner.Pin{}, pinner.ErrUnknown
+}
+
 type errorReader struct{}
 
 func (errorReader) Read([]byte) (int, error) { return 0, errors.New("reset") }
@@ -154,6 +164,7 @@
 			return append([]*registrar.Target(nil), targets...)
 		},
 		TargetStates: states, Chooser: &chooser.Chooser{}, Backend: b, Budget: &budget{retries}, Quarantine: q,
+		Pins: noPins{}, SoleBuild: func(identifier.ServiceID) (identifier.Build, bool) { return "", true },
 		RecordDemand:  func(identifier.ServiceID, identifier.Tokens, time.Time) {},
 		MaximumJitter: func() time.Duration { return 0 }, Instances: func() int { return instances },
 		Expected: func(identifier.ServiceID, registrar.Stage, time.Time) (time.Duration, bool) {
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -89,6 +89,9 @@
 	if rs.started {
 		return &Refusal{Status: http.StatusBadGateway, Reason: "TargetFailed"}
 	}
+	if refusal := rs.refuseAbsentBuild(); refusal != nil {
+		return refusal
+	}
 	retryAfter := defaultRetryAfter
 	if wait, expected := rs.f.Expected(rs.service, registrar.Answers, time.Now()); expected {
 		retryAfter = wait + rand.N(retryAfterJitter)
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
 const (
@@ -33,8 +36,8 @@
 	return s
 }
 
-// relay forwards events until the target's response ends; it returns ErrOutcomeUnknown if the response breaks off.
-func (s *stream) relay(response *Response) error {
+// relay forwards the events of a target of the given build until the target's response ends; it returns ErrOutcomeUnknown if the response breaks off.
+func (s *stream) relay(ctx context.Context, response *Response, build identifier.Build) error {
 	r := bufio.NewReaderSize(response.Body, eventBufferBytes)
 	flusher := http.NewResponseController(s.requestState.w)
 	for {
@@ -50,6 +53,7 @@
 		if err := s.advance(event); err != nil {
 			return err
 		}
+		s.requestState.begin(ctx, build)
 		s.requestState.writeHeader(response)
 		if _, err := s.requestState.w.Write(event); err != nil {
 			return fmt.Errorf("%w: writing to the client: %w", ErrOutcomeUnknown, err)
--- a/internal/forwarder/streamed.go
+++ b/internal/forwarder/streamed.go
@@ -33,6 +33,9 @@
 
 // serveStream prefills the prompt, if there is one, on one target and generates the answer on another.
 func (rs *requestState) serveStream(ctx context.Context) *Refusal {
+	if refusal := rs.findPin(ctx); refusal != nil {
+		return refusal
+	}
 	stream := newStream(rs)
 	for {
 		if refusal := rs.refuseDenied(); refusal != nil {
@@ -41,7 +44,7 @@
 		}
 		t, source, refusal := rs.prepare(ctx)
 		if refusal != nil {
-			if stream.lastID > 0 {
+			if rs.headerSent {
 				return refuseOutcomeUnknown(ctx, "StreamBroken", refusal.Err)
 			}
 			return refusal
@@ -214,7 +217,7 @@
 		rs.markStarted()
 		return rs.relayErrorResponse(ctx, response)
 	}
-	if err := s.relay(response); err != nil {
+	if err := s.relay(ctx, response, t.Build); err != nil {
 		if ctx.Err() == nil && s.lastID == 0 {
 			rs.reportBroken(t, true)
 		}
--- a/internal/parser/entry.go
+++ b/internal/parser/entry.go
@@ -24,6 +24,8 @@
 	// PeerListen is the listen address for other entry instances; Seeds are the peer addresses of some of them.
 	PeerListen string
 	Seeds      []string
+	// FirstStart is set if the whole fleet starts for the first time: nothing has happened before.
+	FirstStart bool
 	Store      string
 	// Cloud is a base URL like Store; it is empty on a site without duties.
 	Cloud   string
@@ -93,6 +95,7 @@
 	s.MetricsListen = instance.hostPort("MetricsListen", "")
 	s.PeerListen = instance.hostPort("PeerListen", "")
 	s.Seeds = parseSeeds(instance, s.PeerListen)
+	s.FirstStart = instance.boolean("FirstStart", false)
 	s.Store = "http://" + d.sectionNamed("Store").hostPort("Address", "")
 	if cloud := d.sectionNamed("Cloud"); cloud.text("Address", "") != "" {
 		s.Cloud = "http://" + cloud.hostPort("Address", "")
--- a/internal/parser/entry_test.go
+++ b/internal/parser/entry_test.go
@@ -21,6 +21,7 @@
 MetricsListen = 10.0.0.1:9464
 PeerListen = 10.0.0.1:7780
 Seeds = 10.0.0.1:8367,10.0.0.2:8367
+FirstStart = true
 [Store]
 Address = 10.0.0.9:90
 [Cloud]
@@ -38,6 +39,7 @@
 	s, err := parser.ParseEntrySettings("entry.ini", []byte(entry))
 	quicktest.Assert(t, err, quicktest.IsNil)
 	quicktest.Check(t, s.Seeds, quicktest.DeepEquals, []string{"10.0.0.1:7780", "10.0.0.2:7780"})
+	quicktest.Check(t, s.FirstStart, quicktest.IsTrue)
 	quicktest.Check(t, s.Routing, quicktest.Equals, parser.EntryRouting{Policy: chooser.LeastLoad})
 	quicktest.Check(t, s.Cloud, quicktest.Equals, "")
 	quicktest.Check(t, s.Bounds.Lease, quicktest.Equals, 3*time.Second)
--- /dev/null
+++ b/internal/pinner/sightings.go
@@ -0,0 +1,91 @@
+package pinner
+
+import (
+	"sync"
+	"time"
+
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// Sightings records when targets of each build were last listed. A stream of which nothing else is known can only have begun
+// at the one build that was listed in all the time since it may have begun. The zero value knows nothing.
+type Sightings struct {
+	mu sync.Mutex
+	// since is the time from which all sightings are known; zero means that none are.
+	since time.Time
+	seen  map[Pin]time.Time
+}
+
+// Sighting is when a target of a build was last listed.
+type Sighting struct {
+	Pin
+	Age time.Duration
+}
+
+// Cover records that all sightings since the given time are known.
+func (s *Sightings) Cover(since time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.since.IsZero() || since.Before(s.since) {
+		s.since = since
+	}
+}
+
+// Saw records that a target of a build was listed at the given time.
+func (s *Sightings) Saw(p Pin, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.seen == nil {
+		s.seen = map[Pin]time.Time{}
+	}
+	if at.After(s.seen[p]) {
+		s.seen[p] = at
+	}
+}
+
+// Sole returns the only build of a service that was listed within the given time, or false if there were several or none, or
+// not all of the time is covered.
+func (s *Sightings) Sole(service identifier.ServiceID, within time.Duration, now time.Time) (identifier.Build, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.since.IsZero() || now.Sub(s.since) < within {
+		return "", false
+	}
+	sole, builds := identifier.Build(""), 0
+	for p, at := range s.seen {
+		if p.Service == service && now.Sub(at) <= within {
+			sole = p.Build
+			builds++
+		}
+	}
+	if builds != 1 {
+		return "", false
+	}
+	return sole, true
+}
+
+// Span returns how much of the time until now is covered.
+func (s *Sightings) Span(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.since.IsZero() {
+		return 0
+	}
+	return now.Sub(s.since)
+}
+
+// Recent returns the sightings of the last minute and drops older ones.
+func (s *Sightings) Recent(now time.Time) []Sighting {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []Sighting
+	for p, at := range s.seen {
+		age := now.Sub(at)
+		if age > pinLifetime {
+			delete(s.seen, p)
+			continue
+		}
+		list = append(list, Sighting{p, age})
+	}
+	return list
+}
