In a fleet of several builds, two engines of the main build decode

Once streams keep to their build, one that is taken up after the loss of its engine needs another of that build which decodes. With nine engines and two builds, the two that decode were picked by zone and ID: each could be the only one of its build, and all streams of a lost one ended while others of its build went on with prompts. Now two engines of the build with most engines decode, and those of other builds stop once these are ready.

TestSeveralBuildsDecode failed before (b is ordered in none of its fleets).

--- a/internal/placer/fleet_test.go
+++ b/internal/placer/fleet_test.go
@@ -124,3 +124,32 @@
 		quicktest.Check(t, changes, quicktest.DeepEquals, tc.changes, quicktest.Commentf(tc.stages))
 	}
 }
+
+// TestSeveralBuildsDecode guards against streams that cannot go on because the lost engine was the only one of its build that
+// decoded, while others of it went on with prompts. Lower-case letters are engines of another build.
+func TestSeveralBuildsDecode(t *testing.T) {
+	answers, prompts := registrar.Answers, registrar.Prompts
+	for _, tc := range []struct {
+		stages  string
+		changes []placer.StageChange
+	}{
+		{"AAPPPPPPP", nil},
+		{"AAPPPppp", nil},
+		{"APPPPPppp", []placer.StageChange{{ID: "b", Stage: answers}}},
+		{"AaPPPPppp", []placer.StageChange{{ID: "c", Stage: answers}}},
+		{"aaPPPPPpp", []placer.StageChange{{ID: "c", Stage: answers}, {ID: "d", Stage: answers}}},
+		{"aaAAPPPpp", []placer.StageChange{{ID: "a", Stage: prompts}, {ID: "b", Stage: prompts}}}, // The others are ready.
+		{"aPPp", []placer.StageChange{{ID: "d", Stage: answers}}},
+		{"APp", nil}, // Too few engines for two that decode.
+	} {
+		list := stageEngines(strings.ToUpper(tc.stages), "x")
+		for i, letter := range tc.stages {
+			list[i].Build = "v1"
+			if unicode.IsLower(letter) {
+				list[i].Build = "v2"
+			}
+		}
+		changes := placer.PlanStages(list, placer.WantedDecodeEngines(len(list)))
+		quicktest.Check(t, changes, quicktest.DeepEquals, tc.changes, quicktest.Commentf(tc.stages))
+	}
+}
--- a/internal/placer/split.go
+++ b/internal/placer/split.go
@@ -13,9 +13,19 @@
 // decodes many of them in a batch. PlanStages keeps a fixed share of the engines on decode, spread over the
 // availability zones, and changes as few engines as possible.
 
+// Where engines of several builds serve side by side, a stream can go on only at the build that began it, so the build with most
+// engines gets spareDecodeEngines on decode: one that is lost leaves another. Engines of other builds are the first to stop.
+
 // decodeShare is the share of all engines that decode.
 const decodeShare = 0.18
 
+const (
+	// spareDecodeEngines is the number of decode engines of the main build in a fleet of several builds.
+	spareDecodeEngines = 2
+	// minimumForSpares is the number of engines from which on two of them may decode.
+	minimumForSpares = 4
+)
+
 // StageEngine is the input of PlanStages for one engine.
 type StageEngine struct {
 	ID    identifier.TargetID
@@ -26,6 +36,7 @@
 	Busy bool
 	// Limited engines accept few requests, in whatever stage.
 	Limited bool
+	Build   identifier.Build
 }
 
 // StageChange is an order to change an engine's stage.
@@ -61,30 +72,41 @@
 // PlanStages returns the changes that bring the number of decode engines to wanted, or to more while some of them are limited, and
 // applies them to engines.
 func PlanStages(engines []StageEngine, wanted int) []StageChange {
+	main, several := mainBuild(engines)
 	wanted = withReplacements(engines, wanted)
+	spares := 0
+	if several && len(engines) >= minimumForSpares {
+		wanted, spares = max(wanted, spareDecodeEngines), spareDecodeEngines
+	}
 	byZone := map[identifier.ZoneID]int{}
-	decoding, ready := 0, 0
+	decoding, ready, decodingMain := 0, 0, 0
 	for _, e := range engines {
 		if e.Stage == registrar.Answers {
 			decoding++
 			byZone[e.Zone]++
+			if e.Build == main {
+				decodingMain++
+			}
 			if !e.Busy {
 				ready++
 			}
 		}
 	}
 	var changes []StageChange
-	for ; decoding < wanted; decoding++ {
-		e := pick(engines, registrar.Prompts, func(a StageEngine) int { return byZone[a.Zone] })
-		if e == nil {
+	for ; decoding < wanted || decodingMain < spares; decoding++ {
+		e := pick(engines, registrar.Prompts, func(a StageEngine) int { return byZone[a.Zone] }, func(a StageEngine) bool { return a.Build == main })
+		if e == nil || decoding >= wanted && e.Build != main {
 			break
 		}
+		if e.Build == main {
+			decodingMain++
+		}
 		byZone[e.Zone]++
 		changes = append(changes, change(e, registrar.Answers))
 	}
 	// Engines that are still changing to decode do not count: they serve no answers yet.
 	for ; ready > wanted; ready-- {
-		e := pick(engines, registrar.Answers, func(a StageEngine) int { return -byZone[a.Zone] })
+		e := pick(engines, registrar.Answers, func(a StageEngine) int { return -byZone[a.Zone] }, func(a StageEngine) bool { return a.Build != main })
 		if e == nil {
 			break
 		}
@@ -115,15 +137,35 @@
 	return StageChange{ID: e.ID, Stage: stage}
 }
 
-// pick returns the engine of a stage with the lowest rank. Cheap engines, which may be reclaimed, are the last to
+// mainBuild returns the build with most engines, and whether there are several builds.
+func mainBuild(engines []StageEngine) (main identifier.Build, several bool) {
+	count := map[identifier.Build]int{}
+	for _, e := range engines {
+		count[e.Build]++
+	}
+	for build, n := range count {
+		if n > count[main] || n == count[main] && build > main {
+			main = build
+		}
+	}
+	return main, len(count) > 1
+}
+
+// pick returns the engine of a stage with the lowest rank, a preferred one if there is any. Cheap engines, which may be reclaimed, are the last to
 // become decode engines and the first to stop.
-func pick(engines []StageEngine, stage registrar.Stage, rank func(StageEngine) int) *StageEngine {
+func pick(engines []StageEngine, stage registrar.Stage, rank func(StageEngine) int, preferred func(StageEngine) bool) *StageEngine {
 	var best *StageEngine
 	for i := range engines {
 		e := &engines[i]
 		if e.Stage != stage || e.Busy || e.Limited {
 			continue
 		}
+		if best != nil && preferred(*e) != preferred(*best) {
+			if preferred(*e) {
+				best = e
+			}
+			continue
+		}
 		if best == nil || cmp.Or(cmp.Compare(cheapRank(*e, stage), cheapRank(*best, stage)), cmp.Compare(rank(*e), rank(*best)), cmp.Compare(e.ID, best.ID)) < 0 {
 			best = e
 		}
--- a/internal/scaler/stages.go
+++ b/internal/scaler/stages.go
@@ -151,7 +151,7 @@
 			continue
 		}
 		byID[t.ID] = t
-		e := placer.StageEngine{ID: t.ID, Zone: t.Zone, Stage: t.Stage, Cheap: t.Cheap, Limited: c.Limited != nil && c.Limited(t)}
+		e := placer.StageEngine{ID: t.ID, Zone: t.Zone, Stage: t.Stage, Cheap: t.Cheap, Build: t.Build, Limited: c.Limited != nil && c.Limited(t)}
 		// An order counts as carried out while the target still has time to report its new stage.
 		if o, ordered := c.settling(t.ID); ordered {
 			e.Stage, e.Busy = o.stage, true
