--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -55,6 +55,9 @@
 		Client: func(co *coordinator.Coordinator) http.Handler {
 			return &platform.Ingress{Server: co, Limits: co.Limits, BodyBuffers: &co.BodyBuffers, Logger: logger}
 		},
+		Relay: func(co *coordinator.Coordinator) http.Handler {
+			return &platform.Ingress{FromPeers: true, Server: co, Limits: co.Limits, BodyBuffers: &co.BodyBuffers, Logger: logger}
+		},
 		Ready: func(co *coordinator.Coordinator) http.Handler {
 			return &platform.Readiness{Ready: co.Ready}
 		},
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/google/uuid"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
@@ -31,6 +32,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
 	"github.com/coltsfootscale/coltsfootscale/internal/parser"
 	"github.com/coltsfootscale/coltsfootscale/internal/pinner"
+	"github.com/coltsfootscale/coltsfootscale/internal/prober"
 	"github.com/coltsfootscale/coltsfootscale/internal/quarantiner"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
 	"github.com/coltsfootscale/coltsfootscale/internal/replicator"
@@ -65,6 +67,9 @@
 	Members       MemberTopic
 	Duties        elector.Log
 	Backend       forwarder.Backend
+	Handover      forwarder.Handover
+	// ConnectTarget reports whether the target at an address accepts a connection.
+	ConnectTarget func(ctx context.Context, address string) bool
 	OrderSender   scaler.OrderSender
 	// Gate stops requests to targets that leave or want none.
 	Gate  *gatekeeper.Gatekeeper
@@ -81,7 +86,9 @@
 
 // Handlers creates the HTTP handlers of an entry instance's listeners.
 type Handlers struct {
-	Client    func(c *Coordinator) http.Handler
+	Client func(c *Coordinator) http.Handler
+	// Relay handles the requests that peers pass on.
+	Relay     func(c *Coordinator) http.Handler
 	Ready     func(c *Coordinator) http.Handler
 	Directory func(c *Coordinator) http.Handler
 }
@@ -119,6 +126,9 @@
 	pins            *pinner.Pinner
 	datagrams       datagrams
 	sightings       pinner.Sightings
+	prober          prober.Prober
+	// unreachable holds the services of which this instance cannot reach some targets.
+	unreachable atomic.Pointer[[]*gossiper.Unreachable]
 
 	// BodyBuffers limits the memory that request bodies use.
 	BodyBuffers forwarder.BodyBuffers
@@ -126,6 +136,8 @@
 	Metrics http.Handler
 	metrics tally.Scope
 	closer  func() error
+	// relay serves the requests that peers pass on; nil if there is no address for it.
+	relay *khttp.Server
 
 	startedAt time.Time
 	leaving   atomic.Bool
@@ -158,7 +170,7 @@
 	c.openMetrics()
 	c.self = &gossiper.Member{
 		ID: string(settings.Instance), Incarnation: uuid.NewString()[:incarnationDigits], Zone: string(settings.Zone),
-		ClientAddress: settings.Listen, PeerAddress: settings.PeerListen, Capacity: capacity(settings.Bounds),
+		ClientAddress: settings.Listen, PeerAddress: settings.PeerListen, RelayAddress: settings.RelayListen, Capacity: capacity(settings.Bounds),
 	}
 	c.BodyBuffers.MaximumBytes = settings.Bounds.MemoryMegabytes << 20 / bodyMemoryDivisor
 	c.wireMirrors()
@@ -220,6 +232,7 @@
 	c.wireLimits(&gate.Limits)
 	c.targetStates.SharedPartsOnly = c.peers.UsesHubs
 	c.quarantine.Logger, c.quarantine.Gone = c.logger, c.targetGone
+	c.wireProber()
 	c.pins = &pinner.Pinner{Peers: c.pinPeers, Network: &c.datagrams, Logger: c.logger}
 	c.retryBudget = &retrier.WindowedBudget{
 		Share: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow,
@@ -230,7 +243,7 @@
 		Targets: c.available, Expected: c.expected, Instances: c.memberCount,
 		TargetStates: &c.targetStates, Chooser: &chooser.Chooser{Policy: c.settings.Load().Routing.Policy}, MaximumJitter: c.jitter,
 		Backend: c.platform.Backend, Budget: c.retryBudget, Quarantine: &gossipedQuarantine{&c.quarantine, c.peers},
-		Pins: c.pins, SoleBuild: c.soleBuild,
+		Pins: c.pins, SoleBuild: c.soleBuild, Reach: &c.prober, Handover: c.platform.Handover, Peers: c.reachingPeers,
 		CountRequest: c.countRequest, RecordDemand: c.demand.Add, Logger: c.logger, Metrics: c.metrics,
 	}
 }
@@ -317,17 +330,28 @@
 	return uint32(min(b.Cores*1000, b.LinkMegabits*10))
 }
 
-// Addresses returns the addresses of live and ready instances for a client in an availability zone.
+// Addresses returns the addresses of live and ready instances for a client in an availability zone. Those that are cut off from
+// the targets are offered only if there are no others.
 func (c *Coordinator) Addresses(zone identifier.ZoneID) []string {
-	var ready []*gossiper.Member
+	var ready, cutOff []*gossiper.Member
+	add := func(m *gossiper.Member, isCutOff bool) {
+		if isCutOff {
+			cutOff = append(cutOff, m)
+			return
+		}
+		ready = append(ready, m)
+	}
 	if c.Ready() {
-		ready = append(ready, c.self)
+		add(c.self, c.cutOffFromAll(c.unreachableServices()))
 	}
 	for _, p := range c.peers.Alive(time.Now()) {
 		if p.Ready && !p.Leaving {
-			ready = append(ready, p.Member)
+			add(p.Member, c.cutOffFromAll(p.Unreachable))
 		}
 	}
+	if len(ready) == 0 {
+		ready = cutOff
+	}
 	var addresses []string
 	for _, m := range director.Choose(ready, zone, c.self.ID, rand.Float64) {
 		addresses = append(addresses, m.ClientAddress)
--- a/internal/coordinator/gossip.go
+++ b/internal/coordinator/gossip.go
@@ -39,7 +39,7 @@
 
 // status returns the current status of this instance.
 func (c *Coordinator) status(now time.Time) *gossiper.Status {
-	s := &gossiper.Status{Ready: c.Ready(), Leaving: c.leaving.Load(), UnixMilliseconds: now.UnixMilli()}
+	s := &gossiper.Status{Ready: c.Ready(), Leaving: c.leaving.Load(), Unreachable: c.unreachableServices(), UnixMilliseconds: now.UnixMilli()}
 	for id, load := range c.targetStates.Local() {
 		s.Loads = append(s.Loads, &gossiper.Load{
 			Target: string(id), PromptTokens: uint64(max(0, load.PromptTokens)),
@@ -318,9 +318,10 @@
 }
 
 // eligible reports whether this instance may claim a lease that has been expired for the given time. The instance of
-// rank 0 may claim at once; the others wait longer with their rank and claim only if the ones before them do not.
+// rank 0 may claim at once; the others wait longer with their rank and claim only if the ones before them do not. One that cannot
+// reach targets cannot order them.
 func (c *Coordinator) eligible(expiredFor time.Duration) bool {
-	return !c.leaving.Load() && c.table.Load() != nil && expiredFor >= time.Duration(c.rank())*claimDelay
+	return !c.leaving.Load() && !c.cutOff() && c.table.Load() != nil && expiredFor >= time.Duration(c.rank())*claimDelay
 }
 
 // medianTime returns the median wall clock time of all instances, so that a few wrong clocks have no effect.
--- /dev/null
+++ b/internal/coordinator/reach.go
@@ -0,0 +1,154 @@
+package coordinator
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
+	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// wireProber watches which targets cannot be reached from here. Peers are told as soon as that changes which services this
+// instance can serve.
+func (c *Coordinator) wireProber() {
+	c.prober.Logger, c.prober.Connect = c.logger, c.platform.ConnectTarget
+	c.prober.Addresses = c.targetAddresses
+	c.prober.OnChange = c.updateReach
+}
+
+// updateReach determines which services this instance cannot serve as others can, and tells its peers if that has changed.
+func (c *Coordinator) updateReach() {
+	now := c.determineReach()
+	before := c.unreachable.Swap(&now)
+	if before != nil && equalReach(*before, now) || before == nil && len(now) == 0 {
+		return
+	}
+	for _, u := range now {
+		c.logger.Info("targets cannot be reached", zap.String("Service", u.Service), zap.Uint32("Targets", u.Targets), zap.Bool("CutOff", u.CutOff))
+	}
+	if len(now) == 0 {
+		c.logger.Info("all targets can be reached")
+	}
+	c.peers.SendNow()
+}
+
+func equalReach(a, b []*gossiper.Unreachable) bool {
+	return slices.EqualFunc(a, b, func(x, y *gossiper.Unreachable) bool { return proto.Equal(x, y) })
+}
+
+// unreachableServices returns the services of which this instance cannot reach some targets, in order.
+func (c *Coordinator) unreachableServices() []*gossiper.Unreachable {
+	if list := c.unreachable.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
+
+// cutOff reports whether this instance cannot serve some service.
+func (c *Coordinator) cutOff() bool {
+	return slices.ContainsFunc(c.unreachableServices(), func(u *gossiper.Unreachable) bool { return u.CutOff })
+}
+
+// targetAddresses returns the addresses of all targets that are not leaving.
+func (c *Coordinator) targetAddresses() []string {
+	var list []string
+	for _, t := range c.registry.Targets() {
+		if !t.Leaving {
+			list = append(list, t.Address)
+		}
+	}
+	return list
+}
+
+// determineReach returns the services of which some targets cannot be reached from here, in order.
+func (c *Coordinator) determineReach() []*gossiper.Unreachable {
+	type count struct{ listed, down, answering uint32 }
+	counts := map[identifier.ServiceID]*count{}
+	for _, t := range c.registry.Targets() {
+		if t.Leaving {
+			continue
+		}
+		n := counts[t.Service]
+		if n == nil {
+			n = &count{}
+			counts[t.Service] = n
+		}
+		n.listed++
+		switch {
+		case c.prober.Down(t.Address):
+			n.down++
+		case t.Stage != registrar.Prompts:
+			n.answering++
+		}
+	}
+	var list []*gossiper.Unreachable
+	for service, n := range counts {
+		if n.down > 0 {
+			list = append(list, &gossiper.Unreachable{Service: string(service), Targets: n.down, CutOff: n.answering == 0 || 2*n.down > n.listed})
+		}
+	}
+	slices.SortFunc(list, func(a, b *gossiper.Unreachable) int { return cmp.Compare(a.Service, b.Service) })
+	return list
+}
+
+// cutOffFromAll reports whether an instance that cannot reach the given targets can serve no service.
+func (c *Coordinator) cutOffFromAll(unreachable []*gossiper.Unreachable) bool {
+	if len(unreachable) == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(c.registry.Targets(), func(t *registrar.Target) bool {
+		return !t.Leaving && !slices.ContainsFunc(unreachable, func(u *gossiper.Unreachable) bool { return u.CutOff && u.Service == string(t.Service) })
+	})
+}
+
+// unreachableTargets returns how many targets of a service cannot be reached.
+func unreachableTargets(list []*gossiper.Unreachable, service identifier.ServiceID) (targets int, cutOff bool) {
+	for _, u := range list {
+		if u.Service == string(service) {
+			return int(u.Targets), u.CutOff
+		}
+	}
+	return 0, false
+}
+
+// reachingPeers returns the addresses of ready peers that reach more targets of a service than this instance, of which the
+// given number is known to be unreachable. Those that reach most come first, then those of this availability zone, in random order.
+func (c *Coordinator) reachingPeers(service identifier.ServiceID, unreachable int) []string {
+	own, _ := unreachableTargets(c.unreachableServices(), service)
+	own = max(own, unreachable)
+	type candidate struct {
+		address string
+		down    int
+		far     bool
+	}
+	var list []candidate
+	for _, p := range c.peers.Alive(time.Now()) {
+		down, cutOff := unreachableTargets(p.Unreachable, service)
+		if p.Member.RelayAddress == "" || !p.Ready || p.Leaving || cutOff || down >= own {
+			continue
+		}
+		list = append(list, candidate{p.Member.RelayAddress, down, p.Member.Zone != c.self.Zone})
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.down, b.down), cmp.Compare(btoi(a.far), btoi(b.far)))
+	})
+	addresses := make([]string, 0, len(list))
+	for _, p := range list {
+		addresses = append(addresses, p.address)
+	}
+	return addresses
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -70,7 +70,7 @@
 	targets := c.newFollower(streamTargets, c.platform.Targets, &c.targets, c.copyAge)
 	c.targets.FailingFor = targets.FailingFor
 	for _, task := range []func(context.Context){
-		c.peers.Run, c.contactSeeds, c.register, c.cleanUp, c.watchSettings,
+		c.peers.Run, c.prober.Run, c.contactSeeds, c.register, c.cleanUp, c.watchSettings,
 		func(ctx context.Context) {
 			c.awaitPeer(ctx)
 			c.newFollower(streamConfiguration, c.platform.Configuration, &c.config, c.copyAge).Run(ctx)
@@ -176,6 +176,8 @@
 	for sleeper.Sleep(ctx, cleanupInterval) == nil {
 		c.registry.Expire(time.Now())
 		c.recordSightings(time.Now())
+		c.prober.Retain(c.targetAddresses())
+		c.updateReach()
 		c.platform.Gate.Expire(c.registry.Targets(), time.Now())
 		c.quarantine.Expire(time.Now())
 		c.applyOutdatedConfiguration()
@@ -231,6 +233,14 @@
 	}
 	var once sync.Once
 	servers := []transport.Server{client, ready, directory}
+	if settings.RelayListen != "" {
+		relay, err := c.listen(settings.RelayListen, controlConnections, c.countInFlight(c.handlers.Relay(c)))
+		if err != nil {
+			return err
+		}
+		c.relay = relay
+		servers = append(servers, relay)
+	}
 	if metrics, err := c.listen(settings.MetricsListen, controlConnections, c.Metrics); err != nil {
 		// The metrics port is fixed, while the other ports change daily: it may be in use, which must not stop the
 		// service.
@@ -301,5 +311,8 @@
 	stopDuties()
 	c.peers.SendNow()
 	client.SetKeepAlivesEnabled(false)
+	if c.relay != nil {
+		c.relay.SetKeepAlivesEnabled(false)
+	}
 	time.Sleep(leaveTime)
 }
--- a/internal/forwarder/backend.go
+++ b/internal/forwarder/backend.go
@@ -19,6 +19,8 @@
 	ErrNotRun = errors.New("target did not run the request")
 	// ErrNotSent is returned when the target could not be reached; it wraps ErrNotRun.
 	ErrNotSent = fmt.Errorf("%w: not sent", ErrNotRun)
+	// ErrUnreachable is returned when no connection to the target could be opened; it wraps ErrNotSent.
+	ErrUnreachable = fmt.Errorf("%w: unreachable", ErrNotSent)
 	// ErrOutcomeUnknown is returned when the target may have run the request.
 	ErrOutcomeUnknown = errors.New("target may have run the request")
 )
@@ -41,6 +43,13 @@
 	// Origin is the request that brought the first event of the stream that this one goes on with, or empty if the client
 	// names none.
 	Origin identifier.RequestID
+	// HandedOver is set if a peer has passed the call on. It has then counted the request if Counted is set, and made
+	// AttemptsBefore attempts.
+	HandedOver     bool
+	Counted        bool
+	AttemptsBefore int
+	// Cache is the KV cache of the prompt if the peer has had it computed.
+	Cache *KVHandle
 	// Parts are the parts of the prompt; AnswerTokens is the maximum number of tokens to generate.
 	Parts        []chooser.Part
 	AnswerTokens identifier.Tokens
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -78,6 +78,11 @@
 	Budget       Budget
 	Quarantine   Quarantine
 	Pins         Pins
+	Reach        Reach
+	Handover     Handover
+	// Peers returns the addresses of instances that reach more targets of a service than this one, of which the given number could
+	// not be reached; those to try first come before the others.
+	Peers func(service identifier.ServiceID, unreachable int) []string
 	// SoleBuild returns the only build of a service at which a stream that a client goes on with can have begun, or false if
 	// there were several, or it is not known.
 	SoleBuild func(service identifier.ServiceID) (identifier.Build, bool)
@@ -119,6 +124,12 @@
 	started bool
 	// pin is where the stream began, once that is known; only targets of that build may generate its events.
 	pin *pinner.Pin
+	// unreachable counts the targets to which no connection could be opened; peersTried is set once the request was passed to
+	// peers.
+	unreachable int
+	peersTried  bool
+	// hidden is set once targets were left out because they cannot be reached from here.
+	hidden bool
 	// begun is set once the first event of this request is about to be sent.
 	begun bool
 	// headerSent is set once the response header has been sent to the client.
@@ -134,16 +145,18 @@
 type logEntry struct {
 	promptTarget identifier.TargetID
 	answerTarget identifier.TargetID
-	build        identifier.Build
-	predicted    time.Duration
-	uncached     identifier.Tokens
-	prefillTook  time.Duration
-	firstEvent   time.Duration
+	// peer is the address of the peer that the request was passed to.
+	peer        string
+	build       identifier.Build
+	predicted   time.Duration
+	uncached    identifier.Tokens
+	prefillTook time.Duration
+	firstEvent  time.Duration
 }
 
 // Serve handles a call and writes the answer to w.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, call *Call) {
-	rs := &requestState{f: f, w: w, call: call, start: time.Now()}
+	rs := &requestState{f: f, w: w, call: call, start: time.Now(), attempts: call.AttemptsBefore, unusedCache: call.Cache}
 	refusal := rs.admit()
 	if refusal == nil {
 		var cancel context.CancelFunc
@@ -186,9 +199,9 @@
 		zap.String("RequestID", string(rs.call.ID)), zap.String("Route", string(rs.route.ID)), zap.Duration("After", time.Since(rs.start)),
 		zap.String("PromptTarget", string(rs.logEntry.promptTarget)), zap.Duration("Predicted", rs.logEntry.predicted),
 		zap.Int64("FreshTokens", int64(rs.logEntry.uncached)), zap.Duration("PromptTook", rs.logEntry.prefillTook),
-		zap.String("AnswerTarget", string(rs.logEntry.answerTarget)), zap.String("Build", string(rs.logEntry.build)),
+		rs.peerField(), zap.String("AnswerTarget", string(rs.logEntry.answerTarget)), zap.String("Build", string(rs.logEntry.build)),
 		zap.String("Origin", string(rs.call.Origin)), zap.String("LastEvent", rs.call.LastEvent), zap.Duration("FirstEvent", rs.logEntry.firstEvent),
-		zap.Int("Status", rs.status), zap.Int("Sends", rs.attempts))
+		zap.Int("Status", rs.status), zap.Int("Sends", rs.attempts), zap.Bool("HandedOver", rs.call.HandedOver))
 }
 
 func (rs *requestState) logRefusal(message string, r *Refusal) {
@@ -200,7 +213,7 @@
 		zap.String("RequestID", string(rs.call.ID)), zap.String("Route", string(route)),
 		zap.String("Reason", r.Reason), zap.Int("Status", r.Status), zap.Duration("After", time.Since(rs.start)),
 		zap.Int("Sends", rs.attempts), zap.Duration("Deadline", rs.call.Deadline),
-		zap.String("Origin", string(rs.call.Origin)), zap.String("LastEvent", rs.call.LastEvent), zap.Error(r.Err))
+		zap.String("Origin", string(rs.call.Origin)), zap.String("LastEvent", rs.call.LastEvent), zap.Bool("HandedOver", rs.call.HandedOver), zap.Error(r.Err))
 }
 
 // admit determines the route, team and deadline of a request.
@@ -223,7 +236,9 @@
 		rs.deadline = d
 	}
 	rs.service = rs.route.PickService(rand.Float64())
-	rs.f.Budget.AddRequest(rs.service)
+	if !rs.call.HandedOver {
+		rs.f.Budget.AddRequest(rs.service)
+	}
 	return nil
 }
 
@@ -274,7 +289,7 @@
 	targets = slices.DeleteFunc(targets, func(t *registrar.Target) bool {
 		return !slices.Contains(stages, t.Stage) || slices.Contains(rs.failedTargets, t.ID)
 	})
-	return rs.f.TargetStates.Candidates(targets, parts, time.Now())
+	return rs.f.TargetStates.Candidates(rs.withoutDown(targets), parts, time.Now())
 }
 
 // chooseAnswerTarget chooses the answer target among the targets of the decode stage and those without a stage.
@@ -303,7 +318,7 @@
 		rs.started = true
 		rs.logEntry.firstEvent = time.Since(rs.start)
 		rs.f.Metrics.Timer("FirstEvent").Record(rs.logEntry.firstEvent)
-		rs.f.CountRequest(rs.teamID())
+		rs.countStarted(rs.teamID())
 	}
 }
 
--- /dev/null
+++ b/internal/forwarder/handover.go
@@ -0,0 +1,205 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
+	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+const (
+	// maximumUnreachable is the number of targets that a request may find unreachable before it is passed to a peer, whatever is
+	// known of the others.
+	maximumUnreachable = 2
+	// maximumHandovers is the number of peers to which a request may be passed one after the other.
+	maximumHandovers = 2
+)
+
+// Reach knows which targets cannot be reached from this instance.
+type Reach interface {
+	Down(address string) bool
+	// Begin records an attempt that waits for a target until done is called. end, which may be nil, is called if the target turns
+	// out to be unreachable.
+	Begin(address string, end func()) (done func())
+	Answered(address string)
+	Failed(address string)
+}
+
+// Handover passes calls to another instance, which answers as it would its own clients. It never retries.
+type Handover interface {
+	// Run passes a call on; errors wrap ErrNotRun or ErrOutcomeUnknown.
+	Run(ctx context.Context, c *Call, a *HandoverAttempt) (*Response, error)
+}
+
+// HandoverAttempt describes an attempt to pass a call to a peer.
+type HandoverAttempt struct {
+	Address string
+	// Remaining is the time until the request's deadline.
+	Remaining time.Duration
+	// MaximumIdle is the maximum idle time of a connection that may be reused; zero requires a new connection.
+	MaximumIdle time.Duration
+}
+
+// await records that an attempt waits for a target until done is called. If the attempt may be repeated and a peer may then serve
+// the request, the returned context ends once the target turns out to be unreachable.
+func (rs *requestState) await(ctx context.Context, t *registrar.Target, mayRepeat bool) (_ context.Context, done func()) {
+	if !mayRepeat || !rs.mayHandOver() {
+		return ctx, rs.f.Reach.Begin(t.Address, nil)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	end := rs.f.Reach.Begin(t.Address, cancel)
+	return ctx, func() { end(); cancel() }
+}
+
+// observe tells what the outcome of an attempt says about the connection to a target.
+func (rs *requestState) observe(ctx context.Context, t *registrar.Target, err error) {
+	switch {
+	case err == nil, errors.Is(err, ErrNotRun) && !errors.Is(err, ErrNotSent):
+		rs.f.Reach.Answered(t.Address)
+	case ctx.Err() != nil:
+	case errors.Is(err, ErrUnreachable):
+		rs.unreachable++
+		rs.f.Reach.Failed(t.Address)
+	case errors.Is(err, ErrOutcomeUnknown):
+		rs.f.Reach.Failed(t.Address)
+	}
+}
+
+// withoutDown returns the targets that can be reached from here: none if these are less than half and a peer may serve the request,
+// and all if none can be reached and no peer may.
+func (rs *requestState) withoutDown(targets []*registrar.Target) []*registrar.Target {
+	var up []*registrar.Target
+	for _, t := range targets {
+		if !rs.f.Reach.Down(t.Address) {
+			up = append(up, t)
+		}
+	}
+	switch {
+	case len(up) == len(targets):
+		return targets
+	case 2*len(up) >= len(targets):
+		return up
+	case rs.mayHandOver():
+		// The few that are left would get all requests.
+		rs.hidden = true
+		return nil
+	case len(up) == 0:
+		return targets
+	}
+	return up
+}
+
+// mayHandOver reports whether there is a peer to which the request may be passed.
+func (rs *requestState) mayHandOver() bool {
+	return !rs.call.HandedOver && !rs.peersTried && (rs.call.Body.Whole() || rs.attempts == 0) && len(rs.f.Peers(rs.service, rs.unreachable)) > 0
+}
+
+// shouldHandOver reports whether a peer is more likely to reach a target than this instance.
+func (rs *requestState) shouldHandOver() bool {
+	return rs.unreachable >= maximumUnreachable && rs.mayHandOver()
+}
+
+// couldHandOver reports whether a peer may reach targets that this instance cannot use.
+func (rs *requestState) couldHandOver() bool {
+	return (rs.unreachable > 0 || rs.hidden) && rs.mayHandOver()
+}
+
+// repeatable reports whether a request may run again that may have run.
+func (rs *requestState) repeatable() bool {
+	return rs.route.Kind == matcher.Safe || rs.route.Kind == matcher.Stream && rs.route.Resumable
+}
+
+// handOver passes the request to peers until one answers. It returns false if none could be reached. s is nil for a plain
+// request.
+func (rs *requestState) handOver(ctx context.Context, s *stream) (done bool, refusal *Refusal) {
+	peers := rs.f.Peers(rs.service, rs.unreachable)
+	rs.peersTried = true
+	refused := false
+	for _, address := range peers[:min(maximumHandovers, len(peers))] {
+		err := rs.handOverTo(ctx, address, s)
+		if err == nil {
+			return true, nil
+		}
+		rs.f.Logger.Info("peer failed", zap.String("RequestID", string(rs.call.ID)), zap.String("Peer", address), zap.Error(err))
+		switch {
+		case errors.Is(err, ErrNotRun):
+			refused = refused || !errors.Is(err, ErrNotSent)
+			if ctx.Err() != nil {
+				return true, rs.adjustRefusal(refuseNotRun("PeersRefused", defaultRetryAfter, err))
+			}
+		case !rs.repeatable() || !rs.takeRetry():
+			return true, refuseOutcomeUnknown(ctx, "PeerFailed", err)
+		}
+	}
+	switch {
+	case rs.headerSent:
+		return true, refuseOutcomeUnknown(ctx, "StreamBroken", nil)
+	case refused:
+		return true, rs.adjustRefusal(refuseNotRun("PeersRefused", defaultRetryAfter, nil))
+	}
+	return false, nil
+}
+
+// handOverTo passes the request to one peer and relays its response.
+func (rs *requestState) handOverTo(ctx context.Context, address string, s *stream) error {
+	call := *rs.call
+	call.AttemptsBefore, call.Counted, call.Cache = rs.attempts, rs.started, rs.unusedCache
+	if s != nil {
+		call.LastEvent = s.lastEvent
+		if rs.headerSent && call.Origin == "" {
+			call.Origin = rs.call.ID
+		}
+	}
+	maximumIdle := unrepeatableMaximumIdle
+	if rs.repeatable() {
+		maximumIdle = repeatableMaximumIdle
+	}
+	rs.attempts++
+	rs.logEntry.peer = address
+	response, err := rs.f.Handover.Run(ctx, &call, &HandoverAttempt{Address: address, Remaining: time.Until(rs.deadline), MaximumIdle: maximumIdle})
+	switch {
+	case errors.Is(err, ErrNotRun):
+		rs.attempts--
+		return err
+	case err != nil:
+		rs.started, rs.unusedCache = true, nil
+		return err
+	}
+	rs.unusedCache = nil
+	defer response.Body.Close()
+	rs.f.Metrics.Counter("HandedOver").Inc(1)
+	// The peer counts the request, and announces where its stream begins.
+	rs.started, rs.begun = true, true
+	if s != nil && response.Status == http.StatusOK {
+		return s.relay(ctx, response, nil)
+	}
+	buffered, err := io.ReadAll(io.LimitReader(response.Body, bufferedResponseBytes))
+	if err != nil {
+		return fmt.Errorf("%w: reading the response body: %w", ErrOutcomeUnknown, err)
+	}
+	if rs.headerSent {
+		return fmt.Errorf("%w: error response with status %d", ErrOutcomeUnknown, response.Status)
+	}
+	if refusal := rs.writeResponse(ctx, response, buffered); refusal != nil {
+		return fmt.Errorf("%w: relaying the response body: %w", ErrOutcomeUnknown, refusal.Err)
+	}
+	return nil
+}
+
+// peerField shows the peer that has served a request, if one has.
+func (rs *requestState) peerField() zap.Field { return zap.String("Peer", rs.logEntry.peer) }
+
+// countStarted counts a request that has started, unless a peer has.
+func (rs *requestState) countStarted(team identifier.TeamID) {
+	if !rs.call.Counted {
+		rs.f.CountRequest(team)
+	}
+}
--- /dev/null
+++ b/internal/forwarder/handover_test.go
@@ -0,0 +1,137 @@
+package forwarder_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
+	"github.com/coltsfootscale/coltsfootscale/internal/forwarder"
+	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
+	"github.com/coltsfootscale/coltsfootscale/internal/prober"
+	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// peers answers calls that are passed on with scripted results.
+type peers struct {
+	results  []step
+	received []forwarder.Call
+}
+
+func (p *peers) Run(_ context.Context, c *forwarder.Call, _ *forwarder.HandoverAttempt) (*forwarder.Response, error) {
+	p.received = append(p.received, *c)
+	st := p.results[min(len(p.received), len(p.results))-1]
+	if st.err != nil {
+		return nil, st.err
+	}
+	var body io.Reader = strings.NewReader(st.body)
+	if st.truncated {
+		body = io.MultiReader(body, errorReader{})
+	}
+	return &forwarder.Response{Status: st.status, Header: http.Header{"X-Test-Seal": {"peer"}}, Body: io.NopCloser(body)}, nil
+}
+
+// handOver serves a call at an instance with two peers, and returns the response and the number of requests counted here.
+func handOver(b *backend, p *peers, route matcher.Route, call *forwarder.Call) (w *httptest.ResponseRecorder, aborted bool, counted int) {
+	route.ID, route.Host, route.Prefix, route.Timeout, route.Public = "r", "h", "/p/", 5*time.Second, true
+	route.WeightedServices = []matcher.WeightedService{{Service: "s", Weight: 1}}
+	table := matcher.New(matcher.Configuration{Version: 1, Routes: []matcher.Route{route}, Services: []matcher.Service{{ID: "s"}}})
+	targets := []*registrar.Target{{ID: "x1", Address: "x1"}, {ID: "x2", Address: "x2"}, {ID: "x3", Address: "x3"}}
+	if route.HasPrompts {
+		targets = append(targets, &registrar.Target{ID: "p1", Address: "p1", Stage: registrar.Prompts})
+	}
+	w = httptest.NewRecorder()
+	f := &forwarder.Forwarder{
+		Table: func() *matcher.Table { return table }, TableAge: func() time.Duration { return 0 },
+		Targets: func(identifier.ServiceID, time.Time) []*registrar.Target {
+			return append([]*registrar.Target(nil), targets...)
+		},
+		TargetStates: &chooser.TargetStates{}, Chooser: &chooser.Chooser{}, Backend: b, Budget: &budget{9}, Quarantine: &quarantine{},
+		Reach: &prober.Prober{}, Handover: p, Peers: func(identifier.ServiceID, int) []string { return []string{"one", "two"} },
+		Pins: noPins{}, SoleBuild: func(identifier.ServiceID) (identifier.Build, bool) { return "", true },
+		RecordDemand:  func(identifier.ServiceID, identifier.Tokens, time.Time) {},
+		MaximumJitter: func() time.Duration { return 0 }, Instances: func() int { return 1 },
+		Expected:     func(identifier.ServiceID, registrar.Stage, time.Time) (time.Duration, bool) { return 0, false },
+		CountRequest: func(identifier.TeamID) { counted++ }, Logger: zap.NewNop(), Metrics: tally.NoopScope,
+	}
+	call.Host, call.Path, call.ID = "h", "/p/x", "z"
+	defer func() { aborted = recover() != nil }()
+	f.Serve(context.Background(), w, call)
+	return w, aborted, counted
+}
+
+// TestHandover guards against requests that run twice, or are said not to have run, on their way through a peer.
+func TestHandover(t *testing.T) {
+	unreachable := step{err: fmt.Errorf("%w: timeout", forwarder.ErrUnreachable)}
+	done, peerDone := step{status: 200, body: "here"}, step{status: 200, body: "peer"}
+	for name, tc := range map[string]struct {
+		kind    matcher.Kind
+		runs    []step
+		peers   []step
+		result  string
+		handed  int
+		counted int
+	}{
+		"one target unreachable":                 {matcher.Unsafe, []step{unreachable, done}, nil, "200 here", 0, 1},
+		"two targets unreachable":                {matcher.Unsafe, []step{unreachable}, []step{peerDone}, "200 peer", 1, 0},
+		"the first peer cannot be reached":       {matcher.Unsafe, []step{unreachable}, []step{notSent, peerDone}, "200 peer", 2, 0},
+		"the first peer refuses":                 {matcher.Unsafe, []step{unreachable}, []step{notRun, peerDone}, "200 peer", 2, 0},
+		"both peers refuse":                      {matcher.Unsafe, []step{unreachable}, []step{notRun}, "503 PeersRefused\n", 2, 0},
+		"no peer can be reached, a target can":   {matcher.Unsafe, []step{unreachable, unreachable, done}, []step{notSent}, "200 here", 2, 1},
+		"unsafe, the peer breaks":                {matcher.Unsafe, []step{unreachable}, []step{broken, peerDone}, "502 PeerFailed\n", 1, 0},
+		"unsafe, the peer's answer breaks":       {matcher.Unsafe, []step{unreachable}, []step{{status: 200, body: "pe", truncated: true}}, "502 PeerFailed\n", 1, 0},
+		"safe, the peer breaks":                  {matcher.Safe, []step{unreachable}, []step{broken, peerDone}, "200 peer", 2, 0},
+		"safe, the peer's target failed":         {matcher.Safe, []step{unreachable}, []step{{status: 500, body: "bad"}}, "500 bad", 1, 0},
+		"unsafe, it may have run here: not sent": {matcher.Unsafe, []step{broken}, nil, "502 TargetFailed\n", 0, 1},
+	} {
+		b, p := &backend{runs: tc.runs}, &peers{results: tc.peers}
+		w, _, counted := handOver(b, p, matcher.Route{Kind: tc.kind, Attempts: 2}, &forwarder.Call{})
+		quicktest.Check(t, fmt.Sprint(w.Code, " ", w.Body), quicktest.Equals, tc.result, quicktest.Commentf(name))
+		quicktest.Check(t, p.received, quicktest.HasLen, tc.handed, quicktest.Commentf(name))
+		quicktest.Check(t, counted, quicktest.Equals, tc.counted, quicktest.Commentf("%s: counted", name))
+	}
+
+	// A call that was passed on is not passed on again.
+	p := &peers{results: []step{peerDone}}
+	w, _, _ := handOver(&backend{runs: []step{unreachable}}, p, matcher.Route{Kind: matcher.Unsafe, Attempts: 2}, &forwarder.Call{HandedOver: true})
+	quicktest.Check(t, fmt.Sprint(w.Code, len(p.received)), quicktest.Equals, "503 0")
+}
+
+// TestHandedOverStreams guards against prompts that are read again at the peer, and streams that lose or repeat events there.
+func TestHandedOverStreams(t *testing.T) {
+	unreachable := step{err: fmt.Errorf("%w: timeout", forwarder.ErrUnreachable)}
+	route := matcher.Route{Kind: matcher.Stream, HasPrompts: true, Resumable: true, Attempts: 3}
+	call := func() *forwarder.Call { return &forwarder.Call{Parts: []chooser.Part{{ID: 1, Tokens: 100}}} }
+
+	b, p := &backend{runs: []step{unreachable}}, &peers{results: []step{{status: 200, body: first + second}}}
+	w, _, counted := handOver(b, p, route, call())
+	quicktest.Check(t, w.Body.String(), quicktest.Equals, first+second)
+	quicktest.Check(t, p.received[0].Cache.ID, quicktest.Equals, "h", quicktest.Commentf("the prompt was prefilled"))
+	quicktest.Check(t, fmt.Sprint(b.prefillCalls, b.freed, counted), quicktest.Equals, "1 0 0")
+	quicktest.Check(t, fmt.Sprint(p.received[0].Origin, p.received[0].LastEvent, p.received[0].Counted), quicktest.Equals, "false")
+
+	// It began here, broke off, and goes on at a peer, which breaks off too.
+	b = &backend{runs: []step{{status: 200, body: first, truncated: true}, unreachable}}
+	p = &peers{results: []step{{status: 200, body: second, truncated: true}, {status: 200, body: third}}}
+	w, aborted, counted := handOver(b, p, route, call())
+	quicktest.Check(t, fmt.Sprint(w.Body, aborted, counted), quicktest.Equals, first+second+third+" false 1")
+	quicktest.Check(t, fmt.Sprint(p.received[0].Origin, p.received[0].LastEvent, p.received[0].Counted), quicktest.Equals, "z1true")
+	quicktest.Check(t, fmt.Sprint(p.received[1].Origin, p.received[1].LastEvent), quicktest.Equals, "z2")
+
+	// A stream that must not run again is not passed on once a peer may have run it.
+	route.Resumable = false
+	p = &peers{results: []step{{err: errors.Join(forwarder.ErrOutcomeUnknown)}, {status: 200, body: first}}}
+	w, _, _ = handOver(&backend{runs: []step{unreachable}}, p, route, call())
+	quicktest.Check(t, fmt.Sprint(w.Code, len(p.received)), quicktest.Equals, "502 1")
+}
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -27,7 +27,17 @@
 		if refusal := rs.refuseDenied(); refusal != nil {
 			return refusal
 		}
+		if rs.shouldHandOver() {
+			if done, refusal := rs.handOver(ctx, nil); done {
+				return refusal
+			}
+		}
 		choice, ok := rs.chooseAnswerTarget()
+		if !ok && rs.couldHandOver() {
+			if done, refusal := rs.handOver(ctx, nil); done {
+				return refusal
+			}
+		}
 		if !ok {
 			return rs.refuseNoTarget()
 		}
@@ -120,13 +130,17 @@
 func (rs *requestState) attemptPlain(ctx context.Context, t *registrar.Target) (*Response, []byte, error) {
 	end := rs.f.TargetStates.Begin(t.ID, chooser.Load{Answers: 1}, time.Now())
 	defer end()
+	sendCtx, done := rs.await(ctx, t, rs.route.Kind == matcher.Safe)
 	rs.attempts++
 	rs.logEntry.answerTarget = t.ID
-	response, err := rs.f.Backend.Run(ctx, rs.call, rs.attempt(t, nil, rs.call.LastEvent))
+	response, err := rs.f.Backend.Run(sendCtx, rs.call, rs.attempt(t, nil, rs.call.LastEvent))
+	rs.observe(ctx, t, err)
 	if err != nil {
+		done()
 		rs.countFailedAttempt(err)
 		return nil, nil, err
 	}
+	response.Body = &endingBody{response.Body, done}
 	rs.markStarted()
 	buffered, err := io.ReadAll(io.LimitReader(response.Body, bufferedResponseBytes))
 	if err == nil {
@@ -139,6 +153,18 @@
 	return response, buffered, nil
 }
 
+// endingBody ends the wait for its target when it is closed.
+type endingBody struct {
+	io.ReadCloser
+	done func()
+}
+
+// Close closes the body and ends the wait.
+func (b *endingBody) Close() error {
+	defer b.done()
+	return b.ReadCloser.Close()
+}
+
 // writeResponse relays a target's response unchanged; the client's connection is closed if the response breaks off.
 func (rs *requestState) writeResponse(ctx context.Context, r *Response, buffered []byte) *Refusal {
 	defer r.Body.Close()
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"strings"
 
-	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
 )
 
 const (
@@ -36,8 +36,8 @@
 	return s
 }
 
-// relay forwards the events of a target of the given build until the target's response ends; it returns ErrOutcomeUnknown if the response breaks off.
-func (s *stream) relay(ctx context.Context, response *Response, build identifier.Build) error {
+// relay forwards the events of a target, or of a peer if t is nil, until the target's response ends; it returns ErrOutcomeUnknown if the response breaks off.
+func (s *stream) relay(ctx context.Context, response *Response, t *registrar.Target) error {
 	r := bufio.NewReaderSize(response.Body, eventBufferBytes)
 	flusher := http.NewResponseController(s.requestState.w)
 	for {
@@ -50,10 +50,15 @@
 			return fmt.Errorf("%w: reading the event after %d: %w", ErrOutcomeUnknown, s.lastID, err)
 		}
 		s.requestState.markStarted()
+		if t != nil {
+			s.requestState.f.Reach.Answered(t.Address)
+		}
 		if err := s.advance(event); err != nil {
 			return err
 		}
-		s.requestState.begin(ctx, build)
+		if t != nil {
+			s.requestState.begin(ctx, t.Build)
+		}
 		s.requestState.writeHeader(response)
 		if _, err := s.requestState.w.Write(event); err != nil {
 			return fmt.Errorf("%w: writing to the client: %w", ErrOutcomeUnknown, err)
--- a/internal/forwarder/streamed.go
+++ b/internal/forwarder/streamed.go
@@ -42,7 +42,17 @@
 			rs.free(rs.unusedCache)
 			return refusal
 		}
+		if rs.shouldHandOver() {
+			if done, refusal := rs.handOver(ctx, stream); done {
+				return refusal
+			}
+		}
 		t, source, refusal := rs.prepare(ctx)
+		if refusal != nil && ctx.Err() == nil && rs.couldHandOver() {
+			if done, refusal := rs.handOver(ctx, stream); done {
+				return refusal
+			}
+		}
 		if refusal != nil {
 			if rs.headerSent {
 				return refuseOutcomeUnknown(ctx, "StreamBroken", refusal.Err)
@@ -88,6 +98,9 @@
 		}
 		promptTargets := rs.candidates(rs.call.Parts, registrar.Prompts)
 		promptChoice, ok := rs.f.Chooser.Prompt(&chooser.Prompt{Zone: rs.f.Zone, Parts: rs.call.Parts, Jitter: rs.jitter()}, promptTargets)
+		if !ok && rs.couldHandOver() {
+			return nil, nil, rs.refuseNoTarget()
+		}
 		if !ok && rs.prefillFailed && rs.call.Body.Whole() {
 			return nil, nil, rs.adjustRefusal(refuseNotRun("PromptTargetsFailed", defaultRetryAfter, nil))
 		}
@@ -104,6 +117,7 @@
 		}
 		rs.prefills++
 		handle, err := rs.prefill(ctx, promptChoice)
+		rs.observe(ctx, promptChoice.Target, err)
 		if err == nil {
 			return rs.pairWithAnswerTarget(ctx, handle)
 		}
@@ -114,6 +128,8 @@
 		switch {
 		case ctx.Err() != nil:
 			return nil, nil, &Refusal{Status: http.StatusGatewayTimeout, Reason: "PromptTimeout", Err: err}
+		case rs.shouldHandOver():
+			return nil, nil, rs.adjustRefusal(refuseNotRun("PromptTargetsFailed", defaultRetryAfter, err))
 		case errors.Is(err, ErrNotSent):
 			rs.prefills--
 		case rs.prefills >= maximumPrefills:
@@ -161,6 +177,8 @@
 func (rs *requestState) prefill(ctx context.Context, choice chooser.Choice) (*KVHandle, error) {
 	end := rs.f.TargetStates.Begin(choice.Target.ID, chooser.Load{PromptTokens: choice.Uncached}, time.Now())
 	defer end()
+	ctx, done := rs.await(ctx, choice.Target, true)
+	defer done()
 	started := time.Now()
 	handle, err := rs.f.Backend.Prefill(ctx, rs.call, rs.attempt(choice.Target, nil, ""))
 	if err != nil {
@@ -198,7 +216,10 @@
 	defer end()
 	rs.attempts++
 	rs.logEntry.answerTarget, rs.logEntry.build = t.ID, t.Build
-	response, err := rs.f.Backend.Run(ctx, rs.call, rs.attempt(t, source, s.lastEvent))
+	sendCtx, done := rs.await(ctx, t, rs.route.Resumable)
+	defer done()
+	response, err := rs.f.Backend.Run(sendCtx, rs.call, rs.attempt(t, source, s.lastEvent))
+	rs.observe(ctx, t, err)
 	if err != nil {
 		switch {
 		case errors.Is(err, ErrNotSent):
@@ -217,7 +238,7 @@
 		rs.markStarted()
 		return rs.relayErrorResponse(ctx, response)
 	}
-	if err := s.relay(ctx, response, t.Build); err != nil {
+	if err := s.relay(ctx, response, t); err != nil {
 		if ctx.Err() == nil && s.lastID == 0 {
 			rs.reportBroken(t, true)
 		}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -75,6 +75,8 @@
 	Member  *Member
 	Ready   bool
 	Leaving bool
+	// Unreachable holds the services of which the peer cannot reach some targets.
+	Unreachable []*Unreachable
 	// StatusAt is when the peer created its newest status.
 	StatusAt time.Time
 	// ClockOffset is the peer's wall clock time minus this process's monotonic time.
@@ -423,10 +425,10 @@
 	if p == nil || p.Member.Incarnation != m.Incarnation || p.status != nil && s.Sequence <= p.status.Sequence {
 		return false
 	}
-	if p.Ready != s.Ready || p.Leaving != s.Leaving || now.Sub(p.StatusAt) > g.aliveTime() {
+	if p.Ready != s.Ready || p.Leaving != s.Leaving || len(p.Unreachable) != len(s.Unreachable) || now.Sub(p.StatusAt) > g.aliveTime() {
 		g.aliveAt = time.Time{}
 	}
-	p.status, p.Ready, p.Leaving, p.StatusAt = s, s.Ready, s.Leaving, createdAt
+	p.status, p.Ready, p.Leaving, p.Unreachable, p.StatusAt = s, s.Ready, s.Leaving, s.Unreachable, createdAt
 	p.ClockOffset = time.Duration(s.UnixMilliseconds)*time.Millisecond - Monotonic(createdAt)
 	return true
 }
--- a/internal/parser/entry.go
+++ b/internal/parser/entry.go
@@ -23,7 +23,9 @@
 	MetricsListen   string
 	// PeerListen is the listen address for other entry instances; Seeds are the peer addresses of some of them.
 	PeerListen string
-	Seeds      []string
+	// RelayListen is the listen address for requests that peers pass on; if it is empty, none are.
+	RelayListen string
+	Seeds       []string
 	// FirstStart is set if the whole fleet starts for the first time: nothing has happened before.
 	FirstStart bool
 	Store      string
@@ -94,6 +96,9 @@
 	s.DirectoryListen = instance.hostPort("DirectoryListen", "")
 	s.MetricsListen = instance.hostPort("MetricsListen", "")
 	s.PeerListen = instance.hostPort("PeerListen", "")
+	if instance.text("RelayListen", "") != "" {
+		s.RelayListen = instance.hostPort("RelayListen", "")
+	}
 	s.Seeds = parseSeeds(instance, s.PeerListen)
 	s.FirstStart = instance.boolean("FirstStart", false)
 	s.Store = "http://" + d.sectionNamed("Store").hostPort("Address", "")
--- /dev/null
+++ b/internal/prober/prober.go
@@ -0,0 +1,232 @@
+package prober
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// probeTimeout limits the opening of a connection.
+	probeTimeout = 250 * time.Millisecond
+	// silence is how long an answer may be missing, while the target gives no other one, before the target is probed, or before
+	// an attempt at a target that cannot be reached is ended.
+	silence = 500 * time.Millisecond
+	// checkInterval is the time between checks for missing answers.
+	checkInterval = 100 * time.Millisecond
+	// returnInterval is the time between probes of a target that cannot be reached.
+	returnInterval = 400 * time.Millisecond
+	// spread is the number of other targets that are probed once a target cannot be reached, and all if these cannot either.
+	spread = 3
+	// probePause is the least time between two probes of a target that can be reached.
+	probePause = time.Second
+	// maximumProbes limits the probes that run at once.
+	maximumProbes = 16
+)
+
+// Prober knows which targets cannot be reached from here. A target counts as reachable until a connection to it could not be
+// opened, and again once one could. Exported fields must be set before Run; without Run, all targets count as reachable.
+type Prober struct {
+	// Addresses returns the addresses of all targets that should be reachable.
+	Addresses func() []string
+	// Connect reports whether a target accepts a connection.
+	Connect func(ctx context.Context, address string) bool
+	// OnChange is called after a target has become unreachable or reachable.
+	OnChange func()
+	Logger   *zap.Logger
+
+	mu sync.Mutex
+	// targets holds the state of each target that was used or probed.
+	targets map[string]*state
+	// waiting holds the attempts that wait for an answer.
+	waiting map[*attempt]bool
+	// probing is the number of probes that run.
+	probing int
+}
+
+// state is what is known of one target.
+type state struct {
+	down       bool
+	probing    bool
+	probedAt   time.Time
+	answeredAt time.Time
+	// suspect is set if the target has failed and is to be probed.
+	suspect bool
+}
+
+// attempt waits for an answer of a target.
+type attempt struct {
+	address string
+	at      time.Time
+	// end ends the attempt; nil if it must not be ended.
+	end func()
+}
+
+// state returns the state of a target. The caller must hold mu.
+func (p *Prober) state(address string) *state {
+	s := p.targets[address]
+	if s == nil {
+		s = &state{}
+		if p.targets == nil {
+			p.targets = map[string]*state{}
+		}
+		p.targets[address] = s
+	}
+	return s
+}
+
+// Down reports whether a target cannot be reached from here.
+func (p *Prober) Down(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.targets[address]
+	return s != nil && s.down
+}
+
+// Begin records an attempt that waits for a target until done is called. end, which may be nil, is called if the target turns
+// out to be unreachable.
+func (p *Prober) Begin(address string, end func()) (done func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := &attempt{address, time.Now(), end}
+	if p.waiting == nil {
+		p.waiting = map[*attempt]bool{}
+	}
+	p.waiting[a] = true
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.waiting, a)
+	}
+}
+
+// Answered records that a target has answered.
+func (p *Prober) Answered(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state(address).answeredAt = time.Now()
+}
+
+// Failed records that a connection to a target broke or could not be opened, which starts a probe.
+func (p *Prober) Failed(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state(address).suspect = true
+}
+
+// Run keeps the state until ctx ends.
+func (p *Prober) Run(ctx context.Context) {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		p.check(ctx, time.Now())
+	}
+}
+
+// check starts the probes that are due, and ends the attempts that wait in vain.
+func (p *Prober) check(ctx context.Context, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.waiting) == 0 && len(p.targets) == 0 {
+		return
+	}
+	for a := range p.waiting {
+		s := p.state(a.address)
+		if now.Sub(a.at) < silence || now.Sub(s.answeredAt) < silence {
+			continue
+		}
+		if s.suspect = true; s.down && a.end != nil {
+			a.end()
+			delete(p.waiting, a)
+		}
+	}
+	for _, address := range slices.Sorted(maps.Keys(p.targets)) {
+		if s := p.targets[address]; s.due(now) {
+			p.probe(ctx, address, s)
+		}
+	}
+}
+
+// due reports whether the target is to be probed now.
+func (s *state) due(now time.Time) bool {
+	age := now.Sub(s.probedAt)
+	return !s.probing && (s.down && age >= returnInterval || s.suspect && !s.down && age >= probePause)
+}
+
+// probe opens a connection to a target in the background, unless too many probes run. The caller must hold mu.
+func (p *Prober) probe(ctx context.Context, address string, s *state) {
+	if p.probing >= maximumProbes {
+		return
+	}
+	p.probing++
+	s.probing, s.suspect, s.probedAt = true, false, time.Now()
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		reached := p.Connect(ctx, address)
+		if p.finish(address, s, reached, ctx.Err() != nil && !reached) {
+			p.OnChange()
+		}
+	}()
+}
+
+// finish applies the result of a probe and reports whether the target's state has changed.
+func (p *Prober) finish(address string, s *state, reached, timedOut bool) (changed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.probing--
+	s.probing = false
+	if s.down == !reached {
+		return false
+	}
+	s.down = !reached
+	p.Logger.Info("connection to target", zap.String("Address", address), zap.Bool("Reachable", reached), zap.Bool("TimedOut", timedOut))
+	if s.down {
+		p.suspectOthers(time.Now())
+	}
+	return true
+}
+
+// suspectOthers lets other targets be probed once one cannot be reached: a few, and all once several of them cannot. The caller
+// must hold mu.
+func (p *Prober) suspectOthers(now time.Time) {
+	addresses := p.Addresses()
+	down := 0
+	for _, a := range addresses {
+		if p.state(a).down {
+			down++
+		}
+	}
+	limit := spread
+	if down > spread {
+		limit = len(addresses)
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	for _, a := range addresses {
+		s := p.state(a)
+		if limit <= 0 {
+			return
+		}
+		if !s.down && !s.probing && now.Sub(s.probedAt) >= probePause {
+			s.suspect = true
+			limit--
+		}
+	}
+}
+
+// Retain forgets all targets but those at the given addresses.
+func (p *Prober) Retain(addresses []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.targets, func(address string, s *state) bool { return !slices.Contains(addresses, address) && !s.probing })
+}
--- a/internal/tracer/trace.go
+++ b/internal/tracer/trace.go
@@ -111,6 +111,8 @@
 	"TargetsFull":          "the targets refused it; it did not run",
 	"AnswerTargetFull":     "the targets for answers refused it; it did not run",
 	"PromptTargetsFailed":  "no target prefilled its prompt",
+	"PeersRefused":         "targets could not be reached and the peers that were asked refused it; it did not run",
+	"PeerFailed":           "it was passed to a peer and the connection to it broke; it may have run",
 	"StreamUnknown":        "no instance that answered knew at which build the stream began; it did not run",
 	"BuildAbsent":          "no target of the build that began the stream was listed; it did not run",
 	"StreamOfOtherService": "the route no longer leads to the service that began the stream; it did not run",
