Probes of other targets follow a sample

All are probed only if most of a sample of three a finding are down; targets that are down are probed again beside fewer others. TestLossOfAZoneProbesFewTargets (720 targets) failed before.

--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -21,12 +21,16 @@
 	checkInterval = 100 * time.Millisecond
 	// returnInterval is the time between probes of a target that cannot be reached.
 	returnInterval = 400 * time.Millisecond
-	// spread is the number of other targets that are probed once a target cannot be reached, and all if these cannot either.
-	spread = 3
+	// spread is the number of other targets that are probed once a target cannot be reached, and all if most of these, over
+	// recentTime, cannot either.
+	spread     = 3
+	recentTime = 2 * time.Second
 	// probePause is the least time between two probes of a target that can be reached.
 	probePause = time.Second
-	// maximumProbes limits the probes that run at once.
-	maximumProbes = 16
+	// maximumProbes limits the probes that run at once, and maximumReturnProbes those beside which targets that are down are
+	// probed again.
+	maximumProbes       = 128
+	maximumReturnProbes = 32
 )
 
 // Prober knows which targets cannot be reached from here. A target counts as reachable until a connection to it could not be
@@ -55,8 +59,9 @@
 	probing    bool
 	probedAt   time.Time
 	answeredAt time.Time
-	// suspect is set if the target has failed and is to be probed.
+	// suspect is set if the target has failed and is to be probed, sample if it was chosen because another one has.
 	suspect bool
+	sample  bool
 }
 
 // attempt waits for an answer of a target.
@@ -150,22 +155,21 @@
 			delete(p.waiting, a)
 		}
 	}
-	for _, address := range slices.Sorted(maps.Keys(p.targets)) {
-		if s := p.targets[address]; s.due(now) {
-			p.probe(ctx, address, s)
+	for address, s := range p.targets {
+		if !s.probing && !s.down && s.suspect && now.Sub(s.probedAt) >= probePause {
+			p.probe(ctx, address, s, maximumProbes)
+		}
+	}
+	for address, s := range p.targets {
+		if !s.probing && s.down && now.Sub(s.probedAt) >= returnInterval {
+			p.probe(ctx, address, s, maximumReturnProbes)
 		}
 	}
 }
 
-// due reports whether the target is to be probed now.
-func (s *state) due(now time.Time) bool {
-	age := now.Sub(s.probedAt)
-	return !s.probing && (s.down && age >= returnInterval || s.suspect && !s.down && age >= probePause)
-}
-
-// probe opens a connection to a target in the background, unless too many probes run. The caller must hold mu.
-func (p *Prober) probe(ctx context.Context, address string, s *state) {
-	if p.probing >= maximumProbes {
+// probe opens a connection to a target in the background, unless the given number of probes run. The caller must hold mu.
+func (p *Prober) probe(ctx context.Context, address string, s *state, most int) {
+	if p.probing >= most {
 		return
 	}
 	p.probing++
@@ -197,18 +201,22 @@
 	return true
 }
 
-// suspectOthers lets other targets be probed once one cannot be reached: a few, and all once several of them cannot. The caller
+// suspectOthers lets other targets be probed once one cannot be reached: a few, and all once most of them cannot. The caller
 // must hold mu.
 func (p *Prober) suspectOthers(now time.Time) {
 	addresses := p.Addresses()
-	down := 0
+	down, up := 0, 0
 	for _, a := range addresses {
-		if p.state(a).down {
+		switch s := p.state(a); {
+		case !s.sample || s.probing || now.Sub(s.probedAt) >= recentTime:
+		case s.down:
 			down++
+		default:
+			up++
 		}
 	}
 	limit := spread
-	if down > spread {
+	if down > max(up, spread) {
 		limit = len(addresses)
 	}
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
@@ -218,7 +226,7 @@
 			return
 		}
 		if !s.down && !s.probing && now.Sub(s.probedAt) >= probePause {
-			s.suspect = true
+			s.suspect, s.sample = true, true
 			limit--
 		}
 	}
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -16,11 +16,13 @@
 
 // network has targets of which some accept no connection.
 type network struct {
-	mu      sync.Mutex
-	size    int
-	cut     func(address string) bool
-	dials   int
-	changes int
+	mu    sync.Mutex
+	size  int
+	cut   func(address string) bool
+	dials int
+	// toOthers counts the connections to targets that accept them.
+	toOthers int
+	changes  int
 }
 
 func (n *network) addresses() (list []string) {
@@ -34,6 +36,9 @@
 	n.mu.Lock()
 	n.dials++
 	cut := n.cut != nil && n.cut(address)
+	if !cut {
+		n.toOthers++
+	}
 	n.mu.Unlock()
 	if cut {
 		<-ctx.Done()
@@ -123,6 +128,28 @@
 	})
 }
 
+// TestLossOfAZoneProbesFewTargets guards against a large fleet that probes all its targets whenever a part of them is lost.
+func TestLossOfAZoneProbesFewTargets(t *testing.T) {
+	run(t, 720, func(t *testing.T, n *network, p *prober.Prober) {
+		inZone := func(a string) bool { return len(a) > 0 && (a[len(a)-1] == '7') }
+		n.set(inZone)
+		lost := 0
+		for _, a := range n.addresses() {
+			if inZone(a) {
+				p.Failed(a)
+				lost++
+			}
+		}
+		time.Sleep(2 * time.Second)
+		quicktest.Check(t, n.down(p), quicktest.Equals, lost)
+		quicktest.Check(t, n.toOthers < n.size-lost, quicktest.IsTrue, quicktest.Commentf("%d probes of other targets", n.toOthers))
+		n.set(everything)
+		p.Failed("target-0")
+		time.Sleep(2 * time.Second)
+		quicktest.Check(t, n.down(p) > 360, quicktest.IsTrue, quicktest.Commentf("%d of 720 are known", n.down(p)))
+	})
+}
+
 // TestPartialAndFlappingCuts guards against taking the loss of some targets for that of all, and against a state that stays behind
 // a cut that comes and goes.
 func TestPartialAndFlappingCuts(t *testing.T) {
