A holder of the duties that cannot reach targets lets its lease run out

It stops renewing now while a peer reaches targets that it does not. If all are cut off, or the targets of a service are gone, nothing changes: the commit before would have left the duties without an eligible instance then.

TestHolderThatCannotActIsReplaced failed before (MayHold is new: the holder stays); never two holders.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -209,7 +209,7 @@
 	bounds := c.bounds
 	c.elector = &elector.Elector{
 		Holder: c.self.ID + "/" + c.self.Incarnation, Log: c.platform.Duties, Lease: bounds.Lease, Logger: c.logger,
-		Now: bootTime, Eligible: c.eligible,
+		Now: bootTime, Eligible: c.eligible, MayHold: c.mayHoldDuties,
 	}
 	c.targetScaler = &scaler.Scaler{
 		DutyLease: c.elector, Platform: c.platform.Scaling, Table: c.table.Load,
--- a/internal/coordinator/gossip.go
+++ b/internal/coordinator/gossip.go
@@ -321,7 +321,7 @@
 // rank 0 may claim at once; the others wait longer with their rank and claim only if the ones before them do not. One that cannot
 // reach targets cannot order them.
 func (c *Coordinator) eligible(expiredFor time.Duration) bool {
-	return !c.leaving.Load() && !c.cutOff() && c.table.Load() != nil && expiredFor >= time.Duration(c.rank())*claimDelay
+	return !c.leaving.Load() && c.mayHoldDuties() && c.table.Load() != nil && expiredFor >= time.Duration(c.rank())*claimDelay
 }
 
 // medianTime returns the median wall clock time of all instances, so that a few wrong clocks have no effect.
--- a/internal/coordinator/reach.go
+++ b/internal/coordinator/reach.go
@@ -50,9 +50,19 @@
 	return nil
 }
 
-// cutOff reports whether this instance cannot serve some service.
-func (c *Coordinator) cutOff() bool {
-	return slices.ContainsFunc(c.unreachableServices(), func(u *gossiper.Unreachable) bool { return u.CutOff })
+// mayHoldDuties reports whether this instance can order targets as well as its peers can: it is cut off from no service, or all
+// peers are from some.
+func (c *Coordinator) mayHoldDuties() bool {
+	if !cutOffFromAny(c.unreachableServices()) {
+		return true
+	}
+	return !slices.ContainsFunc(c.peers.Alive(time.Now()), func(p gossiper.Peer) bool {
+		return p.Ready && !p.Leaving && !cutOffFromAny(p.Unreachable)
+	})
+}
+
+func cutOffFromAny(list []*gossiper.Unreachable) bool {
+	return slices.ContainsFunc(list, func(u *gossiper.Unreachable) bool { return u.CutOff })
 }
 
 // targetAddresses returns the addresses of all targets that are not leaving.
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -83,6 +83,8 @@
 	Logger *zap.Logger
 	// Now is a monotonic clock that keeps running while the machine is suspended.
 	Now func() time.Duration
+	// MayHold reports whether this instance can do the duties; while it cannot, it does not renew its lease. nil means that it can.
+	MayHold func() bool
 	// Eligible reports whether this instance may claim a lease that has been expired for the given time.
 	Eligible func(expiredFor time.Duration) bool
 
@@ -242,6 +244,7 @@
 	fence, stale, logRead := e.fence, e.peerNext > e.fold.Next, e.logRead
 	e.mu.Unlock()
 	switch {
+	case err == nil && e.MayHold != nil && !e.MayHold(): // The lease runs out, and another instance claims it.
 	case err == nil && remaining < e.Lease-e.Lease/renewalsPerLease:
 		e.renew(ctx, fence)
 	case err == nil: // The lease is held, and its renewal is not due yet.
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -327,6 +328,42 @@
 	quicktest.Check(t, found > 0, quicktest.IsTrue)
 }
 
+// TestHolderThatCannotActIsReplaced guards against duties that are not done because their holder reaches the store but no target.
+func TestHolderThatCannotActIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &log{rng: rand.New(rand.NewPCG(1, 1)), disconnected: map[string]bool{}}
+		start := time.Now()
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		var cutOff atomic.Bool
+		var electors []*elector.Elector
+		for i := range 2 {
+			name := fmt.Sprint("entry-", i)
+			e := &elector.Elector{
+				Holder: name, Log: view{l, name, new(identifier.Era)}, Lease: lease, Logger: zap.NewNop(),
+				Now:     func() time.Duration { return time.Since(start) + time.Minute },
+				MayHold: func() bool { return i != 0 || !cutOff.Load() },
+				Eligible: func(expiredFor time.Duration) bool {
+					return (i != 0 || !cutOff.Load()) && expiredFor > time.Duration(i)*700*time.Millisecond && time.Since(start) > time.Duration(i)*time.Second
+				},
+			}
+			electors = append(electors, e)
+			group.Go(func() { e.Run(ctx) })
+		}
+		holds := func(i int) bool { _, err := electors[i].Authority(); return err == nil }
+		time.Sleep(5 * time.Second)
+		quicktest.Check(t, fmt.Sprint(holds(0), holds(1)), quicktest.Equals, "true false")
+		cutOff.Store(true)
+		for range 100 {
+			time.Sleep(60 * time.Millisecond)
+			quicktest.Check(t, holds(0) && holds(1), quicktest.IsFalse)
+		}
+		quicktest.Check(t, fmt.Sprint(holds(0), holds(1)), quicktest.Equals, "false true")
+		cancel()
+		group.Wait()
+	})
+}
+
 func TestFirstFiguresStand(t *testing.T) {
 	f := &elector.Fold{}
 	add := func(d *elector.Duty) {
