Whoever goes on with a stream asks those that hold its pin

The holders are now the first five of all instances, and an answer of another one is not taken alone.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -233,7 +233,7 @@
 	c.targetStates.SharedPartsOnly = c.peers.UsesHubs
 	c.quarantine.Logger, c.quarantine.Gone = c.logger, c.targetGone
 	c.wireProber()
-	c.pins = &pinner.Pinner{Peers: c.pinPeers, Network: &c.datagrams, Logger: c.logger}
+	c.pins = &pinner.Pinner{Self: c.self.ID, Peers: c.pinPeers, Network: &c.datagrams, Logger: c.logger}
 	c.retryBudget = &retrier.WindowedBudget{
 		Share: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow,
 		MemberCount: c.memberCount,
--- a/internal/pinner/pinner.go
+++ b/internal/pinner/pinner.go
@@ -3,11 +3,10 @@
 import (
 	"cmp"
 	"context"
+	"encoding/binary"
 	"errors"
 	"math/rand/v2"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -19,9 +18,9 @@
 )
 
 const (
-	// copies is the number of peers that are told where a stream began. Any one of them, or the instance that began the
-	// stream, is enough to go on with it.
-	copies = 4
+	// copies is the number of instances that hold a pin, beside the one that began the stream. Any one of them is enough to go on
+	// with it.
+	copies = 5
 	// asked is the number of peers that are asked where a stream began. It exceeds copies because instances may see
 	// different peers.
 	asked = 8
@@ -48,7 +47,9 @@
 // Pinner remembers where streams began. Each pin is held by the instance that began the stream and by the peers that
 // rendezvous hashing chooses, so that any instance finds it without knowing which one that was. Exported fields must be set.
 type Pinner struct {
-	// Peers returns the live peers.
+	// Self is this instance's ID.
+	Self string
+	// Peers returns the live peers. The list may be modified.
 	Peers   func() []Peer
 	Network Network
 	Logger  *zap.Logger
@@ -70,54 +71,60 @@
 // announceTimeout. It reports whether a peer has.
 func (p *Pinner) Announce(ctx context.Context, k Key, pin Pin) bool {
 	p.memory.store(k, pin, false, time.Now())
-	peers := slices.DeleteFunc(slices.Clone(p.Peers()), func(peer Peer) bool { return peer.Leaving })
+	peers := slices.DeleteFunc(p.Peers(), func(peer Peer) bool { return peer.Leaving })
+	to, _ := p.holders(k, peers)
 	confirmed := false
-	p.exchange(ctx, holders(k, peers, copies), announceTimeout,
+	p.exchange(ctx, to, announceTimeout,
 		&Datagram{Kind: Kind_Announcement, Stream: uint64(k), Service: string(pin.Service), Build: string(pin.Build)},
-		func(*Datagram) bool { confirmed = true; return true })
+		func(reply) bool { confirmed = true; return true })
 	return confirmed
 }
 
 // Find returns where a stream began. It returns ErrUnknown if neither this instance nor a peer that answers in time knows.
 func (p *Pinner) Find(ctx context.Context, k Key) (Pin, error) {
-	pin, err := p.memory.find(k, time.Now())
-	if err == nil || errors.Is(err, ErrAmbiguous) {
+	peers := p.Peers()
+	held, own := p.holders(k, peers)
+	if pin, err := p.memory.find(k, time.Now()); own && !errors.Is(err, ErrUnknown) {
 		return pin, err
 	}
-	p.exchange(ctx, holders(k, p.Peers(), asked), findTimeout, &Datagram{Kind: Kind_Question, Stream: uint64(k)}, func(d *Datagram) bool {
-		if d.Service == "" {
+	p.exchange(ctx, first(k, peers, asked), findTimeout, &Datagram{Kind: Kind_Question, Stream: uint64(k)}, func(r reply) bool {
+		if r.Service == "" {
 			return false
 		}
-		p.memory.store(k, Pin{identifier.ServiceID(d.Service), identifier.Build(d.Build)}, d.Ambiguous, time.Now())
-		return true
+		p.memory.store(k, Pin{identifier.ServiceID(r.Service), identifier.Build(r.Build)}, r.Ambiguous, time.Now())
+		// An instance that began the stream may not know of another one with the same ID.
+		return slices.ContainsFunc(held, func(peer Peer) bool { return peer.Address == r.from })
 	})
 	return p.memory.find(k, time.Now())
 }
 
-// holders returns the peers that hold the pin of a stream, the first ones in the order of rendezvous hashing.
-func holders(k Key, peers []Peer, n int) []Peer {
-	type ranked struct {
-		Peer
-		weight uint64
-	}
-	suffix := strconv.FormatUint(uint64(k), 16)
-	list := make([]ranked, 0, len(peers))
+// holders returns the peers that hold the pin of a stream, and whether this instance does.
+func (p *Pinner) holders(k Key, peers []Peer) (held []Peer, own bool) {
+	held = first(k, append(peers[:len(peers):len(peers)], Peer{ID: p.Self}), copies)
+	others := slices.DeleteFunc(held, func(peer Peer) bool { return peer.ID == p.Self })
+	return others, len(others) < len(held)
+}
+
+// first returns the first n instances in the order of rendezvous hashing.
+func first(k Key, peers []Peer, n int) []Peer {
+	chosen, weights := make([]Peer, 0, n+1), make([]uint64, 0, n+1)
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[8:], uint64(k))
 	for _, peer := range peers {
-		list = append(list, ranked{peer, xxhash.Sum64String(peer.ID + "/" + suffix)})
-	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), strings.Compare(a.ID, b.ID))
-	})
-	chosen := make([]Peer, 0, n)
-	for _, r := range list[:min(n, len(list))] {
-		chosen = append(chosen, r.Peer)
+		binary.LittleEndian.PutUint64(b[:8], xxhash.Sum64String(peer.ID))
+		weight := xxhash.Sum64(b[:])
+		at, _ := slices.BinarySearchFunc(weights, weight, func(a, b uint64) int { return cmp.Compare(b, a) })
+		if at < n {
+			chosen, weights = slices.Insert(chosen, at, peer), slices.Insert(weights, at, weight)
+			chosen, weights = chosen[:min(n, len(chosen))], weights[:min(n, len(weights))]
+		}
 	}
 	return chosen
 }
 
 // exchange sends a datagram to peers, again while they do not reply, until accept returns true, all have replied, or the
 // timeout passes.
-func (p *Pinner) exchange(ctx context.Context, peers []Peer, timeout time.Duration, d *Datagram, accept func(reply *Datagram) bool) {
+func (p *Pinner) exchange(ctx context.Context, peers []Peer, timeout time.Duration, d *Datagram, accept func(r reply) bool) {
 	if len(peers) == 0 {
 		return
 	}
@@ -137,7 +144,7 @@
 	for len(peers) > 0 {
 		select {
 		case r := <-replies:
-			if accept(r.Datagram) {
+			if accept(r) {
 				return
 			}
 			peers = slices.DeleteFunc(peers, func(peer Peer) bool { return peer.Address == r.from })
--- a/internal/pinner/pinner_test.go
+++ b/internal/pinner/pinner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,7 +36,7 @@
 	f := &fleet{loss: loss, r: rand.New(rand.NewPCG(1, 2))}
 	for i := range n {
 		m := &member{fleet: f, peer: pinner.Peer{ID: fmt.Sprintf("front-%d", i), Address: fmt.Sprint(i)}}
-		m.Pinner = &pinner.Pinner{Peers: m.others, Network: m, Logger: zap.NewNop()}
+		m.Pinner = &pinner.Pinner{Self: m.peer.ID, Peers: m.others, Network: m, Logger: zap.NewNop()}
 		f.members = append(f.members, m)
 	}
 	return f
@@ -185,3 +186,34 @@
 	s.Cover(at(-20))
 	quicktest.Check(t, s.Span(at(22)), quicktest.Equals, 42*time.Second)
 }
+
+// BenchmarkStream measures all that one stream costs in a fleet of 390 instances: the announcement, its four copies and their
+// confirmations. It reports the bytes of the datagrams.
+func BenchmarkStream(b *testing.B) {
+	f := newFleet(390, 0)
+	peers := f.members[0].others()
+	var sent int
+	for _, m := range f.members {
+		m.Pinner.Peers = func() []pinner.Peer { return slices.Clone(peers) }
+		m.Pinner.Network = directNetwork{m, &sent}
+	}
+	b.ResetTimer()
+	for i := range b.N {
+		f.members[0].Announce(context.Background(), pinner.Key(i), v1)
+	}
+	b.ReportMetric(float64(sent)/float64(b.N), "bytes/stream")
+}
+
+// directNetwork delivers datagrams at once.
+type directNetwork struct {
+	from *member
+	sent *int
+}
+
+func (n directNetwork) Send(address string, data []byte) error {
+	var to int
+	fmt.Sscan(address, &to)
+	*n.sent += len(data)
+	n.from.fleet.members[to].Receive(n.from.peer.Address, data)
+	return nil
+}
