--- a/internal/pinner/pinner.go
+++ b/internal/pinner/pinner.go
@@ -19,8 +19,10 @@
 
 const (
 	// copies is the number of instances that hold a pin, beside the one that began the stream. Any one of them is enough to go on
-	// with it.
-	copies = 5
+	// with it. copiesInLargeFleet replaces it from largeFleet peers on, of which fewer are lost at once.
+	copies             = 5
+	copiesInLargeFleet = 3
+	largeFleet         = 12
 	// asked is the number of peers that are asked where a stream began. It exceeds copies because instances may see
 	// different peers.
 	asked = 8
@@ -100,7 +102,11 @@
 
 // holders returns the peers that hold the pin of a stream, and whether this instance does.
 func (p *Pinner) holders(k Key, peers []Peer) (held []Peer, own bool) {
-	held = first(k, append(peers[:len(peers):len(peers)], Peer{ID: p.Self}), copies)
+	n := copies
+	if len(peers) >= largeFleet {
+		n = copiesInLargeFleet
+	}
+	held = first(k, append(peers[:len(peers):len(peers)], Peer{ID: p.Self}), n)
 	others := slices.DeleteFunc(held, func(peer Peer) bool { return peer.ID == p.Self })
 	return others, len(others) < len(held)
 }
