--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -68,9 +68,10 @@
 	Duties        elector.Log
 	Backend       forwarder.Backend
 	Handover      forwarder.Handover
-	// ConnectTarget reports whether the target at an address accepts a connection.
-	ConnectTarget func(ctx context.Context, address string) bool
-	OrderSender   scaler.OrderSender
+	// ProbeTarget reports whether the target at an address accepts a connection, and whether one could be tried: no more may be
+	// open than the given number, where zero means no limit.
+	ProbeTarget func(ctx context.Context, address string, limit int) (reached, tried bool)
+	OrderSender scaler.OrderSender
 	// Gate stops requests to targets that leave or want none.
 	Gate  *gatekeeper.Gatekeeper
 	Store StoreEra
--- a/internal/coordinator/reach.go
+++ b/internal/coordinator/reach.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -17,7 +18,7 @@
 // wireProber watches which targets cannot be reached from here. Peers are told as soon as that changes which services this
 // instance can serve.
 func (c *Coordinator) wireProber() {
-	c.prober.Logger, c.prober.Connect = c.logger, c.platform.ConnectTarget
+	c.prober.Logger, c.prober.Connect = c.logger, c.probeTarget
 	c.prober.Addresses = c.targetAddresses
 	c.prober.OnChange = c.updateReach
 }
@@ -50,8 +51,7 @@
 	return nil
 }
 
-// mayHoldDuties reports whether this instance can order targets as well as its peers can: it is cut off from no service, or all
-// peers are from some.
+// mayHoldDuties reports whether this instance can do the duties as well as its peers can: it is cut off from no service, or all peers are from some.
 func (c *Coordinator) mayHoldDuties() bool {
 	if !cutOffFromAny(c.unreachableServices()) {
 		return true
@@ -65,6 +65,17 @@
 	return slices.ContainsFunc(list, func(u *gossiper.Unreachable) bool { return u.CutOff })
 }
 
+// probeTarget opens a connection to a target within this instance's share of the target's connections.
+func (c *Coordinator) probeTarget(ctx context.Context, address string) (reached, tried bool) {
+	limit := 0
+	for _, t := range c.registry.Targets() {
+		if t.Address == address {
+			limit = c.forward.ConnectionShare(t.Service)
+		}
+	}
+	return c.platform.ProbeTarget(ctx, address, limit)
+}
+
 // targetAddresses returns the addresses of all targets that are not leaving.
 func (c *Coordinator) targetAddresses() []string {
 	var list []string
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -266,17 +266,21 @@
 	}
 	return &Attempt{
 		Target: t, Team: rs.teamID(), Remaining: time.Until(rs.deadline), EffectivePriority: matcher.EffectivePriority(rs.route, rs.team),
-		Source: source, LastEvent: lastEvent, MaximumIdle: maximumIdle, Connections: rs.connectionShare(),
+		Source: source, LastEvent: lastEvent, MaximumIdle: maximumIdle, Connections: rs.f.ConnectionShare(rs.service),
 	}
 }
 
-// connectionShare returns this instance's share of a target's connection limit; zero means no limit.
-func (rs *requestState) connectionShare() int {
-	s := rs.f.Table().Service(rs.service)
+// ConnectionShare returns this instance's share of the connection limit of a service's targets; zero means no limit.
+func (f *Forwarder) ConnectionShare(service identifier.ServiceID) int {
+	t := f.Table()
+	if t == nil {
+		return 0
+	}
+	s := t.Service(service)
 	if s == nil || s.ConnectionLimit <= 0 {
 		return 0
 	}
-	n := rs.f.Instances()
+	n := f.Instances()
 	if n == 0 {
 		return minimumConnections
 	}
--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -96,6 +96,16 @@
 	return true
 }
 
+// Probe is Reachable within a limit of open connections to addr, where zero means no limit. It tries nothing if the limit is
+// reached.
+func (p *Pool) Probe(ctx context.Context, addr string, limit int) (reached, tried bool) {
+	if !p.reserve(addr, limit) {
+		return false, false
+	}
+	defer p.release(addr)
+	return p.Reachable(ctx, addr), true
+}
+
 func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	// Keep-alive probes every second detect a peer that went silent while the connection was idle.
 	d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -38,8 +38,8 @@
 type Prober struct {
 	// Addresses returns the addresses of all targets that should be reachable.
 	Addresses func() []string
-	// Connect reports whether a target accepts a connection.
-	Connect func(ctx context.Context, address string) bool
+	// Connect reports whether a target accepts a connection, and whether one could be tried.
+	Connect func(ctx context.Context, address string) (reached, tried bool)
 	// OnChange is called after a target has become unreachable or reachable.
 	OnChange func()
 	Logger   *zap.Logger
@@ -177,24 +177,24 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
-		reached := p.Connect(ctx, address)
-		if p.finish(address, s, reached, ctx.Err() != nil && !reached) {
+		reached, tried := p.Connect(ctx, address)
+		if p.finish(address, s, reached, tried) {
 			p.OnChange()
 		}
 	}()
 }
 
 // finish applies the result of a probe and reports whether the target's state has changed.
-func (p *Prober) finish(address string, s *state, reached, timedOut bool) (changed bool) {
+func (p *Prober) finish(address string, s *state, reached, tried bool) (changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.probing--
 	s.probing = false
-	if s.down == !reached {
+	if !tried || s.down == !reached {
 		return false
 	}
 	s.down = !reached
-	p.Logger.Info("connection to target", zap.String("Address", address), zap.Bool("Reachable", reached), zap.Bool("TimedOut", timedOut))
+	p.Logger.Info("connection to target", zap.String("Address", address), zap.Bool("Reachable", reached))
 	if s.down {
 		p.suspectOthers(time.Now())
 	}
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -32,7 +32,7 @@
 	return list
 }
 
-func (n *network) connect(ctx context.Context, address string) bool {
+func (n *network) connect(ctx context.Context, address string) (reached, tried bool) {
 	n.mu.Lock()
 	n.dials++
 	cut := n.cut != nil && n.cut(address)
@@ -42,10 +42,10 @@
 	n.mu.Unlock()
 	if cut {
 		<-ctx.Done()
-		return false
+		return false, true
 	}
 	time.Sleep(3 * time.Millisecond)
-	return true
+	return true, true
 }
 
 func (n *network) set(cut func(address string) bool) {
