An isolated holder leaves the duties to its peers

It neither renews its lease nor reports for three leases now, in which others claim the duties; if nobody does, it is alone and goes on.

TestIsolatedHolderYields; the tests of partitions and of the store's return pass.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -124,6 +124,7 @@
 	windowReporter  *reporter.WindowReporter
 	forward         *forwarder.Forwarder
 	quarantine      quarantiner.Quarantine
+	isolation       Isolation
 	pins            *pinner.Pinner
 	datagrams       datagrams
 	sightings       pinner.Sightings
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -54,3 +54,22 @@
 	}
 	quicktest.Check(t, coordinator.Reader{}.CopyAge() < coordinator.MaximumCopyAge(false, 0), quicktest.IsTrue, quicktest.Commentf("the only instance"))
 }
+
+// TestIsolatedHolderYields guards against usage windows that are reported by an instance that hears none of its peers, with figures that
+// lack theirs and that nobody else knows, and against duties that nobody does once all others are gone.
+func TestIsolatedHolderYields(t *testing.T) {
+	const lease = 3 * time.Second
+	start := time.Now()
+	i := &coordinator.Isolation{}
+	for _, step := range []struct {
+		second   int
+		isolated bool
+		yields   bool
+	}{
+		{0, false, false}, {1, true, true}, {4, true, true}, {9, true, true}, {10, true, false}, {60, true, false},
+		{61, false, false}, {62, true, true}, {63, false, false}, {70, true, true}, {78, true, true}, {79, true, false},
+	} {
+		got := i.Yields(step.isolated, lease, start.Add(time.Duration(step.second)*time.Second))
+		quicktest.Check(t, got, quicktest.Equals, step.yields, quicktest.Commentf("second %d", step.second))
+	}
+}
--- a/internal/coordinator/gossip.go
+++ b/internal/coordinator/gossip.go
@@ -298,7 +298,7 @@
 		}
 		possible = possible || mayHold
 	}
-	return !possible
+	return !possible && !c.yieldsDuties()
 }
 
 // isStronger reports whether a member comes before this instance, by descending capacity, then by ID.
--- a/internal/coordinator/reach.go
+++ b/internal/coordinator/reach.go
@@ -51,8 +51,12 @@
 	return nil
 }
 
-// mayHoldDuties reports whether this instance can do the duties as well as its peers can: it is cut off from no service, or all peers are from some.
+// mayHoldDuties reports whether this instance can do the duties as well as its peers can: it hears them, or they have not claimed the
+// duties, and it is cut off from no service, or all peers are from some.
 func (c *Coordinator) mayHoldDuties() bool {
+	if c.yieldsDuties() {
+		return false
+	}
 	if !cutOffFromAny(c.unreachableServices()) {
 		return true
 	}
