Attempts that hang at the start of a cut end

Read in the diff: attempts sent before a cut was known could not be ended, since peers were looked up when they were sent. They are asked when an attempt is to be ended. TestInstancesCutOffFromTargetsGoOnServing passes; make race covers the new packages (clean).

--- a/internal/coordinator/reach.go
+++ b/internal/coordinator/reach.go
@@ -146,7 +146,9 @@
 // given number is known to be unreachable. Those that reach most come first, then those of this availability zone, in random order.
 func (c *Coordinator) reachingPeers(service identifier.ServiceID, unreachable int) []string {
 	own, _ := unreachableTargets(c.unreachableServices(), service)
-	own = max(own, unreachable)
+	if own = max(own, unreachable); own == 0 {
+		return nil
+	}
 	type candidate struct {
 		address string
 		down    int
--- a/internal/forwarder/handover.go
+++ b/internal/forwarder/handover.go
@@ -26,8 +26,8 @@
 // Reach knows which targets cannot be reached from this instance.
 type Reach interface {
 	Down(address string) bool
-	// Begin records an attempt that waits for a target until done is called. end, which may be nil, is called if the target turns
-	// out to be unreachable.
+	// Begin records an attempt that waits for a target until done is called. end, which may be nil, is called while the target is
+	// down and silent.
 	Begin(address string, end func()) (done func())
 	Answered(address string)
 	Failed(address string)
@@ -48,15 +48,20 @@
 	MaximumIdle time.Duration
 }
 
-// await records that an attempt waits for a target until done is called. If the attempt may be repeated and a peer may then serve
-// the request, the returned context ends once the target turns out to be unreachable.
+// await records that an attempt waits for a target until done is called. If the attempt may be repeated, the returned context ends
+// once the target turns out to be unreachable from here while peers reach more targets.
 func (rs *requestState) await(ctx context.Context, t *registrar.Target, mayRepeat bool) (_ context.Context, done func()) {
-	if !mayRepeat || !rs.mayHandOver() {
+	if !mayRepeat || rs.call.HandedOver {
 		return ctx, rs.f.Reach.Begin(t.Address, nil)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	end := rs.f.Reach.Begin(t.Address, cancel)
-	return ctx, func() { end(); cancel() }
+	f, service := rs.f, rs.service
+	stop := f.Reach.Begin(t.Address, func() {
+		if len(f.Peers(service, 0)) > 0 {
+			cancel()
+		}
+	})
+	return ctx, func() { stop(); cancel() }
 }
 
 // observe tells what the outcome of an attempt says about the connection to a target.
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -68,7 +68,7 @@
 type attempt struct {
 	address string
 	at      time.Time
-	// end ends the attempt; nil if it must not be ended.
+	// end is called while the target is down and silent; it may be nil.
 	end func()
 }
 
@@ -93,8 +93,8 @@
 	return s != nil && s.down
 }
 
-// Begin records an attempt that waits for a target until done is called. end, which may be nil, is called if the target turns
-// out to be unreachable.
+// Begin records an attempt that waits for a target until done is called. end, which may be nil, is called, more than once, while the
+// target is down and silent. It must not call the Prober.
 func (p *Prober) Begin(address string, end func()) (done func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -138,7 +138,7 @@
 	}
 }
 
-// check starts the probes that are due, and ends the attempts that wait in vain.
+// check starts the probes that are due, and calls the attempts that wait in vain.
 func (p *Prober) check(ctx context.Context, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -152,7 +152,6 @@
 		}
 		if s.suspect = true; s.down && a.end != nil {
 			a.end()
-			delete(p.waiting, a)
 		}
 	}
 	for address, s := range p.targets {
