Only a relayed event counts as the beginning of a stream

Read in the diff: after an answer of another instance without an event, a stream could have begun here unannounced and unpinned. The tests of streams pass.

--- a/internal/forwarder/handover.go
+++ b/internal/forwarder/handover.go
@@ -182,7 +182,7 @@
 	defer response.Body.Close()
 	rs.f.Metrics.Counter("HandedOver").Inc(1)
 	// The peer counts the request, and announces where its stream begins.
-	rs.started, rs.begun = true, true
+	rs.started = true
 	if s != nil && response.Status == http.StatusOK {
 		return s.relay(ctx, response, nil)
 	}
