Crashed targets are no cut, and prompts read twice count

Cause: peers that had not noticed the crashes yet seemed to reach more targets, and a prompt that was read here was read there again without a token of the retry budget. A peer must now reach at least half of the service's targets more, and prefills made before count there.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -73,3 +73,16 @@
 		quicktest.Check(t, got, quicktest.Equals, step.yields, quicktest.Commentf("second %d", step.second))
 	}
 }
+
+// TestCrashedTargetsAreNoCut guards against requests that are passed to peers which have not noticed yet that the targets have crashed.
+func TestCrashedTargetsAreNoCut(t *testing.T) {
+	for _, tc := range []struct {
+		own, peer, listed int
+		more              bool
+	}{
+		{12, 0, 12, true}, {12, 3, 13, true}, {25, 0, 28, true}, {2, 0, 4, true}, {1, 0, 1, true},
+		{3, 0, 12, false}, {5, 2, 13, false}, {5, 5, 13, false}, {12, 12, 12, false}, {0, 0, 12, false}, {0, 5, 12, false},
+	} {
+		quicktest.Check(t, coordinator.ReachesMore(tc.own, tc.peer, tc.listed), quicktest.Equals, tc.more, quicktest.Commentf("%+v", tc))
+	}
+}
--- a/internal/coordinator/reach.go
+++ b/internal/coordinator/reach.go
@@ -142,13 +142,14 @@
 	return 0, false
 }
 
-// reachingPeers returns the addresses of ready peers that reach more targets of a service than this instance, of which the
-// given number is known to be unreachable. Those that reach most come first, then those of this availability zone, in random order.
+// reachingPeers returns the addresses of ready peers that reach at least half of the targets of a service more than this instance, of
+// which the given number is known to be unreachable. Those that reach most come first, then those of this availability zone, in random order.
 func (c *Coordinator) reachingPeers(service identifier.ServiceID, unreachable int) []string {
 	own, _ := unreachableTargets(c.unreachableServices(), service)
 	if own = max(own, unreachable); own == 0 {
 		return nil
 	}
+	listed := len(c.registry.NotLeaving(service))
 	type candidate struct {
 		address string
 		down    int
@@ -157,7 +158,7 @@
 	var list []candidate
 	for _, p := range c.peers.Alive(time.Now()) {
 		down, cutOff := unreachableTargets(p.Unreachable, service)
-		if p.Member.RelayAddress == "" || !p.Ready || p.Leaving || cutOff || down >= own {
+		if p.Member.RelayAddress == "" || !p.Ready || p.Leaving || cutOff || !ReachesMore(own, down, listed) {
 			continue
 		}
 		list = append(list, candidate{p.Member.RelayAddress, down, p.Member.Zone != c.self.Zone})
@@ -173,6 +174,12 @@
 	return addresses
 }
 
+// ReachesMore reports whether a peer that cannot reach some of a service's listed targets reaches so many more than this instance that
+// it should get its requests. Instances learn at different times that a few targets have crashed, which is no reason.
+func ReachesMore(ownDown, peerDown, listed int) bool {
+	return ownDown-peerDown >= max(1, (listed+1)/2)
+}
+
 func btoi(b bool) int {
 	if b {
 		return 1
--- a/internal/forwarder/backend.go
+++ b/internal/forwarder/backend.go
@@ -44,10 +44,11 @@
 	// names none.
 	Origin identifier.RequestID
 	// HandedOver is set if a peer has passed the call on. It has then counted the request if Counted is set, and made
-	// AttemptsBefore attempts.
+	// AttemptsBefore attempts and PrefillsBefore prefills.
 	HandedOver     bool
 	Counted        bool
 	AttemptsBefore int
+	PrefillsBefore int
 	// Cache is the KV cache of the prompt if the peer has had it computed.
 	Cache *KVHandle
 	// Parts are the parts of the prompt; AnswerTokens is the maximum number of tokens to generate.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -156,7 +156,7 @@
 
 // Serve handles a call and writes the answer to w.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, call *Call) {
-	rs := &requestState{f: f, w: w, call: call, start: time.Now(), attempts: call.AttemptsBefore, unusedCache: call.Cache}
+	rs := &requestState{f: f, w: w, call: call, start: time.Now(), attempts: call.AttemptsBefore, prefills: call.PrefillsBefore, unusedCache: call.Cache}
 	refusal := rs.admit()
 	if refusal == nil {
 		var cancel context.CancelFunc
--- a/internal/forwarder/handover.go
+++ b/internal/forwarder/handover.go
@@ -156,7 +156,7 @@
 // handOverTo passes the request to one peer and relays its response.
 func (rs *requestState) handOverTo(ctx context.Context, address string, s *stream) error {
 	call := *rs.call
-	call.AttemptsBefore, call.Counted, call.Cache = rs.attempts, rs.started, rs.unusedCache
+	call.AttemptsBefore, call.PrefillsBefore, call.Counted, call.Cache = rs.attempts, rs.prefills, rs.started, rs.unusedCache
 	if s != nil {
 		call.LastEvent = s.lastEvent
 		if rs.headerSent && call.Origin == "" {
--- a/internal/forwarder/handover_test.go
+++ b/internal/forwarder/handover_test.go
@@ -119,6 +119,7 @@
 	quicktest.Check(t, w.Body.String(), quicktest.Equals, first+second)
 	quicktest.Check(t, p.received[0].Cache.ID, quicktest.Equals, "h", quicktest.Commentf("the prompt was prefilled"))
 	quicktest.Check(t, fmt.Sprint(b.prefillCalls, b.freed, counted), quicktest.Equals, "1 0 0")
+	quicktest.Check(t, p.received[0].PrefillsBefore, quicktest.Equals, 1, quicktest.Commentf("another one is taken from the retry budget"))
 	quicktest.Check(t, fmt.Sprint(p.received[0].Origin, p.received[0].LastEvent, p.received[0].Counted), quicktest.Equals, "false")
 
 	// It began here, broke off, and goes on at a peer, which breaks off too.
