Team quotas: limiter, configuration, settings, decision in the forwarder

Teams may have a quota over all instances (docs/LOAD.md, Part 1). One keeper for each team, chosen by rendezvous hashing, decides in a token bucket and tells two others what it admits; the other instances ask it by datagrams on the peers' port. The forwarder refuses with 429 QuotaExceeded or 503 QuotaUndecided and gives back what no target ran.

The limiter has no tests yet.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 GOTOOL = go tool -modfile=tools/go.mod
-PROTOS = internal/recorder/recorder.proto internal/messenger/messenger.proto internal/gossiper/gossip.proto internal/elector/duty.proto internal/pinner/pin.proto
+PROTOS = internal/recorder/recorder.proto internal/messenger/messenger.proto internal/gossiper/gossip.proto internal/elector/duty.proto internal/pinner/pin.proto internal/ratelimiter/quota.proto
 GO_FILES = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
 .PHONY: build test lint demo soak fault-soak failures measure bench capacity fuzz race proto
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -34,6 +34,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/pinner"
 	"github.com/coltsfootscale/coltsfootscale/internal/prober"
 	"github.com/coltsfootscale/coltsfootscale/internal/quarantiner"
+	"github.com/coltsfootscale/coltsfootscale/internal/ratelimiter"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
 	"github.com/coltsfootscale/coltsfootscale/internal/replicator"
 	"github.com/coltsfootscale/coltsfootscale/internal/reporter"
@@ -126,6 +127,7 @@
 	quarantine      quarantiner.Quarantine
 	isolation       Isolation
 	pins            *pinner.Pinner
+	quotas          *ratelimiter.Limiter
 	datagrams       datagrams
 	sightings       pinner.Sightings
 	prober          prober.Prober
@@ -236,6 +238,7 @@
 	c.quarantine.Logger, c.quarantine.Gone = c.logger, c.targetGone
 	c.wireProber()
 	c.pins = &pinner.Pinner{Self: c.self.ID, Peers: c.pinPeers, Network: &c.datagrams, Logger: c.logger}
+	c.quotas = c.newQuotas()
 	c.retryBudget = &retrier.WindowedBudget{
 		Share: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow,
 		MemberCount: c.memberCount,
@@ -246,7 +249,7 @@
 		TargetStates: &c.targetStates, Chooser: &chooser.Chooser{Policy: c.settings.Load().Routing.Policy}, MaximumJitter: c.jitter,
 		Backend: c.platform.Backend, Budget: c.retryBudget, Quarantine: &gossipedQuarantine{&c.quarantine, c.peers},
 		Pins: c.pins, SoleBuild: c.soleBuild, Reach: &c.prober, Handover: c.platform.Handover, Peers: c.reachingPeers,
-		CountRequest: c.countRequest, RecordDemand: c.demand.Add, Logger: c.logger, Metrics: c.metrics,
+		CountRequest: c.countRequest, Quotas: c.quotas, RecordDemand: c.demand.Add, Logger: c.logger, Metrics: c.metrics,
 	}
 }
 
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -78,7 +78,8 @@
 		targets.Run,
 		c.newFollower(streamMembers, c.platform.Members, &c.members, c.memberCopyAge).Run,
 		func(ctx context.Context) { peerServer.Serve(ctx, peerLis) },
-		func(ctx context.Context) { c.datagrams.receive(ctx, c.pins.Receive, c.logger) },
+		func(ctx context.Context) { c.datagrams.receive(ctx, c.receiveDatagram, c.logger) },
+		c.quotas.Run,
 	} {
 		group.Go(func() { task(background) })
 	}
--- a/internal/forwarder/backend.go
+++ b/internal/forwarder/backend.go
@@ -54,6 +54,9 @@
 	// Parts are the parts of the prompt; AnswerTokens is the maximum number of tokens to generate.
 	Parts        []chooser.Part
 	AnswerTokens identifier.Tokens
+	// Tokens is the number of prompt tokens and the maximum number of answer tokens that the client states, or nil if it states
+	// none.
+	Tokens *identifier.Tokens
 }
 
 // KVHandle identifies the KV cache of a prompt that one target keeps for another target to fetch.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
 	"github.com/coltsfootscale/coltsfootscale/internal/pinner"
 	"github.com/coltsfootscale/coltsfootscale/internal/quarantiner"
+	"github.com/coltsfootscale/coltsfootscale/internal/ratelimiter"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
@@ -96,8 +97,10 @@
 	RecordDemand func(service identifier.ServiceID, tokens identifier.Tokens, now time.Time)
 	// CountRequest counts a request that a target has started to run, or may have.
 	CountRequest func(team identifier.TeamID)
-	Logger       *zap.Logger
-	Metrics      tally.Scope
+	// Quotas is used for teams with a quota only.
+	Quotas  Quotas
+	Logger  *zap.Logger
+	Metrics tally.Scope
 
 	// reachability lets the requests that break at a target share one check of it.
 	reachability singleflight.Group
@@ -135,6 +138,8 @@
 	// headerSent is set once the response header has been sent to the client.
 	headerSent bool
 	logEntry   logEntry
+	// permit is set if the request was counted against the quota of its team.
+	permit *ratelimiter.Permit
 	// requestDigest is zero until it is needed.
 	requestDigest identifier.RequestDigest
 	// status is the status of the target's response.
@@ -162,9 +167,12 @@
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, rs.deadline)
 		defer cancel()
-		if rs.route.Kind == matcher.Stream {
+		refusal = rs.takeQuota(ctx)
+		switch {
+		case refusal != nil:
+		case rs.route.Kind == matcher.Stream:
 			refusal = rs.serveStream(ctx)
-		} else {
+		default:
 			refusal = rs.servePlain(ctx)
 		}
 	}
@@ -174,6 +182,7 @@
 // finish writes the refusal, if any, and logs the outcome.
 func (rs *requestState) finish(ctx context.Context, refusal *Refusal) {
 	rs.f.Metrics.Counter("Requests").Inc(1)
+	rs.returnQuota()
 	if refusal == nil {
 		rs.logServed()
 		return
--- a/internal/matcher/configuration.go
+++ b/internal/matcher/configuration.go
@@ -100,6 +100,8 @@
 	Keys []string
 	// Priority overrides the route's priority if set.
 	Priority *int
+	// Quota is nil if the team's requests are not limited.
+	Quota *Quota
 }
 
 // Configuration is one version of the published configuration.
--- a/internal/matcher/table.go
+++ b/internal/matcher/table.go
@@ -14,6 +14,7 @@
 	byHost   map[string][]*Route
 	services map[identifier.ServiceID]*Service
 	teams    map[string]*Team
+	quotas   map[identifier.TeamID]*Quota
 }
 
 // New returns a table of the configuration.
@@ -23,6 +24,7 @@
 		byHost:        map[string][]*Route{},
 		services:      map[identifier.ServiceID]*Service{},
 		teams:         map[string]*Team{},
+		quotas:        map[identifier.TeamID]*Quota{},
 	}
 	for i := range t.Routes {
 		r := &t.Routes[i]
@@ -36,6 +38,9 @@
 		t.services[t.Services[i].ID] = &t.Services[i]
 	}
 	for i := range t.Teams {
+		if q := t.Teams[i].Quota; q != nil {
+			t.quotas[t.Teams[i].ID] = q
+		}
 		for _, key := range t.Teams[i].Keys {
 			t.teams[key] = &t.Teams[i]
 		}
--- a/internal/parser/entry.go
+++ b/internal/parser/entry.go
@@ -52,9 +52,13 @@
 	// UsageLate is the time after its end within which a usage window may still be reported.
 	UsageLate time.Duration
 	// In any RetryWindow the retries of all instances stay under RetryRatio times the requests plus RetrySlack.
-	RetryRatio      float64
-	RetrySlack      float64
-	RetryWindow     time.Duration
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// In any QuotaWindow the requests of a team may cost its quota times 1 + QuotaOvershoot, plus QuotaSlack.
+	QuotaWindow     time.Duration
+	QuotaOvershoot  float64
+	QuotaSlack      float64
 	AddressLifetime time.Duration
 	Descriptors     int
 	MemoryMegabytes int64
@@ -74,11 +78,14 @@
 	defaultEntryRetryRatio                = 0.2
 	defaultEntryRetrySlack                = 20.0
 	defaultEntryRetryWindowSeconds        = 10.0
+	defaultEntryQuotaWindowSeconds        = 8.0
 	defaultEntryAddressLifetimeSeconds    = 5.0
 	defaultEntryDescriptors               = 1024
 	defaultEntryMemoryMegabytes           = 256
 	defaultEntryLinkMegabits              = 1000
 	maximumSeconds                        = 86_400
+	maximumQuotaOvershoot                 = 100
+	maximumQuotaSlack                     = 1e12
 )
 
 // ParseEntrySettings reads the settings of an entry instance on the users' machines; the error holds Faults.
@@ -161,6 +168,9 @@
 		RetryRatio:         s.numberOrDefault("RetryRatio", defaultEntryRetryRatio, 0, 1),
 		RetrySlack:         s.numberOrDefault("RetrySlack", defaultEntryRetrySlack, 0, maximumConnections),
 		RetryWindow:        s.secondsOrDefault("RetryWindowSeconds", defaultEntryRetryWindowSeconds),
+		QuotaWindow:        s.secondsOrDefault("QuotaWindowSeconds", defaultEntryQuotaWindowSeconds),
+		QuotaOvershoot:     s.numberOrDefault("QuotaOvershoot", 0, 0, maximumQuotaOvershoot),
+		QuotaSlack:         s.numberOrDefault("QuotaSlack", 0, 0, maximumQuotaSlack),
 		AddressLifetime:    s.secondsOrDefault("AddressLifetimeSeconds", defaultEntryAddressLifetimeSeconds),
 		Descriptors:        int(s.numberOrDefault("Descriptors", defaultEntryDescriptors, 64, maximumConnections)),
 		Cores:              s.numberOrDefault("CPUShare", 1, 0.001, maximumConnections) * s.numberOrDefault("CPUs", 1, 1, maximumConnections),
