--- a/Makefile
+++ b/Makefile
@@ -54,4 +54,4 @@
 
 race:
 	go test -race ./internal/runner ./internal/relayer ./internal/leaseholder ./internal/orderer ./internal/committer ./internal/tailer \
-		./internal/pinner ./internal/prober ./internal/forwarder -timeout 10m
+		./internal/pinner ./internal/ratelimiter ./internal/prober ./internal/forwarder -timeout 10m
