--- a/internal/parser/entry_test.go
+++ b/internal/parser/entry_test.go
@@ -31,6 +31,9 @@
 [Bounds]
 LeaseMilliseconds = 3000
 UsageWindowSeconds =
+QuotaWindowSeconds =
+QuotaOvershoot = 0.1
+QuotaSlack = 190000
 CPUShare = 0.4
 CPUs = 2
 `
@@ -45,11 +48,14 @@
 	quicktest.Check(t, s.Bounds.Lease, quicktest.Equals, 3*time.Second)
 	quicktest.Check(t, s.Bounds.UsageWindow, quicktest.Equals, 5*time.Second, quicktest.Commentf("an empty value gives the default"))
 	quicktest.Check(t, s.Bounds.Cores, quicktest.Equals, 0.8)
+	quicktest.Check(t, s.Bounds.QuotaWindow, quicktest.Equals, 8*time.Second)
+	quicktest.Check(t, s.Bounds.QuotaOvershoot, quicktest.Equals, 0.1)
+	quicktest.Check(t, s.Bounds.QuotaSlack, quicktest.Equals, 190_000.0)
 
 	// One run reports all faults.
-	bad := strings.NewReplacer("ID = front-1\n", "", "10.0.0.1:81", "here", "3000", "soon", "10.0.0.2:8367", "seed", "LeastLoad", "Best\nStages = Some").Replace(entry) + "Colour = red\n"
+	bad := strings.NewReplacer("ID = front-1\n", "", "10.0.0.1:81", "here", "3000", "soon", "10.0.0.2:8367", "seed", "Overshoot = 0.1", "Overshoot = -0.1", "LeastLoad", "Best\nStages = Some").Replace(entry) + "Colour = red\n"
 	_, err = parser.ParseEntrySettings("entry.ini", []byte(bad))
 	var faults parser.Faults
 	quicktest.Assert(t, errors.As(err, &faults), quicktest.IsTrue)
-	quicktest.Check(t, faults, quicktest.HasLen, 7, quicktest.Commentf("%v", err))
+	quicktest.Check(t, faults, quicktest.HasLen, 8, quicktest.Commentf("%v", err))
 }
--- a/internal/ratelimiter/faults_test.go
+++ b/internal/ratelimiter/faults_test.go
@@ -165,6 +165,7 @@
 			}
 			settle()
 			start := time.Now()
+			f.datagrams, f.bytes = 0, 0
 			var group sync.WaitGroup
 			for i := range teams {
 				share := usualShare
@@ -198,6 +199,8 @@
 			}
 			t.Logf("seed %d: %d of %d requests waited more than 20 ms", seed, slow, len(f.traffic))
 			quicktest.Check(t, slow*20 < len(f.traffic), quicktest.IsTrue)
+			t.Logf("seed %d: %.2f datagrams of %d bytes for each request", seed, float64(f.datagrams)/float64(len(f.traffic)), f.bytes/f.datagrams)
+			quicktest.Check(t, f.datagrams <= 5*len(f.traffic), quicktest.IsTrue)
 			f.end()
 		})
 	}
--- a/internal/ratelimiter/fleet_test.go
+++ b/internal/ratelimiter/fleet_test.go
@@ -42,6 +42,8 @@
 	traffic []*sent
 	// asked counts the questions that each instance was sent.
 	asked []int
+	// datagrams and bytes count what was sent.
+	datagrams, bytes int
 }
 
 type member struct {
@@ -219,6 +221,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	o := f.members[to]
+	f.datagrams++
+	f.bytes += len(data)
 	if m.down || o.down || m.side != o.side || f.r.Float64() < f.loss {
 		return nil
 	}
--- a/internal/tracer/trace.go
+++ b/internal/tracer/trace.go
@@ -117,6 +117,8 @@
 	"BuildAbsent":          "no target of the build that began the stream was listed; it did not run",
 	"StreamOfOtherService": "the route no longer leads to the service that began the stream; it did not run",
 	"RetryBudgetSpent":     "one more send would have exceeded the retry budget that all instances share",
+	"QuotaExceeded":        "its team was over its quota; it did not run",
+	"QuotaUndecided":       "no instance that could decide about its team's quota did; it did not run",
 	"RequestDenied":        "targets crash under it, so it was not sent",
 	"PromptDenied":         "targets crash under a part of its prompt, so it was not sent",
 	"TargetFailed":         "the connection to a target broke after it had been sent; it may have run",
