Quotas: only a settled keeper lets a request of any size take the level below zero

Two keepers that decide at the same time, on the two sides of a partition that is not noticed yet, could each admit one request of the largest size beyond their level: 268,250 tokens over against 232,300 that the rule tolerates, by calculation. An unsettled keeper now goes below zero by an eighth of that at most (204,250).

--- a/internal/ratelimiter/buckets.go
+++ b/internal/ratelimiter/buckets.go
@@ -53,8 +53,9 @@
 	Majority bool
 	// First is set if this instance comes first in the order of the team's keepers.
 	First bool
-	// Allowance is how far below zero the level may fall in a minority.
-	Allowance matcher.QuotaUnits
+	// Allowance is how far below zero the level may fall in a minority, and UnsettledAllowance while another instance may
+	// decide as well.
+	Allowance, UnsettledAllowance matcher.QuotaUnits
 	// Maximum is the cost beyond which a request breaks the rule by itself.
 	Maximum matcher.QuotaUnits
 }
@@ -122,11 +123,11 @@
 		d.Verdict, d.Repeated = Verdict_Admitted, true
 	case cost > t.Maximum:
 		d.Verdict, d.RetryAfter = Verdict_Refused, maximumRetryAfter
-	case t.Majority && k.level > 0, !t.Majority && k.level+t.Allowance >= cost:
+	case k.admits(cost, t, now):
 		d.Verdict = Verdict_Admitted
 		k.level -= cost
 		b.remember(id, counted{at: now, cost: cost})
-	case t.Majority:
+	case t.Majority && k.level <= 0:
 		d.Verdict, d.Began = Verdict_Refused, k.limitedSince.IsZero()
 		d.RetryAfter = k.refuse(id, cost, t, now)
 	}
@@ -137,6 +138,23 @@
 	return d
 }
 
+// admits reports whether the level suffices for a request. Only a settled keeper in a majority may let a request of any size take
+// the level below zero: several keepers that each did would exceed the rule.
+func (k *bucket) admits(cost matcher.QuotaUnits, t Terms, now time.Time) bool {
+	switch {
+	case !t.Majority:
+		return k.level+t.Allowance >= cost
+	case !k.settled(t, now):
+		return k.level > 0 && k.level+t.UnsettledAllowance >= cost
+	}
+	return k.level > 0
+}
+
+// settled reports whether this instance has been first in the order for long enough that no other one sees itself first.
+func (k *bucket) settled(t Terms, now time.Time) bool {
+	return t.First && now.Sub(k.firstSince) >= settleTime
+}
+
 // refuse records a refusal, and returns when quota will be available for the request. Refusals queue up, so that the clients
 // come back one after the other. Those beyond maximumRetryAfter are spread over its second half.
 func (k *bucket) refuse(id Identity, cost matcher.QuotaUnits, t Terms, now time.Time) time.Duration {
@@ -290,7 +308,7 @@
 		k.firstSince = now
 	}
 	share := t.Share
-	if !t.First || now.Sub(k.firstSince) < settleTime {
+	if !k.settled(t, now) {
 		share *= unsettledShare
 	}
 	if elapsed := now.Sub(k.at); elapsed > 0 {
--- a/internal/ratelimiter/buckets_test.go
+++ b/internal/ratelimiter/buckets_test.go
@@ -12,7 +12,7 @@
 )
 
 // terms apply to a settled keeper with a quota of 100 a second.
-var terms = ratelimiter.Terms{Quota: matcher.Quota{Rate: 100, Burst: 50}, Share: 1, Majority: true, First: true, Allowance: 10, Maximum: 1000}
+var terms = ratelimiter.Terms{Quota: matcher.Quota{Rate: 100, Burst: 50}, Share: 1, Majority: true, First: true, Allowance: 10, UnsettledAllowance: 5, Maximum: 1000}
 
 // filled returns buckets with a full one for the team, and the time.
 func filled() (*ratelimiter.Buckets, time.Time) {
@@ -101,6 +101,23 @@
 	quicktest.Check(t, level(fresh, terms, now), quicktest.Equals, 40.0, quicktest.Commentf("the level of the keeper replaces that of another"))
 }
 
+// TestUnsettledKeepersTakeNoDebt guards against several instances that decide at the same time, each of which lets a large request
+// take its level below zero.
+func TestUnsettledKeepersTakeNoDebt(t *testing.T) {
+	b, now := filled()
+	second := terms
+	second.First = false
+	d := b.Decide("team", 1, 60, second, now)
+	quicktest.Check(t, d.Verdict, quicktest.Equals, ratelimiter.Verdict_Undecided, quicktest.Commentf("the team is not over its quota"))
+	quicktest.Check(t, b.Decide("team", 2, 55, second, now).Verdict, quicktest.Equals, ratelimiter.Verdict_Admitted)
+	quicktest.Check(t, b.Decide("team", 3, 1, second, now).Verdict, quicktest.Equals, ratelimiter.Verdict_Refused)
+	for range 21 {
+		now = now.Add(100 * time.Millisecond)
+		b.Maintain("team", terms, now)
+	}
+	quicktest.Check(t, b.Decide("team", 4, 500, terms, now).Verdict, quicktest.Equals, ratelimiter.Verdict_Admitted, quicktest.Commentf("first for long enough"))
+}
+
 // TestIdentitiesAreBounded guards against memory that grows with the requests, and against identities that are kept beyond their
 // lifetime.
 func TestIdentitiesAreBounded(t *testing.T) {
--- a/internal/ratelimiter/faults_test.go
+++ b/internal/ratelimiter/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -96,10 +97,17 @@
 		},
 		"every instance alone": func(f *fleet) { cutFor(f, 10*time.Second, func(n int) int { return n }) },
 	} {
-		for _, q := range []*matcher.Quota{tokenQuota, {Rate: 40, Burst: 40}} {
-			t.Run(fmt.Sprint(name, []string{", requests", ", tokens"}[q.Kind]), func(t *testing.T) {
+		for kind, traffic := range map[string]struct {
+			q    *matcher.Quota
+			draw func(r *rand.Rand) matcher.QuotaUnits
+			mean float64
+		}{
+			"tokens": {tokenQuota, size, meanSize}, "large": {tokenQuota, large, meanLarge},
+			"requests": {&matcher.Quota{Rate: 40, Burst: 40}, one, 1},
+		} {
+			t.Run(name+", "+kind, func(t *testing.T) {
 				for seed := range *faultSeeds {
-					j := during(t, seed, q, events)
+					j := during(t, seed, traffic.q, traffic.draw, traffic.mean, events)
 					quicktest.Check(t, j.worst <= j.allowed, quicktest.IsTrue, quicktest.Commentf("seed %d: %v", seed, j))
 					quicktest.Check(t, j.admitted > 0, quicktest.IsTrue, quicktest.Commentf("seed %d: %v", seed, j))
 				}
--- a/internal/ratelimiter/fleet_test.go
+++ b/internal/ratelimiter/fleet_test.go
@@ -386,7 +386,7 @@
 func settle() { time.Sleep(12 * time.Second) }
 
 // during lets a team go over its quota for 30 s while events happen, and judges all windows.
-func during(t *testing.T, seed uint64, q *matcher.Quota, events func(f *fleet)) judgement {
+func during(t *testing.T, seed uint64, q *matcher.Quota, draw func(r *rand.Rand) matcher.QuotaUnits, mean float64, events func(f *fleet)) judgement {
 	var j judgement
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(seed, fleetSize, quotas(1, q))
@@ -397,7 +397,7 @@
 		start := time.Now()
 		var group sync.WaitGroup
 		group.Go(func() {
-			f.load(seed, heavy, usualShare*float64(q.Rate)*surge, 30*time.Second, 0, drawFor(q), meanFor(q))
+			f.load(seed, heavy, usualShare*float64(q.Rate)*surge, 30*time.Second, 0, draw, mean)
 		})
 		time.Sleep(4 * time.Second)
 		events(f)
@@ -410,19 +410,14 @@
 	return j
 }
 
-func drawFor(q *matcher.Quota) func(r *rand.Rand) matcher.QuotaUnits {
-	if q.Kind == matcher.TokenQuota {
-		return size
-	}
-	return func(*rand.Rand) matcher.QuotaUnits { return 1 }
-}
+// one is the cost of a request if the quota counts requests.
+func one(*rand.Rand) matcher.QuotaUnits { return 1 }
 
-func meanFor(q *matcher.Quota) float64 {
-	if q.Kind == matcher.TokenQuota {
-		return meanSize
-	}
-	return 1
-}
+// large returns costs from half of the largest on.
+func large(r *rand.Rand) matcher.QuotaUnits { return matcher.QuotaUnits(46_500 + r.IntN(46_501)) }
+
+// meanLarge is the mean of large.
+const meanLarge = 69_750
 
 // end stops all instances, so that no goroutine is left.
 func (f *fleet) end() {
--- a/internal/ratelimiter/limiter.go
+++ b/internal/ratelimiter/limiter.go
@@ -260,7 +260,8 @@
 	}
 	regular := matcher.QuotaUnits(float64(q.Rate)*l.Bounds.Window.Seconds()) + q.Burst
 	tolerated := matcher.QuotaUnits(l.Bounds.Overshoot)*regular + l.Bounds.Slack
-	t.Allowance, t.Maximum = tolerated/2*matcher.QuotaUnits(t.Share), regular+tolerated
+	t.Allowance, t.UnsettledAllowance = tolerated/2*matcher.QuotaUnits(t.Share), tolerated/8
+	t.Maximum = regular + tolerated
 	return t, true
 }
 
