--- a/internal/ratelimiter/limiter.go
+++ b/internal/ratelimiter/limiter.go
@@ -274,6 +274,9 @@
 
 // Maintain brings the buckets of this instance's teams up to date. It is called each maintainInterval.
 func (l *Limiter) Maintain() {
+	if t := l.Table(); t == nil || len(t.Quotas()) == 0 && l.buckets.Len() == 0 {
+		return
+	}
 	view, now := l.View(), time.Now()
 	for team := range l.heldTeams(&view, now) {
 		keepers := l.keepers(team, &view)
