--- a/internal/ratelimiter/buckets.go
+++ b/internal/ratelimiter/buckets.go
@@ -35,6 +35,8 @@
 	stallTime = time.Second
 	// initialLevel is the level of a bucket of which nobody knows what was spent.
 	initialLevel matcher.QuotaUnits = 1
+	// fullyGranted marks a bucket that gets no grant.
+	fullyGranted matcher.QuotaUnits = 1 << 62
 	// retainTime is how long an unused bucket is kept for which this instance may no longer decide.
 	retainTime = 5 * time.Second
 	// calmTime is the time without a refusal after which a team is no longer limited.
@@ -56,6 +58,11 @@
 	// Allowance is how far below zero the level may fall in a minority, and UnsettledAllowance while another instance may
 	// decide as well.
 	Allowance, UnsettledAllowance matcher.QuotaUnits
+	// Excess is by how much the level may exceed the burst.
+	Excess matcher.QuotaUnits
+	// Grant is added to a new bucket in a majority: after a restart of all instances the clients that failed meanwhile come back
+	// at once, and the level begins at nearly zero.
+	Grant matcher.QuotaUnits
 	// Maximum is the cost beyond which a request breaks the rule by itself.
 	Maximum matcher.QuotaUnits
 }
@@ -88,6 +95,8 @@
 	firstSince time.Time
 	// nextFree is when the level will be above zero once all refused requests have come back.
 	nextFree time.Time
+	// granted is the part of Terms.Grant that was added; it grows with the share.
+	granted matcher.QuotaUnits
 	// limitedSince, refusedAt and refused describe the refusals since the team has been limited.
 	limitedSince, refusedAt time.Time
 	refused                 matcher.QuotaUnits
@@ -315,6 +324,10 @@
 		k.level += matcher.QuotaUnits(float64(t.Quota.Rate) * share * elapsed.Seconds())
 		k.at = now
 	}
+	if grant := t.Grant * matcher.QuotaUnits(t.Share); t.Majority && grant > k.granted && now.Sub(k.createdAt) < learnTime {
+		k.level += grant - k.granted
+		k.granted = grant
+	}
 	k.level = min(k.level, capacity(t))
 	return k
 }
@@ -330,13 +343,14 @@
 	for _, k := range b.buckets {
 		k.level = min(k.level, initialLevel)
 		k.at, k.createdAt, k.learnedAt, k.firstSince = now, now, time.Time{}, time.Time{}
+		k.granted = fullyGranted
 	}
 }
 
 // capacity returns the highest level of a bucket: the share of the burst, but at least one unit, without which no request could
 // ever be admitted.
 func capacity(t Terms) matcher.QuotaUnits {
-	return matcher.QuotaUnits(float64(max(t.Quota.Burst, initialLevel)) * t.Share)
+	return matcher.QuotaUnits(float64(max(t.Quota.Burst+t.Excess, initialLevel)) * t.Share)
 }
 
 // learns reports whether the bucket is new, so that its level is not known here.
--- a/internal/ratelimiter/buckets_test.go
+++ b/internal/ratelimiter/buckets_test.go
@@ -150,3 +150,22 @@
 	}
 	t.Fatal("the limitation has not ended")
 }
+
+// TestNewBucketInAMajorityGetsTheGrantOnce guards against a restart of all instances after which clients within their quota are
+// refused, and against a grant that a minority or a thawed process gets.
+func TestNewBucketInAMajorityGetsTheGrantOnce(t *testing.T) {
+	granting := terms
+	granting.Grant, granting.Share = 40, 0.6
+	b, now := &ratelimiter.Buckets{}, time.Unix(1000, 0)
+	minority := granting
+	minority.Majority, minority.Share = false, 0.4
+	quicktest.Check(t, level(b, minority, now), quicktest.Equals, 1.0, quicktest.Commentf("no grant in a minority"))
+	quicktest.Check(t, level(b, granting, now), quicktest.Equals, 1+0.6*40)
+	quicktest.Check(t, level(b, granting, now), quicktest.Equals, 1+0.6*40, quicktest.Commentf("once"))
+	granting.Share = 1
+	quicktest.Check(t, level(b, granting, now), quicktest.Equals, 1+40.0, quicktest.Commentf("it grows with the share"))
+	b, now = filled()
+	b.Decide("team", 1, 50, terms, now)
+	now = now.Add(5 * time.Second)
+	quicktest.Check(t, level(b, granting, now) <= 1, quicktest.IsTrue, quicktest.Commentf("a frozen process gets none"))
+}
