Coordinator: knowledge of builds in a type of its own

Cause: which build a stream of unknown origin began at was decided by methods of the coordinator on the wall clock; no test could run them through restarts. Change: the type Builds takes all times and lists as arguments. Behaviour is unchanged, except that the longest timeout is taken when a configuration comes into force.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -127,7 +127,7 @@
 	isolation       Isolation
 	pins            *pinner.Pinner
 	datagrams       datagrams
-	sightings       pinner.Sightings
+	builds          Builds
 	prober          prober.Prober
 	// unreachable holds the services of which this instance cannot reach some targets.
 	unreachable atomic.Pointer[[]*gossiper.Unreachable]
@@ -166,9 +166,7 @@
 		memberLost: make(chan struct{}, 1), heldClosings: map[string][]int64{}, startedAt: time.Now()}
 	c.settings.Store(settings)
 	c.bounds = settings.Bounds
-	if settings.FirstStart {
-		c.sightings.Cover(c.startedAt.Add(-firstStartSpan))
-	}
+	c.builds.Start(settings.FirstStart, c.startedAt)
 	c.openMetrics()
 	c.self = &gossiper.Member{
 		ID: string(settings.Instance), Incarnation: uuid.NewString()[:incarnationDigits], Zone: string(settings.Zone),
@@ -419,6 +417,7 @@
 			break
 		}
 	}
+	c.builds.SetLongestTimeout(longestTimeout(next), time.Now())
 	c.logger.Info("configuration in force", zap.Uint64("Version", uint64(cfg.Version)), zap.Uint64("Offset", uint64(r.Offset)),
 		zap.Int("Routes", len(cfg.Routes)), zap.Int("Teams", len(cfg.Teams)))
 	c.passOn()
@@ -443,7 +442,7 @@
 		c.logger.Info("older target entry ignored", zap.String("Target", r.Key), zap.Uint64("Beat", t.Revision), zap.Uint64("Offset", uint64(r.Offset)))
 		return
 	}
-	c.recordSighting(&t, time.Now())
+	c.builds.Record(BuildList{Pins: []pinner.Pin{{Service: t.Service, Build: t.Build}}}, time.Now())
 	c.logger.Info("target", zap.String("Target", r.Key), zap.String("Service", string(t.Service)), zap.String("Zone", string(t.Zone)),
 		zap.Stringer("Stage", t.Stage), zap.String("Build", string(t.Build)), zap.Bool("Leaving", t.Leaving), zap.Bool("Cheap", t.Cheap), zap.Uint64("Beat", t.Revision), zap.Uint64("Offset", uint64(r.Offset)))
 	c.passOn()
