Remove the setting FirstStart: a restarted process claimed to know the hour before its start

Cause: a process that is started again with the same settings file claimed that no stream had begun before it, and passed the claim on to its peers. Change: knowledge of builds begins with a process's own first list.

--- a/internal/coordinator/builds.go
+++ b/internal/coordinator/builds.go
@@ -13,8 +13,6 @@
 	// minimumStreamAge is the least time for which an instance that does not know where a stream began assumes that it may have
 	// begun; routes with longer timeouts extend it.
 	minimumStreamAge = 5 * time.Second
-	// firstStartSpan is the time before the first start of the fleet in which no stream has begun.
-	firstStartSpan = time.Hour
 	// listAgeForBuilds is the age of the list of targets beyond which it may lack a build that others use.
 	listAgeForBuilds = 2 * time.Second
 )
@@ -38,13 +36,6 @@
 	Alive, Running int
 }
 
-// Start begins a process; with firstStart no stream has begun before.
-func (b *Builds) Start(firstStart bool, now time.Time) {
-	if firstStart {
-		b.sightings.Cover(now.Add(-firstStartSpan))
-	}
-}
-
 // SetLongestTimeout takes the longest timeout of a stream in the configuration that comes into force.
 func (b *Builds) SetLongestTimeout(timeout time.Duration, _ time.Time) {
 	b.streamAge.Store(int64(max(minimumStreamAge, timeout+timeout/2)))
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -166,7 +166,6 @@
 		memberLost: make(chan struct{}, 1), heldClosings: map[string][]int64{}, startedAt: time.Now()}
 	c.settings.Store(settings)
 	c.bounds = settings.Bounds
-	c.builds.Start(settings.FirstStart, c.startedAt)
 	c.openMetrics()
 	c.self = &gossiper.Member{
 		ID: string(settings.Instance), Incarnation: uuid.NewString()[:incarnationDigits], Zone: string(settings.Zone),
--- a/internal/parser/entry.go
+++ b/internal/parser/entry.go
@@ -26,9 +26,7 @@
 	// RelayListen is the listen address for requests that peers pass on; if it is empty, none are.
 	RelayListen string
 	Seeds       []string
-	// FirstStart is set if the whole fleet starts for the first time: nothing has happened before.
-	FirstStart bool
-	Store      string
+	Store       string
 	// Cloud is a base URL like Store; it is empty on a site without duties.
 	Cloud   string
 	Routing EntryRouting
@@ -100,7 +98,8 @@
 		s.RelayListen = instance.hostPort("RelayListen", "")
 	}
 	s.Seeds = parseSeeds(instance, s.PeerListen)
-	s.FirstStart = instance.boolean("FirstStart", false)
+	// Earlier builds' templates set this key, which has no effect: a restarted process reads the same file as the first one.
+	_ = instance.boolean("FirstStart", false)
 	s.Store = "http://" + d.sectionNamed("Store").hostPort("Address", "")
 	if cloud := d.sectionNamed("Cloud"); cloud.text("Address", "") != "" {
 		s.Cloud = "http://" + cloud.hostPort("Address", "")
