Pinner: knowledge of builds ends where no complete list arrives for three seconds

Cause: an instance that was frozen or cut off from the store claimed to know all builds of that time, for itself and for its peers. Change: the covered time begins again after a gap; a peer's knowledge counts only if it reaches to the own one; a question records the list first, because a thawed process is asked before its periodic tasks run.

--- a/internal/coordinator/builds.go
+++ b/internal/coordinator/builds.go
@@ -47,25 +47,47 @@
 	return max(minimumStreamAge, time.Duration(b.streamAge.Load()))
 }
 
-// Record records the builds of all listed targets, once a complete list is known.
-func (b *Builds) Record(l BuildList, now time.Time) {
-	if !l.AsOf.IsZero() {
-		b.sightings.Cover(now)
+// Record records the builds of all listed targets, and up to when a complete list is known.
+func (b *Builds) Record(l BuildList, c Contact, now time.Time) {
+	if asOf, ok := currentAsOf(l, c, now); ok {
+		b.sightings.Complete(asOf)
 	}
-	for _, p := range l.Pins {
+	b.Saw(l.Pins, now)
+}
+
+// Saw records builds of targets that are listed.
+func (b *Builds) Saw(pins []pinner.Pin, now time.Time) {
+	for _, p := range pins {
 		b.sightings.Saw(p, now)
 	}
 }
 
+// currentAsOf returns up to when a list holds all builds that any instance uses, or false if it may lack one: it is stale, and the
+// instances in contact, which send each other their lists, are a minority.
+func currentAsOf(l BuildList, c Contact, now time.Time) (time.Time, bool) {
+	switch {
+	case l.AsOf.IsZero():
+		return time.Time{}, false
+	case now.Sub(l.AsOf) <= listAgeForBuilds:
+		return l.AsOf, true
+	}
+	return now, 2*c.Alive > c.Running
+}
+
 // Sole returns the only build of a service that targets had while a stream that is still going on may have begun.
 func (b *Builds) Sole(service identifier.ServiceID, l BuildList, c Contact, now time.Time) (identifier.Build, bool) {
-	fresh := !l.AsOf.IsZero() && now.Sub(l.AsOf) <= listAgeForBuilds
-	if !fresh && 2*c.Alive <= c.Running {
+	// A process that was frozen may be asked before its periodic tasks run.
+	if b.Record(l, c, now); !isCurrent(l, c, now) {
 		return "", false
 	}
 	return b.sightings.Sole(service, b.StreamAge(now), now)
 }
 
+func isCurrent(l BuildList, c Contact, now time.Time) bool {
+	_, ok := currentAsOf(l, c, now)
+	return ok
+}
+
 // Compose adds how long the builds of all targets are known, and which they were if the peer knows less.
 func (b *Builds) Compose(m, last *gossiper.Beat, now time.Time) {
 	m.SightingsSpanMilliseconds = b.sightings.Span(now).Milliseconds()
@@ -87,5 +109,5 @@
 		pin := pinner.Pin{Service: identifier.ServiceID(s.Service), Build: identifier.Build(s.Build)}
 		b.sightings.Saw(pin, now.Add(-time.Duration(s.AgeMilliseconds)*time.Millisecond))
 	}
-	b.sightings.Cover(now.Add(-time.Duration(m.SightingsSpanMilliseconds) * time.Millisecond))
+	b.sightings.Cover(now.Add(-time.Duration(m.SightingsSpanMilliseconds)*time.Millisecond), now)
 }
--- a/internal/coordinator/builds_test.go
+++ b/internal/coordinator/builds_test.go
@@ -120,7 +120,7 @@
 		}
 	}
 	if at%time.Second == 0 {
-		n.builds.Record(n.list, w.clock(at))
+		n.builds.Record(n.list, w.contact(i, at), w.clock(at))
 	}
 	switch stale := n.list.AsOf.IsZero() || w.clock(at).Sub(n.list.AsOf) > spread; {
 	case stale:
@@ -136,9 +136,7 @@
 		return
 	}
 	n.list = l
-	for _, p := range l.Pins {
-		n.builds.Record(coordinator.BuildList{Pins: []pinner.Pin{p}}, w.clock(at))
-	}
+	n.builds.Saw(l.Pins, w.clock(at))
 }
 
 // gossip sends a message from one instance to another, in whose queue it stays while that one is frozen.
@@ -185,8 +183,8 @@
 	return holder == s.incarnation && holder != nil && (i == s.by || w.connected(i, s.by, at) && !w.frozen[s.by].holds(at))
 }
 
-// resume asks an instance for every stream that may still be going on and that it does not know.
-func (w *buildWorld) resume(i int, at time.Duration) {
+// contact returns with how many instances one has been in contact within a second.
+func (w *buildWorld) contact(i int, at time.Duration) coordinator.Contact {
 	n := w.instances[i]
 	contact := coordinator.Contact{Alive: 1, Running: 3}
 	for j := range w.instances {
@@ -194,6 +192,13 @@
 			contact.Alive++
 		}
 	}
+	return contact
+}
+
+// resume asks an instance for every stream that may still be going on and that it does not know.
+func (w *buildWorld) resume(i int, at time.Duration) {
+	n := w.instances[i]
+	contact := w.contact(i, at)
 	for build, by := range w.streams {
 		for _, s := range by {
 			if s.timeout == 0 || at-s.at > s.timeout || w.pinKnown(i, s, at) {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -441,7 +441,7 @@
 		c.logger.Info("older target entry ignored", zap.String("Target", r.Key), zap.Uint64("Beat", t.Revision), zap.Uint64("Offset", uint64(r.Offset)))
 		return
 	}
-	c.builds.Record(BuildList{Pins: []pinner.Pin{{Service: t.Service, Build: t.Build}}}, time.Now())
+	c.builds.Saw([]pinner.Pin{{Service: t.Service, Build: t.Build}}, time.Now())
 	c.logger.Info("target", zap.String("Target", r.Key), zap.String("Service", string(t.Service)), zap.String("Zone", string(t.Zone)),
 		zap.Stringer("Stage", t.Stage), zap.String("Build", string(t.Build)), zap.Bool("Leaving", t.Leaving), zap.Bool("Cheap", t.Cheap), zap.Uint64("Beat", t.Revision), zap.Uint64("Offset", uint64(r.Offset)))
 	c.passOn()
--- a/internal/coordinator/pins.go
+++ b/internal/coordinator/pins.go
@@ -64,8 +64,17 @@
 // soleBuild returns the only build of a service that targets had while a stream that is still going on may have begun.
 func (c *Coordinator) soleBuild(service identifier.ServiceID) (identifier.Build, bool) {
 	now := time.Now()
+	return c.builds.Sole(service, c.buildList(now), c.contact(now), now)
+}
+
+// recordBuilds records the builds of all listed targets.
+func (c *Coordinator) recordBuilds(now time.Time) {
+	c.builds.Record(c.buildList(now), c.contact(now), now)
+}
+
+func (c *Coordinator) contact(now time.Time) Contact {
 	_, running := c.peers.Place(now)
-	return c.builds.Sole(service, c.buildList(now), Contact{Alive: c.instanceCount(), Running: running}, now)
+	return Contact{Alive: len(c.peers.Alive(now)) + 1, Running: running}
 }
 
 // buildList returns the builds of all listed targets.
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -175,7 +175,7 @@
 func (c *Coordinator) cleanUp(ctx context.Context) {
 	for sleeper.Sleep(ctx, cleanupInterval) == nil {
 		c.registry.Expire(time.Now())
-		c.builds.Record(c.buildList(time.Now()), time.Now())
+		c.recordBuilds(time.Now())
 		c.prober.Retain(c.targetAddresses())
 		c.updateReach()
 		c.platform.Gate.Expire(c.registry.Targets(), time.Now())
--- a/internal/pinner/pinner_test.go
+++ b/internal/pinner/pinner_test.go
@@ -176,18 +176,21 @@
 	const within = 9 * time.Second
 	start := time.Now()
 	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
-	s := &pinner.Sightings{}
+	s, completeFrom := &pinner.Sightings{}, 60
 	sole := func(seconds int) string {
 		for i := range 60 {
 			if i <= seconds {
 				s.Saw(v1, at(i))
 			}
+			if i <= seconds && i >= completeFrom {
+				s.Complete(at(i))
+			}
 		}
 		build, ok := s.Sole("s", within, at(seconds))
 		return fmt.Sprint(build, ok)
 	}
 	quicktest.Check(t, sole(1), quicktest.Equals, "false", quicktest.Commentf("nothing is covered"))
-	s.Cover(at(0))
+	completeFrom = 0
 	quicktest.Check(t, sole(5), quicktest.Equals, "false", quicktest.Commentf("a build before the start is not known"))
 	quicktest.Check(t, sole(9), quicktest.Equals, "v1true")
 	s.Saw(v2, at(12))
@@ -196,8 +199,14 @@
 	s.Saw(pinner.Pin{Service: "other", Build: "v7"}, at(22))
 	quicktest.Check(t, sole(22), quicktest.Equals, "v1true")
 	// A peer knows what was before the start of this instance.
-	s.Cover(at(-20))
+	s.Cover(at(-20), at(-1))
+	quicktest.Check(t, s.Span(at(22)), quicktest.Equals, 22*time.Second, quicktest.Commentf("a second between the peer's knowledge and the first list"))
+	s.Cover(at(-20), at(0))
 	quicktest.Check(t, s.Span(at(22)), quicktest.Equals, 42*time.Second)
+	// What came and went while no list arrived is not known.
+	quicktest.Check(t, s.Span(at(26)), quicktest.Equals, time.Duration(0))
+	s.Complete(at(26))
+	quicktest.Check(t, s.Span(at(27)), quicktest.Equals, time.Second)
 }
 
 // BenchmarkStream measures all that one stream costs in a fleet of 390 instances: the announcement, its four copies and their
--- a/internal/pinner/sightings.go
+++ b/internal/pinner/sightings.go
@@ -11,23 +11,41 @@
 // at the one build that was listed in all the time since it may have begun. The zero value knows nothing.
 type Sightings struct {
 	mu sync.Mutex
-	// since is the time from which all sightings are known; zero means that none are.
-	since time.Time
-	seen  map[Pin]time.Time
+	// All sightings from since to through are known; since is zero if none are.
+	since, through time.Time
+	seen           map[Pin]time.Time
 }
 
+// maximumGap is the longest time between two complete lists in which no build comes and goes unseen: the entry of a target that
+// has crashed stays for three heartbeats of a second.
+const maximumGap = 3 * time.Second
+
 // Sighting is when a target of a build was last listed.
 type Sighting struct {
 	Pin
 	Age time.Duration
 }
 
-// Cover records that all sightings since the given time are known.
-func (s *Sightings) Cover(since time.Time) {
+// Complete records that a list was complete at the given time. After a longer gap, what came and went in it is not known, so
+// the time that is covered begins again.
+func (s *Sightings) Complete(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.since.IsZero() || at.Sub(s.through) > maximumGap {
+		s.since = at
+	}
+	if at.After(s.through) {
+		s.through = at
+	}
+}
+
+// Cover records that a peer knows all sightings between two times. It has no effect unless they reach to the time from which this
+// instance knows them itself.
+func (s *Sightings) Cover(from, to time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.since.IsZero() || since.Before(s.since) {
-		s.since = since
+	if !s.since.IsZero() && !to.Before(s.since) && from.Before(s.since) {
+		s.since = from
 	}
 }
 
@@ -48,7 +66,7 @@
 func (s *Sightings) Sole(service identifier.ServiceID, within time.Duration, now time.Time) (identifier.Build, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.since.IsZero() || now.Sub(s.since) < within {
+	if s.since.IsZero() || now.Sub(s.since) < within || now.Sub(s.through) > maximumGap {
 		return "", false
 	}
 	sole, builds := identifier.Build(""), 0
@@ -68,7 +86,7 @@
 func (s *Sightings) Span(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.since.IsZero() {
+	if s.since.IsZero() || now.Sub(s.through) > maximumGap {
 		return 0
 	}
 	return now.Sub(s.since)
