Coordinator: the longest timeout of the last minute decides how long unknown streams may go on

Cause: the time followed the configuration in force; one that shortened timeouts ended it for streams that had begun before. Change: earlier timeouts count for a minute. In the first minute of a process, which does not know earlier configurations, streams may be ten seconds old at least.

--- a/internal/coordinator/builds.go
+++ b/internal/coordinator/builds.go
@@ -1,7 +1,8 @@
 package coordinator
 
 import (
-	"sync/atomic"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
@@ -10,6 +11,11 @@
 )
 
 const (
+	// timeoutMemory is how long a longer timeout counts after it was in force here. Streams begin under it until the next
+	// configuration is in force everywhere.
+	timeoutMemory = time.Minute
+	// unknownStreamAge is the least stream age while configurations before the start may count.
+	unknownStreamAge = 10 * time.Second
 	// minimumStreamAge is the least time for which an instance that does not know where a stream began assumes that it may have
 	// begun; routes with longer timeouts extend it.
 	minimumStreamAge = 5 * time.Second
@@ -21,7 +27,18 @@
 // builds. All times are the caller's, so that tests run it on a clock of their own.
 type Builds struct {
 	sightings pinner.Sightings
-	streamAge atomic.Int64
+
+	mu        sync.Mutex
+	startedAt time.Time
+	// timeout is the longest timeout in force, and earlier those that were in force before, until they no longer count.
+	timeout time.Duration
+	earlier []expiredTimeout
+}
+
+// expiredTimeout is a longest timeout of earlier configurations, and until when streams may go on that began under it.
+type expiredTimeout struct {
+	timeout time.Duration
+	until   time.Time
 }
 
 // BuildList is a list of the builds of all targets.
@@ -36,15 +53,49 @@
 	Alive, Running int
 }
 
-// SetLongestTimeout takes the longest timeout of a stream in the configuration that comes into force.
-func (b *Builds) SetLongestTimeout(timeout time.Duration, _ time.Time) {
-	b.streamAge.Store(int64(max(minimumStreamAge, timeout+timeout/2)))
+// SetLongestTimeout takes the longest timeout of a stream in the configuration in force.
+func (b *Builds) SetLongestTimeout(timeout time.Duration, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.begin(now)
+	if timeout < b.timeout {
+		b.remember(b.timeout, now.Add(timeoutMemory), now)
+	}
+	b.timeout = timeout
+}
+
+// begin takes the first time that this process tells as its start. The caller must hold mu.
+func (b *Builds) begin(now time.Time) {
+	if b.startedAt.IsZero() {
+		b.startedAt = now
+	}
+}
+
+// remember keeps an earlier timeout, and drops those that no longer count. The caller must hold mu.
+func (b *Builds) remember(timeout time.Duration, until, now time.Time) {
+	b.earlier = slices.DeleteFunc(b.earlier, func(e expiredTimeout) bool {
+		return now.After(e.until) || e.timeout <= timeout && !e.until.After(until)
+	})
+	b.earlier = append(b.earlier, expiredTimeout{timeout, until})
 }
 
 // StreamAge returns the longest time for which clients wait for the end of a stream, with half as much again for what comes
-// late.
-func (b *Builds) StreamAge(time.Time) time.Duration {
-	return max(minimumStreamAge, time.Duration(b.streamAge.Load()))
+// late. The longest timeout of the last minute counts.
+func (b *Builds) StreamAge(now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.begin(now)
+	longest := b.timeout
+	for _, e := range b.earlier {
+		if !now.After(e.until) {
+			longest = max(longest, e.timeout)
+		}
+	}
+	least := minimumStreamAge
+	if now.Sub(b.startedAt) < timeoutMemory {
+		least = unknownStreamAge
+	}
+	return max(least, longest+longest/2)
 }
 
 // Record records the builds of all listed targets, and up to when a complete list is known.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -416,7 +416,7 @@
 			break
 		}
 	}
-	c.builds.SetLongestTimeout(longestTimeout(next), time.Now())
+	c.builds.SetLongestTimeout(longestTimeout(c.table.Load()), time.Now())
 	c.logger.Info("configuration in force", zap.Uint64("Version", uint64(cfg.Version)), zap.Uint64("Offset", uint64(r.Offset)),
 		zap.Int("Routes", len(cfg.Routes)), zap.Int("Teams", len(cfg.Teams)))
 	c.passOn()
