Coordinator: knowledge of builds and timeouts passes between peers by when it was composed

Cause: ages counted from the arrival, so a message that waited for a frozen process claimed the time in which it waited, and a peer with a long span got no sightings although it had missed a build. A restarted process knew no earlier timeouts. Change: ages count from the composition, messages over a second in transit tell nothing, sightings go with every message while a service had several builds in the last minute, and so does the longest earlier timeout with how long it counts.

--- a/internal/coordinator/builds.go
+++ b/internal/coordinator/builds.go
@@ -16,6 +16,9 @@
 	timeoutMemory = time.Minute
 	// unknownStreamAge is the least stream age while configurations before the start may count.
 	unknownStreamAge = 10 * time.Second
+	// maximumTransit is the longest time in transit of a message whose knowledge of builds is used. It is within the half of a
+	// timeout by which streams may be older.
+	maximumTransit = time.Second
 	// minimumStreamAge is the least time for which an instance that does not know where a stream began assumes that it may have
 	// begun; routes with longer timeouts extend it.
 	minimumStreamAge = 5 * time.Second
@@ -76,7 +79,40 @@
 	b.earlier = slices.DeleteFunc(b.earlier, func(e expiredTimeout) bool {
 		return now.After(e.until) || e.timeout <= timeout && !e.until.After(until)
 	})
-	b.earlier = append(b.earlier, expiredTimeout{timeout, until})
+	if !slices.ContainsFunc(b.earlier, func(e expiredTimeout) bool { return e.timeout >= timeout && !e.until.Before(until) }) {
+		b.earlier = append(b.earlier, expiredTimeout{timeout, until})
+	}
+}
+
+// addEarlier takes an earlier timeout from a peer.
+func (b *Builds) addEarlier(timeout time.Duration, until, now time.Time) {
+	if timeout <= 0 || !now.Before(until) {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	// A peer's clock error must not make it count for longer than its own.
+	b.remember(timeout, earlierOf(until, now.Add(timeoutMemory)), now)
+}
+
+func earlierOf(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// longestEarlier returns the longest earlier timeout that still counts and is longer than the present one.
+func (b *Builds) longestEarlier(now time.Time) (expiredTimeout, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	longest := expiredTimeout{timeout: b.timeout}
+	for _, e := range b.earlier {
+		if now.Before(e.until) && e.timeout > longest.timeout {
+			longest = e
+		}
+	}
+	return longest, longest.timeout > b.timeout
 }
 
 // StreamAge returns the longest time for which clients wait for the end of a stream, with half as much again for what comes
@@ -87,7 +123,7 @@
 	b.begin(now)
 	longest := b.timeout
 	for _, e := range b.earlier {
-		if !now.After(e.until) {
+		if now.Before(e.until) {
 			longest = max(longest, e.timeout)
 		}
 	}
@@ -139,26 +175,49 @@
 	return ok
 }
 
-// Compose adds how long the builds of all targets are known, and which they were if the peer knows less.
+// Compose adds how long the builds of all targets are known here. It adds which they were if the peer knows less, or if a service
+// had several lately: a peer that was cut off may have missed one without knowing it.
 func (b *Builds) Compose(m, last *gossiper.Beat, now time.Time) {
 	m.SightingsSpanMilliseconds = b.sightings.Span(now).Milliseconds()
-	if last != nil && last.SightingsSpanMilliseconds >= min(b.StreamAge(now).Milliseconds(), m.SightingsSpanMilliseconds) {
+	if e, ok := b.longestEarlier(now); ok {
+		m.EarlierTimeoutMilliseconds, m.EarlierTimeoutRemainingMilliseconds = e.timeout.Milliseconds(), e.until.Sub(now).Milliseconds()
+	}
+	recent := b.sightings.Recent(now)
+	known := last != nil && last.SightingsSpanMilliseconds >= min(b.StreamAge(now).Milliseconds(), m.SightingsSpanMilliseconds)
+	if known && !severalBuilds(recent) {
 		return
 	}
-	for _, s := range b.sightings.Recent(now) {
+	for _, s := range recent {
 		m.Sightings = append(m.Sightings, &gossiper.Sighting{Service: string(s.Service), Build: string(s.Build), AgeMilliseconds: s.Age.Milliseconds()})
 	}
 }
 
-// Apply takes over what a peer knows about earlier builds. Ages count from the arrival: a sighting that seems later than it was
-// does no harm.
-func (b *Builds) Apply(m *gossiper.Beat, _, now time.Time) {
+func severalBuilds(list []pinner.Sighting) bool {
+	builds := map[identifier.ServiceID]identifier.Build{}
+	for _, s := range list {
+		if other, ok := builds[s.Service]; ok && other != s.Build {
+			return true
+		}
+		builds[s.Service] = s.Build
+	}
+	return false
+}
+
+// Apply takes over what a peer knew about builds and timeouts when it composed its message. If that time is unknown, or the
+// message was long in transit, the next one tells: a sighting that seemed later than it was would outlast itself as peers
+// send it back and forth, and one that seemed earlier would be forgotten too soon.
+func (b *Builds) Apply(m *gossiper.Beat, composedAt, now time.Time) {
+	if composedAt.IsZero() || now.Sub(composedAt) > maximumTransit {
+		return
+	}
+	b.addEarlier(time.Duration(m.EarlierTimeoutMilliseconds)*time.Millisecond,
+		composedAt.Add(time.Duration(m.EarlierTimeoutRemainingMilliseconds)*time.Millisecond), now)
 	if len(m.Sightings) == 0 {
 		return
 	}
 	for _, s := range m.Sightings {
 		pin := pinner.Pin{Service: identifier.ServiceID(s.Service), Build: identifier.Build(s.Build)}
-		b.sightings.Saw(pin, now.Add(-time.Duration(s.AgeMilliseconds)*time.Millisecond))
+		b.sightings.Saw(pin, composedAt.Add(-time.Duration(s.AgeMilliseconds)*time.Millisecond))
 	}
-	b.sightings.Cover(now.Add(-time.Duration(m.SightingsSpanMilliseconds)*time.Millisecond), now)
+	b.sightings.Cover(composedAt.Add(-time.Duration(m.SightingsSpanMilliseconds)*time.Millisecond), composedAt)
 }
