Coordinator: an unknown stream goes on only by a list as new as the request

Cause: a list of up to two seconds counted as current, and a stale one if most instances were in contact. A build that arrived after it was missing, also at an instance that had just been cut off; the rest of the instances might read the store. Change: a request waits up to 1.5 s for a list as new as itself. Without one, all instances that may be running must be in contact. Test: a trace showed refusals that are right, which no longer count: instances that cannot know whether a build has just arrived (cut off, or store away with an instance missing), and knowledge that only a frozen peer has. Forwarder, pinner, parser, platform (stream tests) pass.

--- a/internal/coordinator/builds.go
+++ b/internal/coordinator/builds.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -16,6 +17,8 @@
 	timeoutMemory = time.Minute
 	// unknownStreamAge is the least stream age while configurations before the start may count.
 	unknownStreamAge = 10 * time.Second
+	// contactAge is how long a peer counts as in contact after its last message.
+	contactAge = time.Second
 	// maximumTransit is the longest time in transit of a message whose knowledge of builds is used. It is within the half of a
 	// timeout by which streams may be older.
 	maximumTransit = time.Second
@@ -26,6 +29,12 @@
 	listAgeForBuilds = 2 * time.Second
 )
 
+// Errors of Builds.Sole.
+var (
+	ErrSeveralBuilds = errors.New("streams may have begun at several builds")
+	ErrListOlder     = errors.New("the list of targets is older than the question")
+)
+
 // Builds decides whether a stream of which nothing else is known can only have begun at one build. The zero value knows no
 // builds. All times are the caller's, so that tests run it on a clock of their own.
 type Builds struct {
@@ -149,8 +158,8 @@
 	}
 }
 
-// currentAsOf returns up to when a list holds all builds that any instance uses, or false if it may lack one: it is stale, and the
-// instances in contact, which send each other their lists, are a minority.
+// currentAsOf returns up to when a list holds all builds that any instance uses, or false if it may lack one: it is stale, and an
+// instance that may be running is not in contact, which might read the store.
 func currentAsOf(l BuildList, c Contact, now time.Time) (time.Time, bool) {
 	switch {
 	case l.AsOf.IsZero():
@@ -158,21 +167,24 @@
 	case now.Sub(l.AsOf) <= listAgeForBuilds:
 		return l.AsOf, true
 	}
-	return now, 2*c.Alive > c.Running
+	return now.Add(-contactAge), c.Alive >= c.Running
 }
 
-// Sole returns the only build of a service that targets had while a stream that is still going on may have begun.
-func (b *Builds) Sole(service identifier.ServiceID, l BuildList, c Contact, now time.Time) (identifier.Build, bool) {
+// Sole returns the only build of a service that targets had while a stream that is still going on may have begun, for a question
+// that was asked at the given time. It returns ErrListOlder if the list that is known does not reach to that time yet, and
+// ErrSeveralBuilds if there were several builds, or may have been.
+func (b *Builds) Sole(service identifier.ServiceID, l BuildList, c Contact, asked, now time.Time) (identifier.Build, error) {
 	// A process that was frozen may be asked before its periodic tasks run.
-	if b.Record(l, c, now); !isCurrent(l, c, now) {
-		return "", false
+	b.Record(l, c, now)
+	asOf, current := currentAsOf(l, c, now)
+	build, sole := b.sightings.Sole(service, b.StreamAge(now), now)
+	switch {
+	case !current || !sole:
+		return "", ErrSeveralBuilds
+	case asOf.Before(asked):
+		return build, ErrListOlder
 	}
-	return b.sightings.Sole(service, b.StreamAge(now), now)
-}
-
-func isCurrent(l BuildList, c Contact, now time.Time) bool {
-	_, ok := currentAsOf(l, c, now)
-	return ok
+	return build, nil
 }
 
 // Compose adds how long the builds of all targets are known here. It adds which they were if the peer knows less, or if a service
--- a/internal/coordinator/pins.go
+++ b/internal/coordinator/pins.go
@@ -10,9 +10,14 @@
 
 	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
 	"github.com/coltsfootscale/coltsfootscale/internal/pinner"
+	"github.com/coltsfootscale/coltsfootscale/internal/sleeper"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
+// MaximumListWait is how long a stream of which nothing is known waits for a list of targets that is as new as the request. Copies
+// of the list are at most so old while the store answers.
+const MaximumListWait = 1500 * time.Millisecond
+
 const (
 	// maximumDatagram is the largest datagram that is read; those of pins take some 100 bytes.
 	maximumDatagram = 2 << 10
@@ -61,10 +66,20 @@
 	return list
 }
 
-// soleBuild returns the only build of a service that targets had while a stream that is still going on may have begun.
-func (c *Coordinator) soleBuild(service identifier.ServiceID) (identifier.Build, bool) {
-	now := time.Now()
-	return c.builds.Sole(service, c.buildList(now), c.contact(now), now)
+// soleBuild returns the only build of a service that targets had while a stream that is still going on may have begun. It waits
+// for a list of targets that is as new as the question: the stream may have begun at a build that was listed just before.
+func (c *Coordinator) soleBuild(ctx context.Context, service identifier.ServiceID) (identifier.Build, bool) {
+	asked := time.Now()
+	for {
+		now := time.Now()
+		build, err := c.builds.Sole(service, c.buildList(now), c.contact(now), asked, now)
+		if !errors.Is(err, ErrListOlder) || now.Sub(asked) >= MaximumListWait {
+			return build, err == nil
+		}
+		if sleeper.Sleep(ctx, checkPause) != nil {
+			return "", false
+		}
+	}
 }
 
 // recordBuilds records the builds of all listed targets.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -85,7 +85,7 @@
 	Peers func(service identifier.ServiceID, unreachable int) []string
 	// SoleBuild returns the only build of a service at which a stream that a client goes on with can have begun, or false if
 	// there were several, or it is not known.
-	SoleBuild func(service identifier.ServiceID) (identifier.Build, bool)
+	SoleBuild func(ctx context.Context, service identifier.ServiceID) (identifier.Build, bool)
 	// Instances returns how many instances may share the targets' connections, including this one, or zero if it is not known.
 	Instances func() int
 	// Expected returns the time until a target that is changing to a stage is expected there, or false if there is none.
