Coordinator: times of builds run on while the machine is suspended

Cause: Go's clock stands still while a machine is suspended, so a process that thaws saw no gap in its lists. Change: Builds gets times that bootTime corrects.

--- a/internal/coordinator/clock.go
+++ b/internal/coordinator/clock.go
@@ -15,3 +15,10 @@
 	}
 	return time.Duration(ts.Nano())
 }
+
+// wakefulTime converts a time of Go's clock, which stands still while the machine is suspended, to one that runs on, so that a gap in
+// what this process has seen is noticed.
+func (c *Coordinator) wakefulTime(t time.Time) time.Time {
+	suspended := bootTime() - c.bootAtStart - time.Since(c.startedAt)
+	return t.Add(suspended)
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -142,8 +142,10 @@
 	relay *khttp.Server
 
 	startedAt time.Time
-	leaving   atomic.Bool
-	inFlight  atomic.Int64
+	// bootAtStart is the time of bootTime at startedAt.
+	bootAtStart time.Duration
+	leaving     atomic.Bool
+	inFlight    atomic.Int64
 	// receiving is the number of messages of peers that are being processed.
 	receiving atomic.Int32
 
@@ -163,7 +165,7 @@
 // New returns an entry instance that is ready to Run; reload reads the settings again.
 func New(settings *parser.EntrySettings, p Platform, handlers Handlers, reload func() (*parser.EntrySettings, error), logger *zap.Logger) *Coordinator {
 	c := &Coordinator{platform: p, handlers: handlers, logger: logger, reload: reload, sendProgress: map[string]*sendProgress{},
-		memberLost: make(chan struct{}, 1), heldClosings: map[string][]int64{}, startedAt: time.Now()}
+		memberLost: make(chan struct{}, 1), heldClosings: map[string][]int64{}, startedAt: time.Now(), bootAtStart: bootTime()}
 	c.settings.Store(settings)
 	c.bounds = settings.Bounds
 	c.openMetrics()
@@ -416,7 +418,7 @@
 			break
 		}
 	}
-	c.builds.SetLongestTimeout(longestTimeout(c.table.Load()), time.Now())
+	c.builds.SetLongestTimeout(longestTimeout(c.table.Load()), c.wakefulTime(time.Now()))
 	c.logger.Info("configuration in force", zap.Uint64("Version", uint64(cfg.Version)), zap.Uint64("Offset", uint64(r.Offset)),
 		zap.Int("Routes", len(cfg.Routes)), zap.Int("Teams", len(cfg.Teams)))
 	c.passOn()
@@ -441,7 +443,7 @@
 		c.logger.Info("older target entry ignored", zap.String("Target", r.Key), zap.Uint64("Beat", t.Revision), zap.Uint64("Offset", uint64(r.Offset)))
 		return
 	}
-	c.builds.Saw([]pinner.Pin{{Service: t.Service, Build: t.Build}}, time.Now())
+	c.builds.Saw([]pinner.Pin{{Service: t.Service, Build: t.Build}}, c.wakefulTime(time.Now()))
 	c.logger.Info("target", zap.String("Target", r.Key), zap.String("Service", string(t.Service)), zap.String("Zone", string(t.Zone)),
 		zap.Stringer("Stage", t.Stage), zap.String("Build", string(t.Build)), zap.Bool("Leaving", t.Leaving), zap.Bool("Cheap", t.Cheap), zap.Uint64("Beat", t.Revision), zap.Uint64("Offset", uint64(r.Offset)))
 	c.passOn()
--- a/internal/coordinator/gossip.go
+++ b/internal/coordinator/gossip.go
@@ -73,7 +73,7 @@
 	b.Departures = c.departures(now)
 	c.addQuarantine(b, now)
 	c.addLimits(b, last, now)
-	c.builds.Compose(b, last, now)
+	c.builds.Compose(b, last, c.wakefulTime(now))
 	if last != nil {
 		c.addChanges(b, last, firstHand)
 		c.addClosings(b, last)
@@ -230,7 +230,9 @@
 	c.applyClosings(b)
 	c.applyQuarantine(b, now)
 	c.applyLimits(b, receipt)
-	c.builds.Apply(b, receipt.ComposedAt(b), now)
+	if composedAt := receipt.ComposedAt(b); !composedAt.IsZero() {
+		c.builds.Apply(b, c.wakefulTime(composedAt), c.wakefulTime(now))
+	}
 	c.applyOrders(b, receipt)
 	if l := b.Lease; l != nil {
 		c.elector.ReceiveHead(elector.LogHead{
--- a/internal/coordinator/pins.go
+++ b/internal/coordinator/pins.go
@@ -69,11 +69,12 @@
 // soleBuild returns the only build of a service that targets had while a stream that is still going on may have begun. It waits
 // for a list of targets that is as new as the question: the stream may have begun at a build that was listed just before.
 func (c *Coordinator) soleBuild(ctx context.Context, service identifier.ServiceID) (identifier.Build, bool) {
-	asked := time.Now()
+	asked := c.wakefulTime(time.Now())
 	for {
 		now := time.Now()
-		build, err := c.builds.Sole(service, c.buildList(now), c.contact(now), asked, now)
-		if !errors.Is(err, ErrListOlder) || now.Sub(asked) >= MaximumListWait {
+		wakeful := c.wakefulTime(now)
+		build, err := c.builds.Sole(service, c.buildList(now), c.contact(now), asked, wakeful)
+		if !errors.Is(err, ErrListOlder) || wakeful.Sub(asked) >= MaximumListWait {
 			return build, err == nil
 		}
 		if sleeper.Sleep(ctx, checkPause) != nil {
@@ -84,7 +85,7 @@
 
 // recordBuilds records the builds of all listed targets.
 func (c *Coordinator) recordBuilds(now time.Time) {
-	c.builds.Record(c.buildList(now), c.contact(now), now)
+	c.builds.Record(c.buildList(now), c.contact(now), c.wakefulTime(now))
 }
 
 func (c *Coordinator) contact(now time.Time) Contact {
@@ -96,7 +97,7 @@
 func (c *Coordinator) buildList(now time.Time) BuildList {
 	l := BuildList{}
 	if age, known := c.targets.Age(now); known {
-		l.AsOf = now.Add(-age)
+		l.AsOf = c.wakefulTime(now.Add(-age))
 	}
 	for _, t := range c.registry.Targets() {
 		l.Pins = append(l.Pins, pinner.Pin{Service: t.Service, Build: t.Build})
