Elector: duties at a platform that checks no fencing number

Cause: with fencing_required false a call of an earlier holder that arrives late takes effect. Change: setting FencingChecked (default true, behaviour as before).

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -212,8 +212,9 @@
 		Holder: c.self.ID + "/" + c.self.Incarnation, Log: c.platform.Duties, Lease: bounds.Lease, Logger: c.logger,
 		Now: bootTime, Eligible: c.eligible, MayHold: c.mayHoldDuties,
 	}
+	lease := c.platformLease()
 	c.targetScaler = &scaler.Scaler{
-		DutyLease: c.elector, Platform: c.platform.Scaling, Table: c.table.Load,
+		DutyLease: lease, Platform: c.platform.Scaling, Table: c.table.Load,
 		Targets: c.registry.NotLeaving, Serving: c.registry.Available, Load: c.demand.Peak, Logger: c.logger,
 	}
 	c.stageController = &scaler.StageController{
@@ -221,7 +222,7 @@
 		Table: c.table.Load, Targets: c.registry.NotLeaving, Limited: c.namesLimit, Announce: c.announceOrders, Logger: c.logger,
 	}
 	c.windowReporter = &reporter.WindowReporter{
-		DutyLease: c.elector, Platform: c.platform.Usage, Length: bounds.UsageWindow, MaximumDelay: bounds.UsageLate,
+		DutyLease: lease, Platform: c.platform.Usage, Length: bounds.UsageWindow, MaximumDelay: bounds.UsageLate,
 		Now: c.medianTime, Total: c.counts.Total, Held: c.heldByPeer, Logger: c.logger,
 	}
 }
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -98,6 +98,8 @@
 	headSince time.Duration
 	logRead   bool
 	expiresAt time.Duration
+	// precededUntil is when calls of earlier holders can no longer arrive.
+	precededUntil time.Duration
 	// peerNext is the offset after the newest record that a peer reported; records from fold.Next on are not read yet.
 	peerNext identifier.Offset
 	fence    identifier.Fence
@@ -297,6 +299,9 @@
 func (e *Elector) claim(ctx context.Context) {
 	e.mu.Lock()
 	end := identifier.Position{Era: e.era, Offset: e.fold.Next}
+	if end != (identifier.Position{}) {
+		e.precededUntil = e.Now() + flightTime
+	}
 	e.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
--- a/internal/parser/entry.go
+++ b/internal/parser/entry.go
@@ -60,6 +60,8 @@
 	Cores float64
 	// LinkMegabits is the bandwidth of the machine's network link.
 	LinkMegabits float64
+	// FencingChecked is set if the platform refuses calls with a lower fencing number than it has seen.
+	FencingChecked bool
 }
 
 const (
@@ -164,6 +166,7 @@
 		Descriptors:        int(s.numberOrDefault("Descriptors", defaultEntryDescriptors, 64, maximumConnections)),
 		Cores:              s.numberOrDefault("CPUShare", 1, 0.001, maximumConnections) * s.numberOrDefault("CPUs", 1, 1, maximumConnections),
 		LinkMegabits:       s.numberOrDefault("LinkMegabits", defaultEntryLinkMegabits, 0.1, maximumBytes),
+		FencingChecked:     s.raw("FencingChecked", "") == "" || s.boolean("FencingChecked", true),
 		MemoryMegabytes:    int64(s.numberOrDefault("MemoryMegabytes", defaultEntryMemoryMegabytes, 16, maximumBytes)),
 	}
 }
--- a/internal/parser/entry_test.go
+++ b/internal/parser/entry_test.go
@@ -48,6 +48,13 @@
 	quicktest.Check(t, s.Bounds.UsageWindow, quicktest.Equals, 5*time.Second, quicktest.Commentf("an empty value gives the default"))
 	quicktest.Check(t, s.Bounds.Cores, quicktest.Equals, 0.8)
 
+	quicktest.Check(t, s.Bounds.FencingChecked, quicktest.IsTrue, quicktest.Commentf("the default"))
+	for value, checked := range map[string]bool{"": true, "true": true, "false": false} {
+		s, err := parser.ParseEntrySettings("entry.ini", []byte(entry+"FencingChecked = "+value+"\n"))
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Check(t, s.Bounds.FencingChecked, quicktest.Equals, checked, quicktest.Commentf("%q", value))
+	}
+
 	// One run reports all faults.
 	bad := strings.NewReplacer("ID = front-1\n", "", "10.0.0.1:81", "here", "3000", "soon", "10.0.0.2:8367", "seed", "LeastLoad", "Best\nStages = Some").Replace(entry) + "Colour = red\n"
 	_, err = parser.ParseEntrySettings("entry.ini", []byte(bad))
