--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -129,7 +129,7 @@
 	pins            *pinner.Pinner
 	quotas          *ratelimiter.Limiter
 	datagrams       datagrams
-	sightings       pinner.Sightings
+	builds          Builds
 	prober          prober.Prober
 	// unreachable holds the services of which this instance cannot reach some targets.
 	unreachable atomic.Pointer[[]*gossiper.Unreachable]
@@ -144,8 +144,10 @@
 	relay *khttp.Server
 
 	startedAt time.Time
-	leaving   atomic.Bool
-	inFlight  atomic.Int64
+	// bootAtStart is the time of bootTime at startedAt.
+	bootAtStart time.Duration
+	leaving     atomic.Bool
+	inFlight    atomic.Int64
 	// receiving is the number of messages of peers that are being processed.
 	receiving atomic.Int32
 
@@ -165,12 +167,9 @@
 // New returns an entry instance that is ready to Run; reload reads the settings again.
 func New(settings *parser.EntrySettings, p Platform, handlers Handlers, reload func() (*parser.EntrySettings, error), logger *zap.Logger) *Coordinator {
 	c := &Coordinator{platform: p, handlers: handlers, logger: logger, reload: reload, sendProgress: map[string]*sendProgress{},
-		memberLost: make(chan struct{}, 1), heldClosings: map[string][]int64{}, startedAt: time.Now()}
+		memberLost: make(chan struct{}, 1), heldClosings: map[string][]int64{}, startedAt: time.Now(), bootAtStart: bootTime()}
 	c.settings.Store(settings)
 	c.bounds = settings.Bounds
-	if settings.FirstStart {
-		c.sightings.Cover(c.startedAt.Add(-firstStartSpan))
-	}
 	c.openMetrics()
 	c.self = &gossiper.Member{
 		ID: string(settings.Instance), Incarnation: uuid.NewString()[:incarnationDigits], Zone: string(settings.Zone),
@@ -215,8 +214,9 @@
 		Holder: c.self.ID + "/" + c.self.Incarnation, Log: c.platform.Duties, Lease: bounds.Lease, Logger: c.logger,
 		Now: bootTime, Eligible: c.eligible, MayHold: c.mayHoldDuties,
 	}
+	lease := c.platformLease()
 	c.targetScaler = &scaler.Scaler{
-		DutyLease: c.elector, Platform: c.platform.Scaling, Table: c.table.Load,
+		DutyLease: lease, Platform: c.platform.Scaling, Table: c.table.Load,
 		Targets: c.registry.NotLeaving, Serving: c.registry.Available, Load: c.demand.Peak, Logger: c.logger,
 	}
 	c.stageController = &scaler.StageController{
@@ -224,7 +224,7 @@
 		Table: c.table.Load, Targets: c.registry.NotLeaving, Limited: c.namesLimit, Announce: c.announceOrders, Logger: c.logger,
 	}
 	c.windowReporter = &reporter.WindowReporter{
-		DutyLease: c.elector, Platform: c.platform.Usage, Length: bounds.UsageWindow, MaximumDelay: bounds.UsageLate,
+		DutyLease: lease, Platform: c.platform.Usage, Length: bounds.UsageWindow, MaximumDelay: bounds.UsageLate,
 		Now: c.medianTime, Total: c.counts.Total, Held: c.heldByPeer, Logger: c.logger,
 	}
 }
@@ -422,6 +422,7 @@
 			break
 		}
 	}
+	c.builds.SetLongestTimeout(longestTimeout(c.table.Load()), c.wakefulTime(time.Now()))
 	c.logger.Info("configuration in force", zap.Uint64("Version", uint64(cfg.Version)), zap.Uint64("Offset", uint64(r.Offset)),
 		zap.Int("Routes", len(cfg.Routes)), zap.Int("Teams", len(cfg.Teams)))
 	c.passOn()
@@ -446,7 +447,7 @@
 		c.logger.Info("older target entry ignored", zap.String("Target", r.Key), zap.Uint64("Beat", t.Revision), zap.Uint64("Offset", uint64(r.Offset)))
 		return
 	}
-	c.recordSighting(&t, time.Now())
+	c.builds.Saw([]pinner.Pin{{Service: t.Service, Build: t.Build}}, c.wakefulTime(time.Now()))
 	c.logger.Info("target", zap.String("Target", r.Key), zap.String("Service", string(t.Service)), zap.String("Zone", string(t.Zone)),
 		zap.Stringer("Stage", t.Stage), zap.String("Build", string(t.Build)), zap.Bool("Leaving", t.Leaving), zap.Bool("Cheap", t.Cheap), zap.Uint64("Beat", t.Revision), zap.Uint64("Offset", uint64(r.Offset)))
 	c.passOn()
--- a/internal/parser/entry.go
+++ b/internal/parser/entry.go
@@ -26,9 +26,7 @@
 	// RelayListen is the listen address for requests that peers pass on; if it is empty, none are.
 	RelayListen string
 	Seeds       []string
-	// FirstStart is set if the whole fleet starts for the first time: nothing has happened before.
-	FirstStart bool
-	Store      string
+	Store       string
 	// Cloud is a base URL like Store; it is empty on a site without duties.
 	Cloud   string
 	Routing EntryRouting
@@ -66,6 +64,8 @@
 	Cores float64
 	// LinkMegabits is the bandwidth of the machine's network link.
 	LinkMegabits float64
+	// FencingChecked is set if the platform refuses calls with a lower fencing number than it has seen.
+	FencingChecked bool
 }
 
 const (
@@ -107,7 +107,8 @@
 		s.RelayListen = instance.hostPort("RelayListen", "")
 	}
 	s.Seeds = parseSeeds(instance, s.PeerListen)
-	s.FirstStart = instance.boolean("FirstStart", false)
+	// Earlier builds' templates set this key, which has no effect: a restarted process reads the same file as the first one.
+	_ = instance.boolean("FirstStart", false)
 	s.Store = "http://" + d.sectionNamed("Store").hostPort("Address", "")
 	if cloud := d.sectionNamed("Cloud"); cloud.text("Address", "") != "" {
 		s.Cloud = "http://" + cloud.hostPort("Address", "")
@@ -175,6 +176,7 @@
 		Descriptors:        int(s.numberOrDefault("Descriptors", defaultEntryDescriptors, 64, maximumConnections)),
 		Cores:              s.numberOrDefault("CPUShare", 1, 0.001, maximumConnections) * s.numberOrDefault("CPUs", 1, 1, maximumConnections),
 		LinkMegabits:       s.numberOrDefault("LinkMegabits", defaultEntryLinkMegabits, 0.1, maximumBytes),
+		FencingChecked:     s.raw("FencingChecked", "") == "" || s.boolean("FencingChecked", true),
 		MemoryMegabytes:    int64(s.numberOrDefault("MemoryMegabytes", defaultEntryMemoryMegabytes, 16, maximumBytes)),
 	}
 }
