Withdraw the surplus targets of a zone in one order

Cause: surplus regular targets were withdrawn one at a time while fewer than wanted-1 targets in the decode stage were in other zones, which at 60 targets in three zones is always the case. Each withdrawal waits until the target of the one before says that it leaves.

Change: MaximumWithdrawals allows any number as long as at least half of the wanted decode targets remain even if all those of the pool leave, and else as many as keep that half. The next pool follows in the check that sees the last one leave, not in the one after it. Since a withdrawal is now large and regular targets are not ordered back, a number counts as surplus only after 3 s: the first measured demand is too low.

--- a/internal/placer/split.go
+++ b/internal/placer/split.go
@@ -116,20 +116,14 @@
 	return changes
 }
 
-// MaximumWithdrawals returns how many engines of a zone may be withdrawn at once, given the number of decode engines in
-// each zone: any number if enough engines decode in the other zones, else one if at least two decode in total.
-func MaximumWithdrawals(decoding map[identifier.ZoneID]int, zone identifier.ZoneID, engines int) int {
-	total := 0
-	for _, n := range decoding {
-		total += n
-	}
-	switch wanted := WantedDecodeEngines(engines); {
-	case total-decoding[zone] >= max(1, wanted-1):
+// MaximumWithdrawals returns how many engines of a pool may be withdrawn in one order, given how many decode in the pool and in
+// total. The platform chooses which ones leave, so all of these may decode: at least half of the wanted ones must remain.
+func MaximumWithdrawals(decodingInPool, decoding, engines int) int {
+	needed := max(1, (WantedDecodeEngines(engines)+1)/2)
+	if decoding-decodingInPool >= needed {
 		return math.MaxInt
-	case total >= 2:
-		return 1
 	}
-	return 0
+	return max(0, decoding-needed)
 }
 
 func change(e *StageEngine, stage registrar.Stage) StageChange {
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -26,6 +26,9 @@
 	arrivalSlack = 3 * time.Second
 	// refusedPause is how long an order is not repeated after it failed, for example because no target is available.
 	refusedPause = 2 * time.Second
+	// holdTime is how long targets must be surplus before they are withdrawn: the first measured demand, and that after a
+	// restart of all instances, is too low, and regular targets that were withdrawn are not ordered again.
+	holdTime = 3 * time.Second
 )
 
 // Scaler controls the number of targets of each service that can be scaled; exported fields must be set.
@@ -46,7 +49,15 @@
 	sent        map[pool]lastOrder
 	// withdrawing holds the last withdrawal of each pool until its targets are gone or the order's time is over.
 	withdrawing map[pool]lastOrder
-	discovery   discovery
+	// planned holds the largest recent plan for each pool.
+	planned   map[pool]plannedCount
+	discovery discovery
+}
+
+// plannedCount is a planned number of targets and when it was planned last.
+type plannedCount struct {
+	count int
+	at    time.Time
 }
 
 // pool is the regular or the cheap targets of a service in one availability zone.
@@ -66,7 +77,7 @@
 func (s *Scaler) Run(ctx context.Context) {
 	for sleeper.Sleep(ctx, scaleInterval) == nil {
 		if _, err := s.DutyLease.Authority(); err != nil {
-			s.sent, s.withdrawing, s.discovery = nil, nil, discovery{}
+			s.sent, s.withdrawing, s.planned, s.discovery = nil, nil, nil, discovery{}
 			continue
 		}
 		table := s.Table()
@@ -106,6 +117,11 @@
 	for _, z := range fleet {
 		input.Zones = append(input.Zones, z)
 	}
+	for p, o := range s.withdrawing {
+		if have := fleet[p.zone]; p.service == service.ID && (count(have, p.cheap) <= o.count || time.Now().After(o.until)) {
+			delete(s.withdrawing, p)
+		}
+	}
 	scalingDown := false
 	for _, w := range placer.PlanFleet(input) {
 		have := fleet[w.Zone]
@@ -117,23 +133,21 @@
 		}
 	}
 	s.setScalingDown(service.ID, scalingDown)
-	for p, o := range s.withdrawing {
-		if have := fleet[p.zone]; p.service == service.ID && (count(have, p.cheap) <= o.count || time.Now().After(o.until)) {
-			delete(s.withdrawing, p)
-		}
-	}
 }
 
-// change orders additional targets at once, but withdraws targets from one pool at a time, so that some in the decode
-// stage remain: the platform chooses which targets leave, and replacing them takes a change of stage.
+// change orders additional targets at once, and withdraws all surplus targets of a pool in one order, as far as enough targets in
+// the decode stage remain: the platform chooses which targets leave, and replacing them takes a change of stage. Targets of the
+// next pool are withdrawn once those of the last one have said that they leave.
 func (s *Scaler) change(ctx context.Context, service *matcher.Service, p pool, have, want int) {
+	held := s.hold(p, want)
 	if want < have {
-		if len(s.withdrawing) > 0 {
+		if want = held; want >= have || len(s.withdrawing) > 0 {
 			return
 		}
 		withdrawn := have - want
 		if service.Engine != nil {
-			withdrawn = min(withdrawn, placer.MaximumWithdrawals(s.decoding(service.ID), p.zone, len(s.Targets(service.ID))))
+			inPool, total := s.decoding(p)
+			withdrawn = min(withdrawn, placer.MaximumWithdrawals(inPool, total, len(s.Targets(service.ID))))
 		}
 		if withdrawn == 0 {
 			return
@@ -148,6 +162,18 @@
 	}
 }
 
+// hold returns the largest number planned for a pool within about holdTime.
+func (s *Scaler) hold(p pool, want int) int {
+	now := time.Now()
+	if s.planned == nil {
+		s.planned = map[pool]plannedCount{}
+	}
+	if held, ok := s.planned[p]; !ok || want >= held.count || now.Sub(held.at) > holdTime {
+		s.planned[p] = plannedCount{want, now}
+	}
+	return s.planned[p].count
+}
+
 // ScalingDown reports whether targets of a service are being withdrawn.
 func (s *Scaler) ScalingDown(service identifier.ServiceID) bool {
 	s.mu.Lock()
@@ -171,15 +197,18 @@
 	return z.Regular
 }
 
-// decoding counts the available targets in the decode stage, by zone.
-func (s *Scaler) decoding(service identifier.ServiceID) map[identifier.ZoneID]int {
-	zones := map[identifier.ZoneID]int{}
-	for _, t := range s.Serving(service, time.Now()) {
-		if t.Stage == registrar.Answers {
-			zones[t.Zone]++
+// decoding counts the available targets in the decode stage, in one pool and in all pools of its service.
+func (s *Scaler) decoding(p pool) (inPool, total int) {
+	for _, t := range s.Serving(p.service, time.Now()) {
+		if t.Stage != registrar.Answers {
+			continue
+		}
+		total++
+		if t.Zone == p.zone && t.Cheap == p.cheap {
+			inPool++
 		}
 	}
-	return zones
+	return inPool, total
 }
 
 // order sends an order, unless the pool has the wanted number of targets and no other number was ordered last, or the
