Avoid a target for half a second after a refusal with free slots

Cause: a target that changes its stage refuses each request (503 with X-Not-Executed). Only the failure score kept requests away, which the load of the other targets outweighs.

Change: TargetStates.Refused marks a target that refused a request and whose known load is below its slots. For 0.5 s it costs AvoidanceCost (0.9 s) more, which is less than a full target: it is a preference.

Result: TestRefusalWithFreeSlots.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -33,6 +33,11 @@
 	warmUpCost = 150 * time.Millisecond
 	// failureCost is the cost of each point of the failure score.
 	failureCost = 250 * time.Millisecond
+	// fullCost is the cost of a target without a free slot for one more answer.
+	fullCost = time.Second
+	// AvoidanceCost is the surcharge of a target that is expected to refuse requests. It is below fullCost: avoiding is a
+	// preference, and the target may be ready before that is known here.
+	AvoidanceCost = 900 * time.Millisecond
 )
 
 // Part is a part of a prompt; two requests share their parts up to the first one that differs.
@@ -155,7 +160,7 @@
 		c := &candidates[i]
 		cost := time.Duration(c.Load.Answers)*answerCost + penalty(c, zone) + jitter.offset(c.Target)
 		if c.Target.Slots > 0 && c.Load.Answers >= c.Target.Slots {
-			cost += time.Second
+			cost += fullCost
 		}
 		if best.Target == nil || cost < bestCost {
 			best, bestCost = Choice{Target: c.Target, Predicted: cost}, cost
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -210,3 +210,19 @@
 	candidates := states.Candidates([]*registrar.Target{{ID: "t"}}, []chooser.Part{part(3), part(4)}, now)
 	quicktest.Check(t, candidates[0].Cached, quicktest.Equals, identifier.Tokens(200), quicktest.Commentf("known to this instance"))
 }
+
+// TestRefusalWithFreeSlots checks that a target is avoided for half a second after a refusal that its load does not explain.
+func TestRefusalWithFreeSlots(t *testing.T) {
+	target := &registrar.Target{ID: "t", Slots: 2}
+	var states chooser.TargetStates
+	surcharge := func(at time.Time) time.Duration {
+		return states.Candidates([]*registrar.Target{target}, nil, at)[0].Surcharge
+	}
+	end := states.Begin("t", chooser.Load{Answers: 2}, now)
+	states.Refused(target, now)
+	quicktest.Check(t, surcharge(now), quicktest.Equals, time.Duration(0), quicktest.Commentf("it is full"))
+	end()
+	states.Refused(target, now)
+	quicktest.Check(t, surcharge(now.Add(499*time.Millisecond)), quicktest.Equals, chooser.AvoidanceCost)
+	quicktest.Check(t, surcharge(now.Add(500*time.Millisecond)), quicktest.Equals, time.Duration(0))
+}
--- a/internal/chooser/states.go
+++ b/internal/chooser/states.go
@@ -18,6 +18,8 @@
 	defaultCacheTokens = 300_000
 	// failureHalfLife is the half-life of the failure score.
 	failureHalfLife = 2 * time.Second
+	// refusalPause is how long a target is avoided after a refusal without a reason in its load.
+	refusalPause = 500 * time.Millisecond
 	// reportInterval is how often a part that stays in use is reported to peers again.
 	reportInterval = 3 * time.Second
 	// recentPartsKept is the least number of recent parts kept for peers that have not received them yet.
@@ -62,8 +64,10 @@
 	tokens     identifier.Tokens
 	failures   float64
 	failuresAt time.Time
-	firstSeen  time.Time
-	startedAt  time.Time
+	// refusedAt is when the target last refused a request although its load gives no reason.
+	refusedAt time.Time
+	firstSeen time.Time
+	startedAt time.Time
 }
 
 // peerReport holds the loads of a peer's last report.
@@ -89,9 +93,13 @@
 		if !t.StartedAt.Equal(s.startedAt) {
 			s.parts, s.tokens, s.startedAt = nil, 0, t.StartedAt
 		}
-		list = append(list, Candidate{
+		c := Candidate{
 			Target: t, Load: s.load(), Cached: s.cached(parts), FailureScore: s.failureScore(now), Age: now.Sub(s.firstSeen),
-		})
+		}
+		if !s.refusedAt.IsZero() && now.Sub(s.refusedAt) < refusalPause {
+			c.Surcharge = AvoidanceCost
+		}
+		list = append(list, c)
 	}
 	return list
 }
@@ -185,6 +193,17 @@
 	s.failuresAt = now
 }
 
+// Refused records that a target has refused a request that it has not run. If its load gives no reason for that, as with a target
+// that is changing its stage, it is avoided for refusalPause.
+func (ts *TargetStates) Refused(t *registrar.Target, now time.Time) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	s := ts.targetState(t.ID, now)
+	if t.Slots <= 0 || s.load().Answers < t.Slots {
+		s.refusedAt = now
+	}
+}
+
 // Succeeded halves a target's failure score.
 func (ts *TargetStates) Succeeded(id identifier.TargetID, now time.Time) {
 	ts.mu.Lock()
--- a/internal/forwarder/pin.go
+++ b/internal/forwarder/pin.go
@@ -105,7 +105,7 @@
 	}
 	for i := range list {
 		if most > 1 && targets[list[i].Target.Build] == 1 {
-			list[i].Surcharge = loneBuildCost
+			list[i].Surcharge += loneBuildCost
 		}
 	}
 }
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -18,7 +18,6 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/gatekeeper"
 	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
-	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
 // servePlain tries targets of a plain service until one gives a final response.
@@ -70,17 +69,20 @@
 		case rs.route.Kind != matcher.Safe || ctx.Err() != nil || !rs.takeRetry():
 			return refuseOutcomeUnknown(ctx, "TargetFailed", err)
 		}
-		rs.avoid(choice.Target.ID, err)
+		rs.avoid(choice.Target, err)
 	}
 }
 
 // avoid excludes a target from further attempts of this request after a failed one, which counts as a failure of the target
-// unless the request was withheld from it.
-func (rs *requestState) avoid(id identifier.TargetID, err error) {
+// unless the request was withheld from it. Other requests avoid a target for a while that has refused one.
+func (rs *requestState) avoid(t *registrar.Target, err error) {
 	if !errors.Is(err, gatekeeper.ErrWithheld) {
-		rs.f.TargetStates.Failed(id, time.Now())
+		rs.f.TargetStates.Failed(t.ID, time.Now())
 	}
-	rs.failedTargets = append(rs.failedTargets, id)
+	if errors.Is(err, ErrNotRun) && !errors.Is(err, ErrNotSent) {
+		rs.f.TargetStates.Refused(t, time.Now())
+	}
+	rs.failedTargets = append(rs.failedTargets, t.ID)
 }
 
 // logFailedAttempt logs the target of a failed attempt, with its status if it responded.
--- a/internal/forwarder/streamed.go
+++ b/internal/forwarder/streamed.go
@@ -65,7 +65,7 @@
 		}
 		rs.f.Logger.Info("answer target failed", zap.String("RequestID", string(rs.call.ID)), rs.digestField(),
 			zap.String("Target", string(t.ID)), zap.String("Build", string(t.Build)), zap.Int("Event", stream.lastID), zap.Error(err))
-		rs.avoid(t.ID, err)
+		rs.avoid(t, err)
 		switch {
 		case ctx.Err() != nil:
 			return refuseOutcomeUnknown(ctx, "Interrupted", err)
@@ -124,7 +124,7 @@
 		rs.f.Logger.Info("prompt target failed", zap.String("RequestID", string(rs.call.ID)),
 			zap.String("Target", string(promptChoice.Target.ID)), zap.Duration("Predicted", promptChoice.Predicted), zap.Error(err))
 		rs.prefillFailed = true
-		rs.avoid(promptChoice.Target.ID, err)
+		rs.avoid(promptChoice.Target, err)
 		switch {
 		case ctx.Err() != nil:
 			return nil, nil, &Refusal{Status: http.StatusGatewayTimeout, Reason: "PromptTimeout", Err: err}
