Avoid targets that the plan is about to change to another stage

Cause: instances learn of a stage order by gossip, up to a second late, and after a restart of all instances none knows the orders in progress. Targets that change refuse requests for three seconds.

Targets that the plan changes cost AvoidanceCost more as candidates, so they get requests only if the others of their stage have failed, are full or are a second behind.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -68,10 +68,12 @@
 
 // Forwarder handles client requests; all fields must be set.
 type Forwarder struct {
-	Zone         identifier.ZoneID
-	Table        func() *matcher.Table
-	TableAge     func() time.Duration
-	Targets      func(service identifier.ServiceID, now time.Time) []*registrar.Target
+	Zone     identifier.ZoneID
+	Table    func() *matcher.Table
+	TableAge func() time.Duration
+	Targets  func(service identifier.ServiceID, now time.Time) []*registrar.Target
+	// Changing returns the targets of a service that are expected to change their stage; nil means that none are.
+	Changing     func(service identifier.ServiceID, now time.Time) map[identifier.TargetID]bool
 	TargetStates *chooser.TargetStates
 	Chooser      *chooser.Chooser
 	Backend      Backend
@@ -293,7 +295,17 @@
 	targets = slices.DeleteFunc(targets, func(t *registrar.Target) bool {
 		return !slices.Contains(stages, t.Stage) || slices.Contains(rs.failedTargets, t.ID)
 	})
-	return rs.f.TargetStates.Candidates(rs.withoutDown(targets), parts, time.Now())
+	list := rs.f.TargetStates.Candidates(rs.withoutDown(targets), parts, time.Now())
+	if rs.f.Changing == nil {
+		return list
+	}
+	changing := rs.f.Changing(rs.service, time.Now())
+	for i := range list {
+		if changing[list[i].Target.ID] {
+			list[i].Surcharge = chooser.AvoidanceCost
+		}
+	}
+	return list
 }
 
 // chooseAnswerTarget chooses the answer target among the targets of the decode stage and those without a stage.
