Back off from a store that fails, except for the first two ranks

Cause: each instance repeated a failed read every 0.4 s, and its registration every 0.5 s, although gossip brings all of them what one reads.

Change: the first two ranks repeat failed reads after 0.4 s as before. The others double the pause up to 3 s, half of it random. The limit is 40 ms per live instance, so that small fleets, in which few others are left if the store refuses the first ranks alone, keep their pause. An instance that hears no peer, as after a restart of all, doubles up to 1 s. The registration uses the same pauses, at least 0.5 s.

--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
@@ -94,10 +95,14 @@
 
 func (c *Coordinator) newFollower(name string, s follower.Stream, m *mirrorer.Mirror, maximumAge func() time.Duration) *follower.Follower {
 	return &follower.Follower{
-		Name: name, Stream: s, Mirror: m, Logger: c.logger, MaximumAge: maximumAge,
+		Name: name, Stream: s, Mirror: m, Logger: c.logger, MaximumAge: maximumAge, Retry: c.retryPause,
 	}
 }
 
+func (c *Coordinator) retryPause(failures int) time.Duration {
+	return c.reader().RetryPause(failures, rand.Float64())
+}
+
 func (c *Coordinator) copyAge() time.Duration { return c.reader().CopyAge() }
 
 func (c *Coordinator) memberCopyAge() time.Duration {
@@ -114,6 +119,7 @@
 		}
 	}
 	r.Isolated = len(alive) == 0 && c.memberCount() > 1
+	r.Instances, r.Alone = len(alive)+1, len(alive) == 0 && (r.Isolated || c.seedCount() > 1)
 	return r
 }
 
@@ -142,16 +148,18 @@
 		c.logger.Error("cannot encode member record", zap.Error(err))
 		return
 	}
-	for {
+	for failures := 0; ; {
 		err := c.putMember(ctx, record)
 		if err == nil {
+			failures = 0
 			if !c.registerAgain(ctx) {
 				return
 			}
 			continue
 		}
+		failures++
 		c.logger.Debug("cannot register member", zap.Error(err))
-		if sleeper.Sleep(ctx, joinRetryPause) != nil {
+		if sleeper.Sleep(ctx, max(joinRetryPause, c.retryPause(failures))) != nil {
 			return
 		}
 	}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -37,14 +37,14 @@
 	// callTimeout limits one call, not counting its wait for records. It is long because a large record may take seconds
 	// over a slow link; the stream ends calls that make no progress.
 	callTimeout = 10 * time.Second
-	// retryPause is the pause after a failed call, which limits the load on a failing store.
-	retryPause = 400 * time.Millisecond
+	// RetryPause is the least pause after a failed call, which limits the load on a failing store.
+	RetryPause = 400 * time.Millisecond
 	// minimumCheckInterval and maximumCheckInterval limit the time until the next check of the mirror's age.
 	minimumCheckInterval = 50 * time.Millisecond
 	maximumCheckInterval = 200 * time.Millisecond
 )
 
-// Follower reads a stream into a mirror; all fields except Wait must be set.
+// Follower reads a stream into a mirror; all fields except Retry and Wait must be set.
 type Follower struct {
 	Name   string
 	Stream Stream
@@ -52,6 +52,8 @@
 	Logger *zap.Logger
 	// MaximumAge returns the age of the mirror at which this instance reads the store itself.
 	MaximumAge func() time.Duration
+	// Retry returns the pause after the given number of consecutive failed calls; nil means RetryPause after each.
+	Retry func(failures int) time.Duration
 	// Wait is how long the store may delay its response to a read while there are no new records; zero disables waiting.
 	Wait time.Duration
 
@@ -60,6 +62,8 @@
 	expired bool
 	// lost is set while calls fail, to log each change once.
 	lost bool
+	// failures is the number of consecutive failed calls since the mirror was last fresh.
+	failures int
 	// failingSince is when the first of the consecutive failed calls was made; nil if none failed since the mirror was
 	// last fresh.
 	failingSince atomic.Pointer[time.Time]
@@ -70,17 +74,31 @@
 	for ctx.Err() == nil {
 		if remaining := f.remaining(time.Now()); remaining > 0 {
 			f.failingSince.Store(nil)
+			f.failures = 0
 			if sleeper.Sleep(ctx, min(maximumCheckInterval, max(minimumCheckInterval, remaining))) != nil {
 				return
 			}
 			continue
 		}
-		if err := f.step(ctx); err != nil && sleeper.Sleep(ctx, retryPause) != nil {
-			return
+		if err := f.step(ctx); err != nil {
+			f.failures++
+			if f.pause(ctx) != nil {
+				return
+			}
+		} else {
+			f.failures = 0
 		}
 	}
 }
 
+// pause waits after a failed call.
+func (f *Follower) pause(ctx context.Context) error {
+	if f.Retry == nil {
+		return sleeper.Sleep(ctx, RetryPause)
+	}
+	return sleeper.Sleep(ctx, f.Retry(f.failures))
+}
+
 // remaining returns the time until this instance reads the store itself; zero or less means now.
 func (f *Follower) remaining(now time.Time) time.Duration {
 	age, known := f.Mirror.Age(now)
