Shorten the first second after all instances return at once

Cause: (1) a request that arrives between the start of an instance and its first configuration and list of targets is refused (NoConfiguration, NoTarget); after a restart of all instances it is refused everywhere. (2) Seeds are contacted one after the other, all in the same order, and again after 0.5 s; one that does not answer costs 0.8 s. An instance that awaits a peer before it reads the configuration (a store that has come back from an older copy) waits for that up to 1.5 s.

Change: requests wait for the first configuration and list in the first two seconds, up to one second and a third of the client's deadline.

Looked at and left as they are: an instance that does not know how many others run opens one connection to each target (it knows as soon as it has read the members, which outlive a restart); the retry budget starts empty, since it must hold across restarts; connections to targets are opened by the first requests.

Result: TestFirstRequestsWaitForTheConfiguration: an instance that is ready after 0.3 s answers 200 after 0.3 s instead of 503.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -243,7 +243,7 @@
 	}
 	c.forward = &forwarder.Forwarder{
 		Zone: identifier.ZoneID(c.self.Zone), Table: c.table.Load, TableAge: c.tableAge,
-		Targets: c.available, Changing: c.changing, Expected: c.expected, Instances: c.memberCount,
+		Targets: c.available, Changing: c.changing, Starting: c.starting, Expected: c.expected, Instances: c.memberCount,
 		TargetStates: &c.targetStates, Chooser: &chooser.Chooser{Policy: c.settings.Load().Routing.Policy}, MaximumJitter: c.jitter,
 		Backend: c.platform.Backend, Budget: c.retryBudget, Quarantine: &gossipedQuarantine{&c.quarantine, c.peers},
 		Pins: c.pins, SoleBuild: c.soleBuild, Reach: &c.prober, Handover: c.platform.Handover, Peers: c.reachingPeers,
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -123,23 +123,6 @@
 	return r
 }
 
-// contactSeeds contacts the seed addresses of the settings until a peer is alive.
-func (c *Coordinator) contactSeeds(ctx context.Context) {
-	for len(c.peers.Alive(time.Now())) == 0 {
-		for _, addr := range c.settings.Load().Seeds {
-			if addr == c.self.PeerAddress {
-				continue
-			}
-			if err := c.peers.Contact(ctx, addr); err != nil {
-				c.logger.Debug("cannot reach seed", zap.String("Address", addr), zap.Error(err))
-			}
-		}
-		if sleeper.Sleep(ctx, joinRetryPause) != nil {
-			return
-		}
-	}
-}
-
 // register writes this instance's member record to the store, with retries until it succeeds, and again whenever the
 // store may have lost it.
 func (c *Coordinator) register(ctx context.Context) {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -73,7 +73,10 @@
 	TableAge func() time.Duration
 	Targets  func(service identifier.ServiceID, now time.Time) []*registrar.Target
 	// Changing returns the targets of a service that are expected to change their stage; nil means that none are.
-	Changing     func(service identifier.ServiceID, now time.Time) map[identifier.TargetID]bool
+	Changing func(service identifier.ServiceID, now time.Time) map[identifier.TargetID]bool
+	// Starting reports whether this instance has just started and lacks its first configuration or list of targets; nil means
+	// that it does not.
+	Starting     func() bool
 	TargetStates *chooser.TargetStates
 	Chooser      *chooser.Chooser
 	Backend      Backend
@@ -159,6 +162,7 @@
 // Serve handles a call and writes the answer to w.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, call *Call) {
 	rs := &requestState{f: f, w: w, call: call, start: time.Now(), attempts: call.AttemptsBefore, prefills: call.PrefillsBefore, unusedCache: call.Cache}
+	rs.awaitStart(ctx)
 	refusal := rs.admit()
 	if refusal == nil {
 		var cancel context.CancelFunc
