Let a new holder of the duties wait before it withdraws targets

Cause: the hold of 3 s began with the first plan that an instance made, so one that had just claimed the duties withdrew surplus targets at once, by whatever demand it knew.

Change: nothing is surplus before the hold has passed once.

Result: TestNewHolderWaitsBeforeWithdrawals failed before (withdrawals within 3 s) and passes.

--- a/internal/scaler/fleet_cost_test.go
+++ b/internal/scaler/fleet_cost_test.go
@@ -309,3 +309,39 @@
 		quicktest.Check(t, leastDecoding > 0, quicktest.IsTrue, quicktest.Commentf("%s: no engine decodes", name))
 	}
 }
+
+// TestNewHolderWaitsBeforeWithdrawals guards against an instance that withdraws targets right after it has claimed the duties, by the
+// demand of the first moments after a restart of all instances.
+func TestNewHolderWaitsBeforeWithdrawals(t *testing.T) {
+	const surplusTime = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(1)
+		for _, zone := range siteZones {
+			for range 20 {
+				s.add(zone, true, time.Now().Add(-time.Minute))
+			}
+		}
+		table := matcher.New(matcher.Configuration{Services: []matcher.Service{{
+			ID: "s", Engine: &matcher.Engine{Slots: 128}, Scaling: &matcher.Scaling{
+				Minimum: 1, Maximum: 40, BootTime: boot, CheapPriceFraction: cheapPrice, Prices: map[identifier.ZoneID]float64{"a": 1, "b": 1, "c": 1},
+			},
+		}}})
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		group.Go(func() {
+			(&scaler.Scaler{
+				DutyLease: fakeLease{}, Platform: s, Table: func() *matcher.Table { return table }, Targets: s.list, Serving: s.serving,
+				Load: func(identifier.ServiceID) float64 { return 1 }, Logger: zap.NewNop(),
+			}).Run(ctx)
+		})
+		time.Sleep(surplusTime)
+		s.mu.Lock()
+		withdrawals := len(s.withdrawals)
+		s.mu.Unlock()
+		quicktest.Check(t, withdrawals, quicktest.Equals, 0)
+		time.Sleep(20 * time.Second)
+		cancel()
+		group.Wait()
+		quicktest.Check(t, len(s.withdrawals), quicktest.Equals, len(siteZones), quicktest.Commentf("surplus targets stay"))
+	})
+}
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -162,16 +163,21 @@
 	}
 }
 
-// hold returns the largest number planned for a pool within about holdTime.
+// hold returns the largest number planned for a pool within about holdTime; before that much time has passed, nothing is surplus.
 func (s *Scaler) hold(p pool, want int) int {
 	now := time.Now()
 	if s.planned == nil {
 		s.planned = map[pool]plannedCount{}
 	}
-	if held, ok := s.planned[p]; !ok || want >= held.count || now.Sub(held.at) > holdTime {
-		s.planned[p] = plannedCount{want, now}
+	held, ok := s.planned[p]
+	switch {
+	case !ok:
+		held = plannedCount{math.MaxInt, now}
+	case want >= held.count || now.Sub(held.at) > holdTime:
+		held = plannedCount{want, now}
 	}
-	return s.planned[p].count
+	s.planned[p] = held
+	return held.count
 }
 
 // ScalingDown reports whether targets of a service are being withdrawn.
