--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -211,7 +211,8 @@
 	quicktest.Check(t, candidates[0].Cached, quicktest.Equals, identifier.Tokens(200), quicktest.Commentf("known to this instance"))
 }
 
-// TestRefusalWithFreeSlots checks that a target is avoided for half a second after a refusal that its load does not explain.
+// TestRefusalWithFreeSlots guards against a target that is chosen again within half a second after a refusal that its load does not
+// explain, and against avoiding one that refused because it was full.
 func TestRefusalWithFreeSlots(t *testing.T) {
 	target := &registrar.Target{ID: "t", Slots: 2}
 	var states chooser.TargetStates
--- a/internal/coordinator/planned_stages.go
+++ b/internal/coordinator/planned_stages.go
@@ -22,7 +22,7 @@
 // duties knows whether they are.
 const spareAnswerTargets = 2
 
-// PlannedStages knows which targets the holder of the duties is about to order to another stage, as far as this instance's list of
+// PlannedStages computes which targets the holder of the duties is about to order to another stage, as far as this instance's list of
 // targets tells. The zero value is ready to use.
 //
 // A target that changes its stage refuses requests. Its entry shows the change only afterwards, other instances learn of the order up to
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -138,7 +138,7 @@
 
 // change orders additional targets at once, and withdraws all surplus targets of a pool in one order, as far as enough targets in
 // the decode stage remain: the platform chooses which targets leave, and replacing them takes a change of stage. Targets of the
-// next pool are withdrawn once those of the last one have said that they leave.
+// next pool are withdrawn once those of the previous one have said that they are leaving.
 func (s *Scaler) change(ctx context.Context, service *matcher.Service, p pool, have, want int) {
 	held := s.hold(p, want)
 	if want < have {
