Hold the largest plan of the whole hold time

Cause: Scaler.hold kept one plan and its time. When the larger plan was 3 s old, the plan of that moment took its place, so that a dip of half a second withdrew targets that the plan had asked for just before.

Change: the plans of the hold time are kept; the largest one counts.

--- a/internal/scaler/fleet_cost_test.go
+++ b/internal/scaler/fleet_cost_test.go
@@ -354,3 +354,44 @@
 		quicktest.Check(t, len(s.withdrawals), quicktest.Equals, len(siteZones), quicktest.Commentf("surplus targets stay"))
 	})
 }
+
+// TestShortDipIsNotWithdrawn guards against a withdrawal down to a number that was planned for a moment only, right after an earlier and
+// smaller fall of the plan has lasted for the hold.
+func TestShortDipIsNotWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, began := newSite(1), time.Now()
+		for _, zone := range siteZones {
+			for range 20 {
+				s.add(zone, true, time.Now().Add(-time.Minute))
+			}
+		}
+		table := matcher.New(matcher.Configuration{Services: []matcher.Service{{
+			ID: "s", Engine: &matcher.Engine{Slots: 128}, Scaling: &matcher.Scaling{
+				Minimum: 1, Maximum: 40, BootTime: boot, CheapPriceFraction: cheapPrice, Prices: map[identifier.ZoneID]float64{"a": 1, "b": 1, "c": 1},
+			},
+		}}})
+		// The plan has 20 regular targets in each zone, then 14, and 1 for half a second when the hold of the 20 ends.
+		load := func(identifier.ServiceID) float64 {
+			switch at := time.Since(began); {
+			case at < 10*time.Second:
+				return 60
+			case at < 12900*time.Millisecond || at > 13400*time.Millisecond:
+				return sitePeak
+			}
+			return 1
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		group.Go(func() {
+			(&scaler.Scaler{
+				DutyLease: fakeLease{}, Platform: s, Table: func() *matcher.Table { return table }, Targets: s.list, Serving: s.serving, Load: load, Logger: zap.NewNop(),
+			}).Run(ctx)
+		})
+		time.Sleep(30 * time.Second)
+		cancel()
+		group.Wait()
+		for _, zone := range siteZones {
+			quicktest.Check(t, len(s.pool(zone, false)) >= 14, quicktest.IsTrue, quicktest.Commentf("%d regular targets in %s", len(s.pool(zone, false)), zone))
+		}
+	})
+}
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,8 +51,8 @@
 	sent        map[pool]lastOrder
 	// withdrawing holds the last withdrawal of each pool until its targets are gone or the order's time is over.
 	withdrawing map[pool]lastOrder
-	// planned holds the largest recent plan for each pool.
-	planned   map[pool]plannedCount
+	// planned holds the recent plans for each pool, without those before a plan that is as large.
+	planned   map[pool][]plannedCount
 	discovery discovery
 }
 
@@ -163,21 +164,20 @@
 	}
 }
 
-// hold returns the largest number planned for a pool within about holdTime; before that much time has passed, nothing is surplus.
+// hold returns the largest number planned for a pool within holdTime; before that much time has passed, nothing is surplus.
 func (s *Scaler) hold(p pool, want int) int {
 	now := time.Now()
 	if s.planned == nil {
-		s.planned = map[pool]plannedCount{}
+		s.planned = map[pool][]plannedCount{}
 	}
-	held, ok := s.planned[p]
-	switch {
-	case !ok:
-		held = plannedCount{math.MaxInt, now}
-	case want >= held.count || now.Sub(held.at) > holdTime:
-		held = plannedCount{want, now}
+	list, ok := s.planned[p]
+	if !ok {
+		list = []plannedCount{{math.MaxInt, now}}
 	}
-	s.planned[p] = held
-	return held.count
+	list = slices.DeleteFunc(list, func(c plannedCount) bool { return c.count <= want || now.Sub(c.at) > holdTime })
+	list = append(list, plannedCount{want, now})
+	s.planned[p] = list
+	return list[0].count
 }
 
 // ScalingDown reports whether targets of a service are being withdrawn.
