--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
@@ -95,10 +96,14 @@
 
 func (c *Coordinator) newFollower(name string, s follower.Stream, m *mirrorer.Mirror, maximumAge func() time.Duration) *follower.Follower {
 	return &follower.Follower{
-		Name: name, Stream: s, Mirror: m, Logger: c.logger, MaximumAge: maximumAge,
+		Name: name, Stream: s, Mirror: m, Logger: c.logger, MaximumAge: maximumAge, Retry: c.retryPause,
 	}
 }
 
+func (c *Coordinator) retryPause(failures int) time.Duration {
+	return c.reader().RetryPause(failures, rand.Float64())
+}
+
 func (c *Coordinator) copyAge() time.Duration { return c.reader().CopyAge() }
 
 func (c *Coordinator) memberCopyAge() time.Duration {
@@ -115,26 +120,10 @@
 		}
 	}
 	r.Isolated = len(alive) == 0 && c.memberCount() > 1
+	r.Instances, r.Alone = len(alive)+1, len(alive) == 0 && (r.Isolated || c.seedCount() > 1)
 	return r
 }
 
-// contactSeeds contacts the seed addresses of the settings until a peer is alive.
-func (c *Coordinator) contactSeeds(ctx context.Context) {
-	for len(c.peers.Alive(time.Now())) == 0 {
-		for _, addr := range c.settings.Load().Seeds {
-			if addr == c.self.PeerAddress {
-				continue
-			}
-			if err := c.peers.Contact(ctx, addr); err != nil {
-				c.logger.Debug("cannot reach seed", zap.String("Address", addr), zap.Error(err))
-			}
-		}
-		if sleeper.Sleep(ctx, joinRetryPause) != nil {
-			return
-		}
-	}
-}
-
 // register writes this instance's member record to the store, with retries until it succeeds, and again whenever the
 // store may have lost it.
 func (c *Coordinator) register(ctx context.Context) {
@@ -143,16 +132,18 @@
 		c.logger.Error("cannot encode member record", zap.Error(err))
 		return
 	}
-	for {
+	for failures := 0; ; {
 		err := c.putMember(ctx, record)
 		if err == nil {
+			failures = 0
 			if !c.registerAgain(ctx) {
 				return
 			}
 			continue
 		}
+		failures++
 		c.logger.Debug("cannot register member", zap.Error(err))
-		if sleeper.Sleep(ctx, joinRetryPause) != nil {
+		if sleeper.Sleep(ctx, max(joinRetryPause, c.retryPause(failures))) != nil {
 			return
 		}
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -69,10 +69,15 @@
 
 // Forwarder handles client requests; all fields must be set.
 type Forwarder struct {
-	Zone         identifier.ZoneID
-	Table        func() *matcher.Table
-	TableAge     func() time.Duration
-	Targets      func(service identifier.ServiceID, now time.Time) []*registrar.Target
+	Zone     identifier.ZoneID
+	Table    func() *matcher.Table
+	TableAge func() time.Duration
+	Targets  func(service identifier.ServiceID, now time.Time) []*registrar.Target
+	// Changing returns the targets of a service that are expected to change their stage; nil means that none are.
+	Changing func(service identifier.ServiceID, now time.Time) map[identifier.TargetID]bool
+	// Starting reports whether this instance has just started and lacks its first configuration or list of targets; nil means
+	// that it does not.
+	Starting     func() bool
 	TargetStates *chooser.TargetStates
 	Chooser      *chooser.Chooser
 	Backend      Backend
@@ -162,6 +167,7 @@
 // Serve handles a call and writes the answer to w.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, call *Call) {
 	rs := &requestState{f: f, w: w, call: call, start: time.Now(), attempts: call.AttemptsBefore, prefills: call.PrefillsBefore, unusedCache: call.Cache}
+	rs.awaitStart(ctx)
 	refusal := rs.admit()
 	if refusal == nil {
 		var cancel context.CancelFunc
@@ -302,7 +308,17 @@
 	targets = slices.DeleteFunc(targets, func(t *registrar.Target) bool {
 		return !slices.Contains(stages, t.Stage) || slices.Contains(rs.failedTargets, t.ID)
 	})
-	return rs.f.TargetStates.Candidates(rs.withoutDown(targets), parts, time.Now())
+	list := rs.f.TargetStates.Candidates(rs.withoutDown(targets), parts, time.Now())
+	if rs.f.Changing == nil {
+		return list
+	}
+	changing := rs.f.Changing(rs.service, time.Now())
+	for i := range list {
+		if changing[list[i].Target.ID] {
+			list[i].Surcharge = chooser.AvoidanceCost
+		}
+	}
+	return list
 }
 
 // chooseAnswerTarget chooses the answer target among the targets of the decode stage and those without a stage.
