--- a/internal/coordinator/builds.go
+++ b/internal/coordinator/builds.go
@@ -17,8 +17,9 @@
 	timeoutMemory = time.Minute
 	// unknownStreamAge is the least stream age while configurations before the start may count.
 	unknownStreamAge = 10 * time.Second
-	// contactAge is how long a peer counts as in contact after its last message.
-	contactAge = time.Second
+	// contactAge is how long a peer may count as live after its last message, with hubs: as long it may have used a build that is
+	// not known here.
+	contactAge = 4 * time.Second
 	// maximumTransit is the longest time in transit of a message whose knowledge of builds is used. It is within the half of a
 	// timeout by which streams may be older.
 	maximumTransit = time.Second
