calibrator: learn the times of targets and choose by them

Cause: predictions used constants of the first customer's engines, so on other engines predicted times were off by factors of 0.3 to 3.3 (docs/LOAD.md).

Change: the new package fits the fixed time and the time per token of a service's prefills (least absolute deviations), and keeps weighted medians of each target's time per token, gap between events and plain duration. The chooser takes capabilities from a model; without one the former constants, now named default*, apply. Demand converts tokens with a rate that can be learned, and cache sizes can come from the configuration. Lists of candidates are used again, so that a choice among 720 targets allocates nothing.

--- /dev/null
+++ b/internal/calibrator/calibrator.go
@@ -0,0 +1,346 @@
+package calibrator
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
+	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+const (
+	// defaultPlain is the duration of a call to a plain target until one is measured.
+	defaultPlain = 20 * time.Millisecond
+	// minimumFactor and maximumFactor bound what a target deviates from its service, so that a lying one draws or loses only
+	// so much work.
+	minimumFactor, maximumFactor = 0.2, 20.0
+	// alikeSlower and distinctSlower bound how much slower a target is than its service, as logarithms: up to alikeSlower, 16 %,
+	// it is taken for noise, and from distinctSlower on, 35 %, it counts in full. Without that all instances would send to the
+	// target that happened to be measured as the fastest, and meet there. A faster one draws work, so it has to be 1.35 to 1.8
+	// times as fast.
+	alikeSlower, distinctSlower = 0.15, 0.3
+	alikeFaster, distinctFaster = 0.3, 0.59
+	// learningSamples is the number of samples of the service's line before targets are compared with it.
+	learningSamples = 6
+	// minimumWeight is the least weight of a prefill for its target's factor: short ones show the fixed time only.
+	minimumWeight = 0.05
+	// reportFresh is how long a reported slowness counts in full. It then fades until reportFaded.
+	reportFresh = 300 * time.Millisecond
+	reportFaded = time.Second
+	// usualStep is the least step of the usual reported slowness towards a new report. It follows the median.
+	usualStep = 0.03
+	// maximumDuration is the longest credible call.
+	maximumDuration = time.Hour
+)
+
+// Load is what a target says about itself.
+type Load struct {
+	Running, Waiting, Slots int
+	// Slowness is how long work takes now, relative to the usual; zero means not reported.
+	Slowness float64
+}
+
+// Kind is what an estimate measures.
+type Kind int
+
+// Kinds of estimates.
+const (
+	// PerToken is the time of a prefill for each token.
+	PerToken Kind = iota
+	// Gap is the time between two events of an answer.
+	Gap
+	// Plain is the duration of a plain call.
+	Plain
+	kinds
+)
+
+// MaximumKind is above all kinds; it stands for kinds that later builds may report.
+const MaximumKind = uint32(kinds)
+
+// Calibrator holds what is learned; the zero value is ready to use.
+type Calibrator struct {
+	mu       sync.Mutex
+	services map[identifier.ServiceID]*service
+	targets  map[identifier.TargetID]*target
+	sequence uint64
+}
+
+type service struct {
+	fitter    fitter
+	estimates [kinds]*estimate
+}
+
+type target struct {
+	service   identifier.ServiceID
+	startedAt time.Time
+	estimates [kinds]*estimate
+	// slowness is the last reported one, and usual the median of all reports; zero means no report.
+	slowness, usual float64
+	reports         float64
+	reportedAt      time.Time
+}
+
+// ObserveLoad records what a target says about itself.
+func (c *Calibrator) ObserveLoad(t *registrar.Target, l Load, now time.Time) {
+	if l.Slowness <= 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.target(t)
+	s.slowness, s.reportedAt = min(max(l.Slowness, minimumFactor), maximumFactor), now
+	if s.usual == 0 {
+		s.usual = s.slowness
+	}
+	s.reports++
+	step := max(usualStep, 0.5/s.reports)
+	s.usual *= math.Exp(min(max(math.Log(s.slowness/s.usual), -step), step))
+}
+
+// ObservePrefill records how long a target took to read the given number of tokens. The call must have found no queue.
+func (c *Calibrator) ObservePrefill(t *registrar.Target, tokens identifier.Tokens, took time.Duration, now time.Time) {
+	if tokens < 0 || took <= 0 || took > maximumDuration {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ts := c.service(t.Service), c.target(t)
+	x := float64(tokens) * ts.slownessAt(now)
+	s.fitter.observe(sample{tokens: x, seconds: took.Seconds(), at: now})
+	if s.fitter.sums(now, true).Samples < learningSamples {
+		return
+	}
+	l := s.fitter.line
+	share := l.perToken * x / l.at(x)
+	if share*share < minimumWeight {
+		return
+	}
+	perToken := max(took.Seconds()-l.fixed, l.perToken*x*minimumFactor) / x
+	c.observe(ts, PerToken, perToken, share*share, now)
+}
+
+// ObserveAnswer records the mean time between two events of an answer.
+func (c *Calibrator) ObserveAnswer(t *registrar.Target, gap time.Duration, now time.Time) {
+	c.observeCall(t, Gap, gap, now)
+}
+
+// ObservePlain records the duration of a plain call that found no queue.
+func (c *Calibrator) ObservePlain(t *registrar.Target, took time.Duration, now time.Time) {
+	c.observeCall(t, Plain, took, now)
+}
+
+func (c *Calibrator) observeCall(t *registrar.Target, kind Kind, took time.Duration, now time.Time) {
+	if took <= 0 || took > maximumDuration {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ts := c.service(t.Service), c.target(t)
+	seconds := took.Seconds() / ts.slownessAt(now)
+	if s.estimates[kind] == nil {
+		s.estimates[kind] = &estimate{}
+	}
+	s.estimates[kind].observe(seconds, 1, now)
+	c.mark(s.estimates[kind], now)
+	c.observe(ts, kind, seconds, 1, now)
+}
+
+func (c *Calibrator) observe(ts *target, kind Kind, seconds, weight float64, now time.Time) {
+	if ts.estimates[kind] == nil {
+		ts.estimates[kind] = &estimate{}
+	}
+	ts.estimates[kind].observe(seconds, weight, now)
+	c.mark(ts.estimates[kind], now)
+}
+
+// Prefill returns the predicted time in which an idle target reads the given number of tokens.
+func (c *Calibrator) Prefill(t *registrar.Target, tokens identifier.Tokens, now time.Time) time.Duration {
+	capability := c.Capability(t, now)
+	return capability.Fixed + time.Duration(float64(tokens)*capability.PerToken)
+}
+
+// Plain returns the predicted duration of a plain call on an idle target.
+func (c *Calibrator) Plain(t *registrar.Target, now time.Time) time.Duration {
+	return c.Capability(t, now).Plain
+}
+
+// Capability returns what a target is predicted to be able to do.
+func (c *Calibrator) Capability(t *registrar.Target, now time.Time) chooser.Capability {
+	list := []chooser.Candidate{{Target: t}}
+	c.Assess(list, now)
+	return list[0].Capability
+}
+
+// Assess sets the capabilities of candidates, all of which belong to one service.
+func (c *Calibrator) Assess(candidates []chooser.Candidate, now time.Time) {
+	if len(candidates) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	base := c.base(candidates[0].Target.Service)
+	for i := range candidates {
+		t := candidates[i].Target
+		ts := c.targets[t.ID]
+		if ts == nil || !ts.startedAt.Equal(t.StartedAt) {
+			candidates[i].Capability = base.capability
+			continue
+		}
+		candidates[i].Capability = base.of(ts, now)
+	}
+}
+
+// baseline holds the values of a service, in seconds.
+type baseline struct {
+	line       line
+	gap, plain float64
+	capability chooser.Capability
+}
+
+func (c *Calibrator) base(id identifier.ServiceID) baseline {
+	b := baseline{line: defaultLine, plain: defaultPlain.Seconds()}
+	if s := c.services[id]; s != nil {
+		if s.fitter.line != (line{}) {
+			b.line = s.fitter.line
+		}
+		b.gap, b.plain = s.estimates[Gap].value(0), s.estimates[Plain].value(b.plain)
+	}
+	b.capability = chooser.Capability{
+		Fixed: seconds(b.line.fixed), PerToken: b.line.perToken * float64(time.Second), Slowness: 1, Plain: seconds(b.plain),
+	}
+	return b
+}
+
+func (b *baseline) of(ts *target, now time.Time) chooser.Capability {
+	momentary := ts.slownessAt(now)
+	prefill := ts.factor(PerToken, b.line.perToken)
+	slowness := prefill
+	if ts.estimates[Gap] != nil {
+		slowness = ts.factor(Gap, b.gap)
+	}
+	return chooser.Capability{
+		Fixed: b.capability.Fixed, PerToken: b.capability.PerToken * bounded(prefill*momentary),
+		Slowness: bounded(slowness * momentary), Plain: time.Duration(float64(b.capability.Plain) * bounded(ts.factor(Plain, b.plain)*momentary)),
+	}
+}
+
+// factor returns what the target deviates from its service.
+func (ts *target) factor(kind Kind, service float64) float64 {
+	if ts.estimates[kind] == nil || service <= 0 {
+		return 1
+	}
+	deviation := math.Log(ts.estimates[kind].value(service) / service)
+	alike, distinct := alikeSlower, distinctSlower
+	if deviation < 0 {
+		alike, distinct = alikeFaster, distinctFaster
+	}
+	return math.Exp(deviation * min(max((math.Abs(deviation)-alike)/(distinct-alike), 0), 1))
+}
+
+// slownessAt returns the slowness at the given time: the reported one, which fades into the usual one.
+func (ts *target) slownessAt(now time.Time) float64 {
+	if ts.usual == 0 {
+		return 1
+	}
+	age := now.Sub(ts.reportedAt)
+	faded := min(max(float64(age-reportFresh)/float64(reportFaded-reportFresh), 0), 1)
+	return ts.slowness*(1-faded) + ts.usual*faded
+}
+
+// EngineRate returns the tokens per second that a fully busy engine of a service reads in the mean.
+func (c *Calibrator) EngineRate(id identifier.ServiceID) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.base(id).line
+	n, sum := 0.0, 0.0
+	for _, ts := range c.targets {
+		if ts.service == id && ts.estimates[PerToken] != nil {
+			usual := 1.0
+			if ts.usual > 0 {
+				usual = ts.usual
+			}
+			n++
+			sum += bounded(ts.factor(PerToken, l.perToken) * usual)
+		}
+	}
+	if n == 0 {
+		return 1 / l.perToken
+	}
+	return n / (sum * l.perToken)
+}
+
+// Slowness returns the learned factors of all targets that have been measured.
+func (c *Calibrator) Slowness(now time.Time) []float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []float64
+	for _, ts := range c.targets {
+		b := c.base(ts.service)
+		if ts.estimates[Plain] != nil {
+			list = append(list, bounded(ts.factor(Plain, b.plain)*ts.slownessAt(now)))
+			continue
+		}
+		list = append(list, b.of(ts, now).Slowness)
+	}
+	return list
+}
+
+// Retain removes the targets that are not in the list, and what peers no longer report.
+func (c *Calibrator) Retain(targets []*registrar.Target, now time.Time) {
+	keep := map[identifier.TargetID]bool{}
+	for _, t := range targets {
+		keep[t.ID] = true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, ts := range c.targets {
+		if !keep[id] {
+			delete(c.targets, id)
+			continue
+		}
+		poolAll(ts.estimates, now)
+	}
+	for _, s := range c.services {
+		s.fitter.forget(now)
+		poolAll(s.estimates, now)
+	}
+}
+
+func poolAll(estimates [kinds]*estimate, now time.Time) {
+	for _, e := range estimates {
+		if e != nil {
+			e.pool(now)
+		}
+	}
+}
+
+func (c *Calibrator) service(id identifier.ServiceID) *service {
+	if c.services == nil {
+		c.services = map[identifier.ServiceID]*service{}
+	}
+	s := c.services[id]
+	if s == nil {
+		s = &service{}
+		c.services[id] = s
+	}
+	return s
+}
+
+// target returns the state of a target. A restarted one begins anew.
+func (c *Calibrator) target(t *registrar.Target) *target {
+	if c.targets == nil {
+		c.targets = map[identifier.TargetID]*target{}
+	}
+	s := c.targets[t.ID]
+	if s == nil || !s.startedAt.Equal(t.StartedAt) {
+		s = &target{service: t.Service, startedAt: t.StartedAt}
+		c.targets[t.ID] = s
+	}
+	return s
+}
+
+func bounded(factor float64) float64 { return min(max(factor, minimumFactor), maximumFactor) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/calibrator/estimate.go
@@ -0,0 +1,132 @@
+package calibrator
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// ownSamples is the number of own samples of an estimate. Recent ones count, since a target's speed changes.
+	ownSamples = 8
+	// peerLifetime is how long a peer's estimate counts without news.
+	peerLifetime = 10 * time.Second
+	// trustedSamples is the number of samples at which a target's value counts half against that of its service. A tenth of the
+	// calls takes up to three times as long, and more meet a queue that nobody knew of, so that a few samples show little.
+	trustedSamples = 3.0
+	// reportChange and reportInterval: an estimate is reported once it has changed by a tenth, or after three seconds of use.
+	reportChange   = 0.1
+	reportInterval = 3 * time.Second
+)
+
+// evidence is a measured time, as the logarithm of seconds, with its weight: the number of samples behind it.
+type evidence struct {
+	log, weight float64
+	at          time.Time
+}
+
+type peerEvidence struct {
+	evidence
+	fromHub bool
+}
+
+// estimate is a learned time: the weighted median of own samples and what peers report of theirs. A median is moved little by a
+// sample that is far off.
+type estimate struct {
+	samples []evidence
+	next    int
+	peers   map[string]peerEvidence
+	pooled  evidence
+
+	sequence    uint64
+	reportedLog float64
+	reportedAt  time.Time
+}
+
+func (e *estimate) observe(seconds, weight float64, now time.Time) {
+	s := evidence{math.Log(seconds), weight, now}
+	if len(e.samples) < ownSamples {
+		e.samples = append(e.samples, s)
+	} else {
+		e.samples[e.next%ownSamples] = s
+	}
+	e.next++
+	e.pool(now)
+}
+
+func (e *estimate) merge(source string, p peerEvidence, now time.Time) {
+	if e.peers == nil {
+		e.peers = map[string]peerEvidence{}
+	}
+	e.peers[source] = p
+	e.pool(now)
+}
+
+// pool forgets what is too old, and combines the rest.
+func (e *estimate) pool(now time.Time) {
+	for source, p := range e.peers {
+		if now.Sub(p.at) > peerLifetime {
+			delete(e.peers, source)
+		}
+	}
+	e.pooled = e.combine(All, now)
+}
+
+// combine returns the weighted median of the samples in a scope.
+func (e *estimate) combine(scope Scope, now time.Time) evidence {
+	var buffer [ownSamples + 16]evidence
+	list := buffer[:0]
+	for _, s := range e.samples {
+		if now.Sub(s.at) <= sampleLifetime {
+			list = append(list, s)
+		}
+	}
+	for _, p := range e.peers {
+		if scope == All || scope == FirstHand && !p.fromHub {
+			list = append(list, p.evidence)
+		}
+	}
+	return weightedMedian(list, now)
+}
+
+// weightedMedian sorts the list and returns its median with the total weight. Between two values in the middle it takes the mean.
+func weightedMedian(list []evidence, now time.Time) evidence {
+	slices.SortFunc(list, func(a, b evidence) int { return cmp.Compare(a.log, b.log) })
+	total := 0.0
+	for _, s := range list {
+		total += s.weight
+	}
+	below := 0.0
+	for i, s := range list {
+		switch below += s.weight; {
+		case below > total/2:
+			return evidence{s.log, total, now}
+		case below == total/2 && i+1 < len(list):
+			return evidence{(s.log + list[i+1].log) / 2, total, now}
+		}
+	}
+	return evidence{at: now}
+}
+
+// value returns the learned time in seconds, which tends to the given one with few samples.
+func (e *estimate) value(prior float64) float64 {
+	if e == nil || e.pooled.weight == 0 {
+		return prior
+	}
+	if prior <= 0 {
+		return math.Exp(e.pooled.log)
+	}
+	square := e.pooled.weight * e.pooled.weight
+	trust := square / (square + trustedSamples*trustedSamples)
+	return math.Exp(e.pooled.log*trust + math.Log(prior)*(1-trust))
+}
+
+// due reports whether the estimate is to be reported, and notes that it is.
+func (e *estimate) due(now time.Time) bool {
+	if !e.reportedAt.IsZero() && now.Sub(e.reportedAt) < reportInterval && math.Abs(e.pooled.log-e.reportedLog) < reportChange {
+		return false
+	}
+	e.reportedLog, e.reportedAt = e.pooled.log, now
+	return true
+}
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -10,16 +10,12 @@
 )
 
 // A prompt goes to the target with the lowest predicted time until it is prefilled. The prediction covers the prompt
-// tokens queued at the target and the tokens of this prompt that it has not cached. A target in another availability
+// tokens queued at the target and the tokens of this prompt that it has not cached, at the target's own speed. A target in another availability
 // zone costs extra, and so does prefilling shared parts on a target that is not their owner by rendezvous hashing: this
 // way instances agree even before they have received each other's gossip messages. An answer goes to the target with
-// the fewest answers in its batch.
+// the fewest answers in its batch for its speed.
 
 const (
-	// prefillTokensPerSecond is the prefill rate of one engine, from the users' engine specifications.
-	prefillTokensPerSecond = 36_700
-	// promptOverhead is the fixed time per prompt on top of its tokens.
-	promptOverhead = 25 * time.Millisecond
 	// crossZoneCost expresses the price of traffic between availability zones as time.
 	crossZoneCost = 40 * time.Millisecond
 	// nonOwnerFactor is the cost of prefilling shared parts on a target that is not their owner, and duplicateFactor
@@ -27,7 +23,8 @@
 	// targets cache takes up memory twice and evicts other parts.
 	nonOwnerFactor  = 1.3
 	duplicateFactor = 0.5
-	// answerCost is how much one more answer slows down the rest of the batch.
+	// answerCost is how much one more answer slows down the rest of the batch on an engine of the usual speed. It only has to be
+	// in proportion to the other costs of a choice.
 	answerCost = 8 * time.Millisecond
 	// warmUpCost is the cost of a target that has just started; it declines to zero in the last second of the warm-up.
 	warmUpCost = 150 * time.Millisecond
@@ -63,6 +60,10 @@
 	Age time.Duration
 	// Surcharge is an additional cost.
 	Surcharge time.Duration
+	// Busy is set if a prompt target has just said that requests wait for it.
+	Busy bool
+	// Capability is what the target can do; the zero value stands for the defaults.
+	Capability Capability
 }
 
 // Jitter adds a random cost of up to MaximumJitter to each target. It spreads the choices of instances that see the
@@ -117,6 +118,8 @@
 	Predicted time.Duration
 	// Uncached is the number of prompt tokens that the target has to prefill.
 	Uncached identifier.Tokens
+	// Idle is set if the target had nothing to prefill before, as far as is known.
+	Idle bool
 }
 
 // PromptTarget returns the target with the lowest cost for prefilling a prompt, or false without candidates.
@@ -129,15 +132,16 @@
 	sharedTokens := p.sharedTokens()
 	for i := range candidates {
 		c := &candidates[i]
-		choice := Choice{Target: c.Target, Uncached: max(0, total-c.Cached)}
-		choice.Predicted = promptOverhead + prefillTime(c.Load.PromptTokens+choice.Uncached)
+		can := c.Capability.withDefaults()
+		choice := Choice{Target: c.Target, Uncached: max(0, total-c.Cached), Idle: c.idle()}
+		choice.Predicted = can.Fixed + can.prefillTime(c.Load.PromptTokens+choice.Uncached)
 		cost := choice.Predicted + penalty(c, p.Zone)
 		// Most requests share the first parts. A target that has cached only these must not keep the rest from the owner.
 		if mostCached >= sharedTokens {
-			cost += time.Duration(duplicateFactor * float64(prefillTime(mostCached-c.Cached)))
+			cost += time.Duration(duplicateFactor * float64(can.prefillTime(mostCached-c.Cached)))
 		}
 		if i != owner {
-			cost += time.Duration(nonOwnerFactor * float64(prefillTime(max(0, sharedTokens-c.Cached))))
+			cost += time.Duration(nonOwnerFactor * float64(can.prefillTime(max(0, sharedTokens-c.Cached))))
 		}
 		cost += p.Jitter.offset(c.Target)
 		if best.Target == nil || cost < bestCost {
@@ -153,7 +157,10 @@
 	var bestCost time.Duration
 	for i := range candidates {
 		c := &candidates[i]
-		cost := time.Duration(c.Load.Answers)*answerCost + penalty(c, zone) + jitter.offset(c.Target)
+		slowness := c.Capability.withDefaults().Slowness
+		// A slow target costs more also for its first answer; at the usual speed that cancels out.
+		cost := time.Duration(float64(c.Load.Answers)*slowness*float64(answerCost)+(slowness-1)*float64(answerCost)) +
+			penalty(c, zone) + jitter.offset(c.Target)
 		if c.Target.Slots > 0 && c.Load.Answers >= c.Target.Slots {
 			cost += time.Second
 		}
@@ -164,25 +171,29 @@
 	return best, best.Target != nil
 }
 
-// PlainTarget returns the target of a plain service with the shortest queue for its slots, or false without candidates.
+// PlainTarget returns the target of a plain service that is predicted to answer first, by its speed and its queue for its slots,
+// or false without candidates. The service time applies to targets whose speed is not known.
 func PlainTarget(zone identifier.ZoneID, serviceTime time.Duration, candidates []Candidate) (Choice, bool) {
 	var best Choice
 	var bestCost time.Duration
 	for i := range candidates {
 		c := &candidates[i]
 		slots := max(1, c.Target.Slots)
-		wait := serviceTime * time.Duration(c.Load.Answers) / time.Duration(slots)
-		cost := wait + penalty(c, zone)/8
+		duration := c.Capability.Plain
+		if duration <= 0 {
+			duration = serviceTime
+		}
+		wait := duration * time.Duration(c.Load.Answers) / time.Duration(slots)
+		cost := wait + duration + penalty(c, zone)/8
 		if best.Target == nil || cost < bestCost {
-			best, bestCost = Choice{Target: c.Target, Predicted: wait + serviceTime}, cost
+			best, bestCost = Choice{Target: c.Target, Predicted: wait + duration, Idle: c.Load.Answers < slots}, cost
 		}
 	}
 	return best, best.Target != nil
 }
 
-func prefillTime(tokens identifier.Tokens) time.Duration {
-	return time.Duration(float64(tokens) / prefillTokensPerSecond * float64(time.Second))
-}
+// idle reports whether a prompt would find nothing to wait for, as far as is known.
+func (c *Candidate) idle() bool { return c.Load.PromptTokens <= 0 && !c.Busy }
 
 // penalty returns the cost of a target apart from its load.
 func penalty(c *Candidate, zone identifier.ZoneID) time.Duration {
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -126,8 +126,11 @@
 	list := targets(720, registrar.Prompts)
 	var states chooser.TargetStates
 	p := &chooser.Prompt{Zone: "z0", Parts: parts(1, 2)}
+	b.ReportAllocs()
 	for b.Loop() {
-		chooser.PromptTarget(p, states.Candidates(list, p.Parts, now))
+		candidates := states.Candidates(list, p.Parts, now)
+		chooser.PromptTarget(p, candidates)
+		states.Release(candidates)
 	}
 }
 
--- a/internal/chooser/states.go
+++ b/internal/chooser/states.go
@@ -1,6 +1,7 @@
 package chooser
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -14,7 +15,7 @@
 	// cacheFraction is the fraction of a target's memory that is assumed to hold prompt parts; running requests need the
 	// rest.
 	cacheFraction = 0.7
-	// defaultCacheTokens is the KV cache capacity assumed for each target, whose memory is not known here.
+	// defaultCacheTokens is the KV cache capacity assumed for targets without one in the configuration.
 	defaultCacheTokens = 300_000
 	// failureHalfLife is the half-life of the failure score.
 	failureHalfLife = 2 * time.Second
@@ -24,6 +25,11 @@
 	recentPartsKept = 256
 	// peerLoadLifetime is how long a peer's reported load counts without a new report.
 	peerLoadLifetime = 3 * time.Second
+	// toldLifetime is how long a target's own count of its requests replaces what peers report: their reports are up to 1.5 s
+	// old, and requests take some hundred milliseconds.
+	toldLifetime = 300 * time.Millisecond
+	// maximumReleased is the number of lists of candidates kept for later choices: few choices are made at the same time.
+	maximumReleased = 2
 )
 
 // CachedPart is a prompt part in the KV cache of a target; instances report new ones to their peers.
@@ -38,10 +44,16 @@
 	// SharedPartsOnly reports whether the last part of a prompt, which belongs to the request or its session, is not
 	// reported to peers; nil means that it is.
 	SharedPartsOnly func() bool
+	// CacheTokens returns the KV cache capacity of a service's targets, or zero if it is not known; nil means that it is not.
+	CacheTokens func(identifier.ServiceID) identifier.Tokens
+	// Model assesses candidates; nil leaves them at the defaults.
+	Model Model
 
 	mu      sync.Mutex
 	targets map[identifier.TargetID]*targetState
-	peers   map[string]peerReport
+	// released holds lists of candidates to be used again: one for 720 targets takes 80 KB.
+	released [][]Candidate
+	peers    map[string]peerReport
 	// recentParts holds the parts recorded last, to be reported to peers; the last one has the offset nextOffset-1.
 	recentParts []recentPart
 	nextOffset  uint64
@@ -59,11 +71,18 @@
 	peers Load
 	parts map[identifier.PartID]*partState
 	// tokens is the total size of all parts.
-	tokens     identifier.Tokens
-	failures   float64
-	failuresAt time.Time
-	firstSeen  time.Time
-	startedAt  time.Time
+	tokens identifier.Tokens
+	// capacity is the size of the KV cache; zero means the default.
+	capacity identifier.Tokens
+	// toldOthers is the number of requests that were not this instance's when the target told its count at toldAt, and
+	// toldWaiting the number that waited.
+	toldOthers  int
+	toldWaiting int
+	toldAt      time.Time
+	failures    float64
+	failuresAt  time.Time
+	firstSeen   time.Time
+	startedAt   time.Time
 }
 
 // peerReport holds the loads of a peer's last report.
@@ -80,17 +99,52 @@
 
 // Candidates returns the state of the given targets for a choice; parts may be empty.
 func (ts *TargetStates) Candidates(targets []*registrar.Target, parts []Part, now time.Time) []Candidate {
+	list := ts.candidates(targets, parts, now)
+	if ts.Model != nil {
+		ts.Model.Assess(list, now)
+	}
+	return list
+}
+
+// Release lets a later choice use the memory of a list of candidates, which the caller must not use any more.
+func (ts *TargetStates) Release(list []Candidate) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	if cap(list) > 0 && len(ts.released) < maximumReleased {
+		ts.released = append(ts.released, list[:0])
+	}
+}
+
+// newList returns an empty list for n candidates.
+func (ts *TargetStates) newList(n int) []Candidate {
+	if last := len(ts.released) - 1; last >= 0 {
+		list := ts.released[last]
+		ts.released = ts.released[:last]
+		if cap(list) >= n {
+			return list
+		}
+	}
+	return make([]Candidate, 0, n)
+}
+
+func (ts *TargetStates) candidates(targets []*registrar.Target, parts []Part, now time.Time) []Candidate {
+	capacity := identifier.Tokens(0)
+	if ts.CacheTokens != nil && len(targets) > 0 {
+		capacity = ts.CacheTokens(targets[0].Service)
+	}
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
-	list := make([]Candidate, 0, len(targets))
+	list := ts.newList(len(targets))
 	for _, t := range targets {
 		s := ts.targetState(t.ID, now)
 		// A restarted target has an empty cache.
 		if !t.StartedAt.Equal(s.startedAt) {
-			s.parts, s.tokens, s.startedAt = nil, 0, t.StartedAt
+			s.parts, s.tokens, s.startedAt, s.toldAt = nil, 0, t.StartedAt, time.Time{}
 		}
+		s.capacity = capacity
 		list = append(list, Candidate{
-			Target: t, Load: s.load(), Cached: s.cached(parts), FailureScore: s.failureScore(now), Age: now.Sub(s.firstSeen),
+			Target: t, Load: s.loadAt(t.Stage, now), Cached: s.cached(parts), FailureScore: s.failureScore(now), Age: now.Sub(s.firstSeen),
+			Busy: s.busy(t.Stage, now),
 		})
 	}
 	return list
@@ -264,12 +318,34 @@
 	return s
 }
 
-func (s *targetState) load() Load {
+// Told records a target's own count of its requests: those that run, one of which is the one that it answers, and those that
+// wait.
+func (ts *TargetStates) Told(id identifier.TargetID, running, waiting int, now time.Time) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	s := ts.targetState(id, now)
+	s.toldOthers, s.toldWaiting, s.toldAt = max(0, running+waiting-s.own.Answers), waiting, now
+}
+
+// told reports whether the target has just told its own count.
+func (s *targetState) told(now time.Time) bool { return now.Sub(s.toldAt) < toldLifetime }
+
+// loadAt returns the target's load. Its own count of requests is newer than what peers report; it says nothing about the tokens
+// of prompts.
+func (s *targetState) loadAt(stage registrar.Stage, now time.Time) Load {
 	total := s.own
 	total.add(s.peers, 1)
+	if stage != registrar.Prompts && s.told(now) {
+		total.Answers = s.own.Answers + s.toldOthers
+	}
 	return total
 }
 
+// busy reports whether a prompt target has just said that requests wait for it.
+func (s *targetState) busy(stage registrar.Stage, now time.Time) bool {
+	return stage == registrar.Prompts && s.told(now) && s.toldWaiting > 0
+}
+
 func (l *Load) add(other Load, sign int) {
 	l.PromptTokens += identifier.Tokens(sign) * other.PromptTokens
 	l.Answers += sign * other.Answers
@@ -305,7 +381,7 @@
 	}
 	s.parts[part.ID] = &partState{tokens: part.Tokens, usedAt: now, reportedAt: now}
 	s.tokens += part.Tokens
-	for float64(s.tokens) > cacheFraction*defaultCacheTokens && len(s.parts) > 1 {
+	for float64(s.tokens) > cacheFraction*float64(cmp.Or(s.capacity, defaultCacheTokens)) && len(s.parts) > 1 {
 		s.evict()
 	}
 	return true
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -15,8 +15,9 @@
 	peakHalfLife = 60 * time.Second
 	// peerTimeout is how long a peer's rate counts without an update.
 	peerTimeout = 3 * time.Second
-	// engineTokensPerSecond is the prefill rate of one engine, from the users' engine specifications.
-	engineTokensPerSecond = 36_700
+	// defaultTokensPerSecond is the prefill rate of one engine until it is measured, from the first customer's engine
+	// specifications.
+	defaultTokensPerSecond = 36_700.0
 	// idleTokensPerSecond is the rate below which a service counts as idle.
 	idleTokensPerSecond = 1
 	// warmUpSamples is the number of samples above idle before a peak is known.
@@ -25,6 +26,9 @@
 
 // Demand tracks the prefill demand of all services; the zero value is ready to use.
 type Demand struct {
+	// EngineRate returns the tokens per second that an engine of a service reads in the mean; nil means the default.
+	EngineRate func(identifier.ServiceID) float64
+
 	mu       sync.Mutex
 	services map[identifier.ServiceID]*service
 }
@@ -99,13 +103,17 @@
 
 // Peak returns the recent peak demand in fully busy engines; zero means not known yet.
 func (d *Demand) Peak(id identifier.ServiceID) float64 {
+	rate := defaultTokensPerSecond
+	if d.EngineRate != nil {
+		rate = d.EngineRate(id)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.services[id]
 	if s == nil || s.samples < warmUpSamples {
 		return 0
 	}
-	return s.peak / engineTokensPerSecond
+	return s.peak / rate
 }
 
 func (d *Demand) service(id identifier.ServiceID) *service {
--- a/internal/placer/split.go
+++ b/internal/placer/split.go
@@ -16,8 +16,9 @@
 // Where engines of several builds serve side by side, a stream can go on only at the build that began it, so the build with most
 // engines gets spareDecodeEngines on decode: one that is lost leaves another. Engines of other builds are the first to stop.
 
-// decodeShare is the share of all engines that decode.
-const decodeShare = 0.18
+// defaultDecodeShare is the share of all engines that decode, from the first customer's mix of prompts and answers. Decode work is
+// not measured, so it applies to all services.
+const defaultDecodeShare = 0.18
 
 const (
 	// spareDecodeEngines is the number of decode engines of the main build in a fleet of several builds.
@@ -50,7 +51,7 @@
 	if engines <= 1 {
 		return engines
 	}
-	return min(engines-1, max(1, int(math.Round(decodeShare*float64(engines)))))
+	return min(engines-1, max(1, int(math.Round(defaultDecodeShare*float64(engines)))))
 }
 
 // withReplacements returns how many engines should decode if wanted should in usual times: as many more as leave all but one of
