calibrator: cheaper assessment of candidates, tests of faults

Cause: a choice among 720 measured targets took 98 to 202 us, most of it logarithms and differences of times for each candidate.

Change: logarithms of the service's values are computed once per choice, and ages are differences of integers. A slowness that is not a number is ignored: it made all predictions NaN (found by TestLyingTarget). Tests for a lying target, a noisy sample, reports that stop, restarts, peers' news and hubs.

--- a/internal/calibrator/calibrator.go
+++ b/internal/calibrator/calibrator.go
@@ -65,6 +65,7 @@
 	services map[identifier.ServiceID]*service
 	targets  map[identifier.TargetID]*target
 	sequence uint64
+	epoch    time.Time
 }
 
 type service struct {
@@ -79,18 +80,30 @@
 	// slowness is the last reported one, and usual the median of all reports; zero means no report.
 	slowness, usual float64
 	reports         float64
-	reportedAt      time.Time
+	reportedAt      instant
+}
+
+// instant is a time since the first one that a calibrator has seen: differences of these are cheap enough for each candidate of a
+// choice.
+type instant time.Duration
+
+// instant returns now as a time since the first one.
+func (c *Calibrator) instant(now time.Time) instant {
+	if c.epoch.IsZero() {
+		c.epoch = now
+	}
+	return instant(now.Sub(c.epoch))
 }
 
 // ObserveLoad records what a target says about itself.
 func (c *Calibrator) ObserveLoad(t *registrar.Target, l Load, now time.Time) {
-	if l.Slowness <= 0 {
+	if !(l.Slowness > 0) {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.target(t)
-	s.slowness, s.reportedAt = min(max(l.Slowness, minimumFactor), maximumFactor), now
+	s.slowness, s.reportedAt = min(max(l.Slowness, minimumFactor), maximumFactor), c.instant(now)
 	if s.usual == 0 {
 		s.usual = s.slowness
 	}
@@ -107,7 +120,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s, ts := c.service(t.Service), c.target(t)
-	x := float64(tokens) * ts.slownessAt(now)
+	x := float64(tokens) * ts.slownessAt(c.instant(now))
 	s.fitter.observe(sample{tokens: x, seconds: took.Seconds(), at: now})
 	if s.fitter.sums(now, true).Samples < learningSamples {
 		return
@@ -138,7 +151,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s, ts := c.service(t.Service), c.target(t)
-	seconds := took.Seconds() / ts.slownessAt(now)
+	seconds := took.Seconds() / ts.slownessAt(c.instant(now))
 	if s.estimates[kind] == nil {
 		s.estimates[kind] = &estimate{}
 	}
@@ -180,7 +193,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	base := c.base(candidates[0].Target.Service)
+	base, at := c.base(candidates[0].Target.Service), c.instant(now)
 	for i := range candidates {
 		t := candidates[i].Target
 		ts := c.targets[t.ID]
@@ -188,72 +201,86 @@
 			candidates[i].Capability = base.capability
 			continue
 		}
-		candidates[i].Capability = base.of(ts, now)
+		candidates[i].Capability = base.of(ts, at)
 	}
 }
 
-// baseline holds the values of a service, in seconds.
+// baseline holds the values of a service.
 type baseline struct {
-	line       line
-	gap, plain float64
-	capability chooser.Capability
+	line line
+	// logPerToken, logGap and logPlain are logarithms of seconds.
+	logPerToken, logGap, logPlain float64
+	capability                    chooser.Capability
 }
 
 func (c *Calibrator) base(id identifier.ServiceID) baseline {
-	b := baseline{line: defaultLine, plain: defaultPlain.Seconds()}
+	b := baseline{line: defaultLine}
+	gap, plain := 0.0, defaultPlain.Seconds()
 	if s := c.services[id]; s != nil {
 		if s.fitter.line != (line{}) {
 			b.line = s.fitter.line
 		}
-		b.gap, b.plain = s.estimates[Gap].value(0), s.estimates[Plain].value(b.plain)
+		gap, plain = s.estimates[Gap].value(gap), s.estimates[Plain].value(plain)
 	}
 	b.capability = chooser.Capability{
-		Fixed: seconds(b.line.fixed), PerToken: b.line.perToken * float64(time.Second), Slowness: 1, Plain: seconds(b.plain),
+		Fixed: seconds(b.line.fixed), PerToken: b.line.perToken * float64(time.Second), Slowness: 1, Plain: seconds(plain),
 	}
+	b.logPerToken, b.logGap, b.logPlain = math.Log(b.line.perToken), math.Log(gap), math.Log(plain)
 	return b
 }
 
-func (b *baseline) of(ts *target, now time.Time) chooser.Capability {
+func (b *baseline) of(ts *target, now instant) chooser.Capability {
 	momentary := ts.slownessAt(now)
-	prefill := ts.factor(PerToken, b.line.perToken)
+	prefill := ts.factor(PerToken, b.logPerToken)
 	slowness := prefill
 	if ts.estimates[Gap] != nil {
-		slowness = ts.factor(Gap, b.gap)
-	}
-	return chooser.Capability{
-		Fixed: b.capability.Fixed, PerToken: b.capability.PerToken * bounded(prefill*momentary),
-		Slowness: bounded(slowness * momentary), Plain: time.Duration(float64(b.capability.Plain) * bounded(ts.factor(Plain, b.plain)*momentary)),
+		slowness = ts.factor(Gap, b.logGap)
 	}
+	capability := b.capability
+	capability.PerToken *= bounded(prefill * momentary)
+	capability.Slowness = bounded(slowness * momentary)
+	capability.Plain = time.Duration(float64(capability.Plain) * bounded(ts.factor(Plain, b.logPlain)*momentary))
+	return capability
 }
 
-// factor returns what the target deviates from its service.
-func (ts *target) factor(kind Kind, service float64) float64 {
-	if ts.estimates[kind] == nil || service <= 0 {
+// factor returns what the target deviates from its service, whose value is given as a logarithm.
+func (ts *target) factor(kind Kind, logService float64) float64 {
+	if ts.estimates[kind] == nil || math.IsInf(logService, 0) {
 		return 1
 	}
-	deviation := math.Log(ts.estimates[kind].value(service) / service)
+	deviation := ts.estimates[kind].deviation(logService)
 	alike, distinct := alikeSlower, distinctSlower
 	if deviation < 0 {
 		alike, distinct = alikeFaster, distinctFaster
 	}
-	return math.Exp(deviation * min(max((math.Abs(deviation)-alike)/(distinct-alike), 0), 1))
+	share := (math.Abs(deviation) - alike) / (distinct - alike)
+	if share <= 0 {
+		return 1
+	}
+	return math.Exp(deviation * min(share, 1))
 }
 
 // slownessAt returns the slowness at the given time: the reported one, which fades into the usual one.
-func (ts *target) slownessAt(now time.Time) float64 {
+func (ts *target) slownessAt(now instant) float64 {
 	if ts.usual == 0 {
 		return 1
 	}
-	age := now.Sub(ts.reportedAt)
-	faded := min(max(float64(age-reportFresh)/float64(reportFaded-reportFresh), 0), 1)
-	return ts.slowness*(1-faded) + ts.usual*faded
+	switch age := time.Duration(now - ts.reportedAt); {
+	case age <= reportFresh:
+		return ts.slowness
+	case age >= reportFaded:
+		return ts.usual
+	default:
+		faded := float64(age-reportFresh) / float64(reportFaded-reportFresh)
+		return ts.slowness*(1-faded) + ts.usual*faded
+	}
 }
 
 // EngineRate returns the tokens per second that a fully busy engine of a service reads in the mean.
 func (c *Calibrator) EngineRate(id identifier.ServiceID) float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l := c.base(id).line
+	b := c.base(id)
 	n, sum := 0.0, 0.0
 	for _, ts := range c.targets {
 		if ts.service == id && ts.estimates[PerToken] != nil {
@@ -262,13 +289,13 @@
 				usual = ts.usual
 			}
 			n++
-			sum += bounded(ts.factor(PerToken, l.perToken) * usual)
+			sum += bounded(ts.factor(PerToken, b.logPerToken) * usual)
 		}
 	}
 	if n == 0 {
-		return 1 / l.perToken
+		return 1 / b.line.perToken
 	}
-	return n / (sum * l.perToken)
+	return n / (sum * b.line.perToken)
 }
 
 // Slowness returns the learned factors of all targets that have been measured.
@@ -279,10 +306,10 @@
 	for _, ts := range c.targets {
 		b := c.base(ts.service)
 		if ts.estimates[Plain] != nil {
-			list = append(list, bounded(ts.factor(Plain, b.plain)*ts.slownessAt(now)))
+			list = append(list, bounded(ts.factor(Plain, b.logPlain)*ts.slownessAt(c.instant(now))))
 			continue
 		}
-		list = append(list, b.of(ts, now).Slowness)
+		list = append(list, b.of(ts, c.instant(now)).Slowness)
 	}
 	return list
 }
--- a/internal/calibrator/calibrator_test.go
+++ b/internal/calibrator/calibrator_test.go
@@ -237,3 +237,212 @@
 		quicktest.Check(t, most <= 1.5, quicktest.IsTrue, quicktest.Commentf("seed %d: %.2f times its share", seed, most))
 	}
 }
+
+// measured returns a calibrator that has learned targets of 30 ms + 10 us per token, t0 among them.
+func measured(targets int) (*calibrator.Calibrator, []*registrar.Target, time.Time) {
+	f := newFleet(customer{slow: 1}, targets, 1, 1)
+	c, now := f.instances[0], start
+	for range 12 {
+		now = now.Add(200 * time.Millisecond)
+		for _, t := range f.targets() {
+			for _, tokens := range []identifier.Tokens{1000, 20000} {
+				c.ObservePrefill(t, tokens, 30*time.Millisecond+time.Duration(tokens)*10*time.Microsecond, now)
+			}
+		}
+	}
+	return c, f.targets(), now
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// TestZeroValue checks the defaults, and that the measurements of engines like the first customer's leave them nearly unchanged.
+// It guards against earlier deployments being served differently.
+func TestZeroValue(t *testing.T) {
+	var c calibrator.Calibrator
+	target := &registrar.Target{ID: "t", Service: "s"}
+	quicktest.Check(t, c.Prefill(target, 36_700, start).Round(time.Microsecond), quicktest.Equals, 1025*time.Millisecond)
+	quicktest.Check(t, c.Plain(target, start), quicktest.Equals, 20*time.Millisecond)
+	quicktest.Check(t, math.Abs(c.EngineRate("s")-36_700) < 1, quicktest.IsTrue)
+	for _, perToken := range []time.Duration{27 * time.Microsecond, 32 * time.Microsecond} {
+		for _, fixed := range []time.Duration{25 * time.Millisecond, 30 * time.Millisecond} {
+			f := newFleet(customer{fixed: fixed, perToken: perToken, slow: 1}, 15, 8, 1)
+			f.run(2, 20*time.Second)
+			for _, tokens := range sizes {
+				ratio := float64(f.instances[0].Prefill(&f.engines[0].target, tokens, f.now)) / float64(c.Prefill(target, tokens, start))
+				quicktest.Check(t, ratio > 0.75 && ratio < 1.25, quicktest.IsTrue, quicktest.Commentf("%s, %s per token, %d tokens: %.2f of the default", fixed, perToken, tokens, ratio))
+			}
+			rate := f.instances[0].EngineRate("s")
+			quicktest.Check(t, rate > 0.75*36_700 && rate < 1.25*36_700, quicktest.IsTrue, quicktest.Commentf("rate %.0f", rate))
+		}
+	}
+}
+
+// TestLyingTarget lets one of ten targets claim absurd slowness and take absurd times: its own factor stays within bounds, and the
+// predictions of the others within the 25 % of the goal.
+func TestLyingTarget(t *testing.T) {
+	for _, took := range []time.Duration{time.Nanosecond, 59 * time.Minute, 48 * time.Hour, -time.Second} {
+		c, targets, now := measured(10)
+		before := c.Prefill(targets[1], 10_000, now)
+		for _, slowness := range []float64{-1, 1e9, math.Inf(1), math.NaN(), 1e-9} {
+			c.ObserveLoad(targets[0], calibrator.Load{Slots: 1, Slowness: slowness}, now)
+			for range 4 {
+				c.ObservePrefill(targets[0], 10_000, took, now)
+			}
+		}
+		after := float64(c.Prefill(targets[1], 10_000, now)) / float64(before)
+		quicktest.Check(t, after > 0.75 && after < 1.25, quicktest.IsTrue, quicktest.Commentf("%s: others by %.3f", took, after))
+		own := c.Capability(targets[0], now).PerToken / c.Capability(targets[1], now).PerToken
+		quicktest.Check(t, own > 0.199 && own < 20.01, quicktest.IsTrue, quicktest.Commentf("%s: own factor %.2f", took, own))
+	}
+}
+
+// TestNoisySample checks that one call that took a thousand times as long moves the predictions of its own target by less than 5 %.
+func TestNoisySample(t *testing.T) {
+	c, targets, now := measured(3)
+	before := c.Prefill(targets[0], 10_000, now)
+	c.ObservePrefill(targets[0], 10_000, time.Minute, now)
+	ratio := float64(c.Prefill(targets[0], 10_000, now)) / float64(before)
+	quicktest.Check(t, ratio > 0.95 && ratio < 1.05, quicktest.IsTrue, quicktest.Commentf("%.3f", ratio))
+}
+
+// TestReportedSlownessFades checks that a reported slowness counts in full for 300 ms and no more after a second, when the reports
+// of a target stop: it would otherwise be avoided, or preferred, for as long as it is silent.
+func TestReportedSlownessFades(t *testing.T) {
+	c, targets, now := measured(3)
+	usual := c.Prefill(targets[0], 10_000, now)
+	for range 10 {
+		c.ObserveLoad(targets[0], calibrator.Load{Slots: 1, Slowness: 1}, now)
+	}
+	c.ObserveLoad(targets[0], calibrator.Load{Slots: 1, Slowness: 2.5}, now)
+	ratio := func(age time.Duration) float64 {
+		return milliseconds(c.Prefill(targets[0], 10_000, now.Add(age))-30*time.Millisecond) / milliseconds(usual-30*time.Millisecond)
+	}
+	quicktest.Check(t, math.Abs(ratio(299*time.Millisecond)-2.5) < 0.1, quicktest.IsTrue, quicktest.Commentf("%.2f", ratio(299*time.Millisecond)))
+	quicktest.Check(t, ratio(600*time.Millisecond) < 2.2, quicktest.IsTrue)
+	quicktest.Check(t, math.Abs(ratio(time.Second)-1) < 0.1, quicktest.IsTrue, quicktest.Commentf("%.2f", ratio(time.Second)))
+}
+
+// TestUsualSlownessIsLearned lets a target always report 180: whether 100 means the usual of the target or that of its service,
+// the prediction without a fresh report is what was measured.
+func TestUsualSlownessIsLearned(t *testing.T) {
+	c, targets, now := measured(6)
+	for range 20 {
+		now = now.Add(200 * time.Millisecond)
+		c.ObserveLoad(targets[0], calibrator.Load{Slots: 1, Slowness: 1.8}, now)
+		c.ObservePrefill(targets[0], 20_000, 390*time.Millisecond, now)
+	}
+	for _, age := range []time.Duration{0, 2 * time.Second} {
+		predicted := milliseconds(c.Prefill(targets[0], 20_000, now.Add(age)))
+		quicktest.Check(t, math.Abs(predicted-390) < 40, quicktest.IsTrue, quicktest.Commentf("after %s: %.0f ms", age, predicted))
+	}
+}
+
+// TestRestartedTargetBeginsAnew checks that what was learned of an earlier incarnation, here or at a peer, does not count.
+func TestRestartedTargetBeginsAnew(t *testing.T) {
+	c, targets, now := measured(4)
+	for range 10 {
+		c.ObservePrefill(targets[0], 20_000, 900*time.Millisecond, now)
+	}
+	slow := c.Prefill(targets[0], 20_000, now)
+	usual := c.Prefill(targets[1], 20_000, now)
+	quicktest.Check(t, slow > 2*usual, quicktest.IsTrue)
+	restarted := *targets[0]
+	restarted.StartedAt = now
+	quicktest.Check(t, c.Prefill(&restarted, 20_000, now), quicktest.Equals, usual)
+	c.ObservePrefill(&restarted, 20_000, 230*time.Millisecond, now)
+	c.Merge("peer", false, calibrator.Entry{Service: "s", Target: "t0", Kind: calibrator.PerToken, Seconds: 1e-3, Samples: 100}, now)
+	ratio := float64(c.Prefill(&restarted, 20_000, now)) / float64(usual)
+	quicktest.Check(t, ratio < 1.05, quicktest.IsTrue, quicktest.Commentf("%.2f", ratio))
+}
+
+// TestPeersAreForgotten checks that a peer's news count for ten seconds, and impossible ones not at all.
+func TestPeersAreForgotten(t *testing.T) {
+	c, targets, now := measured(4)
+	c.Retain(targets, now)
+	usual := c.Prefill(targets[0], 20_000, now)
+	for _, v := range []float64{0, -1, math.NaN(), math.Inf(1), 1e9} {
+		c.Merge("peer", false, calibrator.Entry{Service: "s", Target: "t0", Seconds: v, Samples: 100}, now)
+		c.Merge("peer", false, calibrator.Entry{Service: "s", Target: "t0", Seconds: 1e-4, Samples: v - 1}, now)
+		c.MergeSums("peer", false, calibrator.ServiceSums{Service: "s", Sums: calibrator.Sums{Samples: v, W: v, X: 1, XX: v, Y: v, XY: v}}, now)
+	}
+	c.Merge("peer", false, calibrator.Entry{Service: "s", Target: "t0", Kind: 99, Seconds: 1e-4, Samples: 100}, now)
+	quicktest.Check(t, c.Prefill(targets[0], 20_000, now), quicktest.Equals, usual)
+	c.Merge("peer", false, calibrator.Entry{Service: "s", Target: "t0", Seconds: 5e-5, Samples: 100}, now)
+	quicktest.Check(t, c.Prefill(targets[0], 20_000, now) > 3*usual, quicktest.IsTrue)
+	later := now.Add(11 * time.Second)
+	c.Retain(targets, later)
+	ratio := float64(c.Prefill(targets[0], 20_000, later)) / float64(usual)
+	quicktest.Check(t, ratio < 1.05, quicktest.IsTrue, quicktest.Commentf("%.2f", ratio))
+	c.Retain(nil, later)
+	quicktest.Check(t, c.Slowness(later), quicktest.HasLen, 0)
+}
+
+// TestPlainAndAnswers lets one of four targets take three times as long: it gets a longer prediction and a larger slowness.
+func TestPlainAndAnswers(t *testing.T) {
+	var c calibrator.Calibrator
+	f := newFleet(customer{}, 4, 1, 1)
+	for range 8 {
+		for i, target := range f.targets() {
+			d := 10 * time.Millisecond
+			if i == 0 {
+				d *= 3
+			}
+			c.ObservePlain(target, 5*d, start)
+			c.ObserveAnswer(target, d, start)
+		}
+	}
+	slow, usual := c.Capability(f.targets()[0], start), c.Capability(f.targets()[1], start)
+	quicktest.Check(t, slow.Slowness > 2.2*usual.Slowness && slow.Slowness < 3.5*usual.Slowness, quicktest.IsTrue, quicktest.Commentf("%+v", slow))
+	quicktest.Check(t, slow.Plain > 110*time.Millisecond && usual.Plain > 40*time.Millisecond && usual.Plain < 60*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%+v %+v", slow, usual))
+}
+
+// TestReportsAreBounded checks that a message holds at most 256 estimates, that the next one holds the rest, and that none is
+// repeated without a change.
+func TestReportsAreBounded(t *testing.T) {
+	c, targets, now := measured(300)
+	first, next := c.Report(0, calibrator.Own, now)
+	second, next := c.Report(next, calibrator.Own, now)
+	third, _ := c.Report(next, calibrator.Own, now)
+	quicktest.Check(t, first, quicktest.HasLen, 256)
+	quicktest.Check(t, second, quicktest.HasLen, len(targets)-256)
+	quicktest.Check(t, third, quicktest.HasLen, 0)
+}
+
+// TestScopes checks what a hub passes on: to other hubs nothing that a hub has reported, and what is its own to all.
+func TestScopes(t *testing.T) {
+	var c calibrator.Calibrator
+	entry := func(id identifier.TargetID) calibrator.Entry {
+		return calibrator.Entry{Service: "s", Target: id, Kind: calibrator.Gap, Seconds: 0.01, Samples: 2}
+	}
+	c.ObserveAnswer(&registrar.Target{ID: "own", Service: "s"}, 10*time.Millisecond, start)
+	c.Merge("instance", false, entry("zone"), start)
+	c.Merge("hub", true, entry("far"), start)
+	ids := func(scope calibrator.Scope) (list []identifier.TargetID) {
+		entries, _ := c.Report(0, scope, start)
+		for _, e := range entries {
+			if e.Target != "" {
+				list = append(list, e.Target)
+			}
+		}
+		return list
+	}
+	quicktest.Check(t, ids(calibrator.Own), quicktest.DeepEquals, []identifier.TargetID{"own"})
+	quicktest.Check(t, ids(calibrator.FirstHand), quicktest.DeepEquals, []identifier.TargetID{"own", "zone"})
+	quicktest.Check(t, ids(calibrator.All), quicktest.DeepEquals, []identifier.TargetID{"own", "zone", "far"})
+}
+
+// BenchmarkChoice measures a choice among 720 targets that all have been measured. The goal is 50 us.
+func BenchmarkChoice(b *testing.B) {
+	c, targets, now := measured(720)
+	for _, target := range targets {
+		c.ObserveLoad(target, calibrator.Load{Slots: 1, Slowness: 1.2}, now)
+	}
+	states := chooser.TargetStates{Model: c}
+	p := &chooser.Prompt{Zone: "z", Parts: []chooser.Part{{ID: 1, Tokens: 13_300}, {ID: 2, Tokens: 3_700}}}
+	b.ReportAllocs()
+	for b.Loop() {
+		candidates := states.Candidates(targets, p.Parts, now)
+		chooser.PromptTarget(p, candidates)
+		states.Release(candidates)
+	}
+}
--- a/internal/calibrator/estimate.go
+++ b/internal/calibrator/estimate.go
@@ -111,15 +111,19 @@
 
 // value returns the learned time in seconds, which tends to the given one with few samples.
 func (e *estimate) value(prior float64) float64 {
-	if e == nil || e.pooled.weight == 0 {
+	switch {
+	case e == nil || e.pooled.weight == 0:
 		return prior
-	}
-	if prior <= 0 {
+	case prior <= 0:
 		return math.Exp(e.pooled.log)
 	}
+	return prior * math.Exp(e.deviation(math.Log(prior)))
+}
+
+// deviation returns by how much the learned time differs from a service's, as logarithms. It tends to zero with few samples.
+func (e *estimate) deviation(logService float64) float64 {
 	square := e.pooled.weight * e.pooled.weight
-	trust := square / (square + trustedSamples*trustedSamples)
-	return math.Exp(e.pooled.log*trust + math.Log(prior)*(1-trust))
+	return (e.pooled.log - logService) * square / (square + trustedSamples*trustedSamples)
 }
 
 // due reports whether the estimate is to be reported, and notes that it is.
--- a/internal/chooser/states.go
+++ b/internal/chooser/states.go
@@ -343,7 +343,7 @@
 
 // busy reports whether a prompt target has just said that requests wait for it.
 func (s *targetState) busy(stage registrar.Stage, now time.Time) bool {
-	return stage == registrar.Prompts && s.told(now) && s.toldWaiting > 0
+	return s.toldWaiting > 0 && stage == registrar.Prompts && s.told(now)
 }
 
 func (l *Load) add(other Load, sign int) {
