coordinator, forwarder, platform: measure targets and share what is learned

Cause: the calibrator got no measurements yet.

Gossip carries Fits and Estimates; hubs pass on what others have not sent. Plain durations that differ by less than 5 ms count as equal.

--- a/internal/calibrator/calibrator.go
+++ b/internal/calibrator/calibrator.go
@@ -31,6 +31,9 @@
 	reportFaded = time.Second
 	// usualStep is the least step of the usual reported slowness towards a new report. It follows the median.
 	usualStep = 0.03
+	// minimumPlainDifference is the difference of plain durations that counts: below, it is that of a network and a scheduler.
+	// Without it, an idle target that was measured as 2 ms instead of 1 would get nothing.
+	minimumPlainDifference = 5 * time.Millisecond
 	// maximumDuration is the longest credible call.
 	maximumDuration = time.Hour
 )
@@ -239,7 +242,10 @@
 	capability := b.capability
 	capability.PerToken *= bounded(prefill * momentary)
 	capability.Slowness = bounded(slowness * momentary)
-	capability.Plain = time.Duration(float64(capability.Plain) * bounded(ts.factor(Plain, b.logPlain)*momentary))
+	plain := time.Duration(float64(capability.Plain) * bounded(ts.factor(Plain, b.logPlain)*momentary))
+	if (plain - capability.Plain).Abs() >= minimumPlainDifference {
+		capability.Plain = plain
+	}
 	return capability
 }
 
--- a/internal/calibrator/calibrator_test.go
+++ b/internal/calibrator/calibrator_test.go
@@ -446,3 +446,15 @@
 		states.Release(candidates)
 	}
 }
+
+// TestShortPlainCallsAreAlike lets one of two idle targets take 2 ms instead of 1: the other must not get all calls for that. A
+// target that has started again got none, and limits of others stayed unused (platform tests).
+func TestShortPlainCallsAreAlike(t *testing.T) {
+	var c calibrator.Calibrator
+	list := newFleet(customer{}, 2, 1, 1).targets()
+	for range 8 {
+		c.ObservePlain(list[0], 2*time.Millisecond, start)
+		c.ObservePlain(list[1], time.Millisecond, start)
+	}
+	quicktest.Check(t, c.Plain(list[0], start), quicktest.Equals, c.Plain(list[1], start))
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/asserter"
+	"github.com/coltsfootscale/coltsfootscale/internal/calibrator"
 	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
 	"github.com/coltsfootscale/coltsfootscale/internal/counter"
 	"github.com/coltsfootscale/coltsfootscale/internal/director"
@@ -73,8 +74,10 @@
 	ProbeTarget func(ctx context.Context, address string, limit int) (reached, tried bool)
 	OrderSender scaler.OrderSender
 	// Gate stops requests to targets that leave or want none.
-	Gate  *gatekeeper.Gatekeeper
-	Store StoreEra
+	Gate *gatekeeper.Gatekeeper
+	// OnLoad sets the function that receives what targets say about their load; nil if they say nothing.
+	OnLoad func(LoadFunc)
+	Store  StoreEra
 	// Usage and Scaling are nil on a platform without usage reports and scaling.
 	Usage   reporter.UsagePlatform
 	Scaling scaler.TargetPlatform
@@ -112,6 +115,7 @@
 	table           atomic.Pointer[matcher.Table]
 	registry        registrar.Registrar
 	targetStates    chooser.TargetStates
+	calibrator      calibrator.Calibrator
 	demand          estimator.Demand
 	counts          counter.Counter
 	retryBudget     *retrier.WindowedBudget
@@ -233,6 +237,7 @@
 	gate.Registry, gate.OnLeaving, gate.Logger, gate.Metrics = &c.registry, c.peers.SendNow, c.logger, c.metrics
 	c.wireLimits(&gate.Limits)
 	c.targetStates.SharedPartsOnly = c.peers.UsesHubs
+	c.wireCalibration()
 	c.quarantine.Logger, c.quarantine.Gone = c.logger, c.targetGone
 	c.wireProber()
 	c.pins = &pinner.Pinner{Self: c.self.ID, Peers: c.pinPeers, Network: &c.datagrams, Logger: c.logger}
@@ -246,7 +251,7 @@
 		TargetStates: &c.targetStates, Chooser: &chooser.Chooser{Policy: c.settings.Load().Routing.Policy}, MaximumJitter: c.jitter,
 		Backend: c.platform.Backend, Budget: c.retryBudget, Quarantine: &gossipedQuarantine{&c.quarantine, c.peers},
 		Pins: c.pins, SoleBuild: c.soleBuild, Reach: &c.prober, Handover: c.platform.Handover, Peers: c.reachingPeers,
-		CountRequest: c.countRequest, RecordDemand: c.demand.Add, Logger: c.logger, Metrics: c.metrics,
+		CountRequest: c.countRequest, RecordDemand: c.demand.Add, Calibrator: &c.calibrator, Logger: c.logger, Metrics: c.metrics,
 	}
 }
 
--- a/internal/coordinator/gossip.go
+++ b/internal/coordinator/gossip.go
@@ -76,6 +76,7 @@
 	c.addSightings(b, last, now)
 	if last != nil {
 		c.addChanges(b, last, firstHand)
+		c.addCalibration(b, last, firstHand, now)
 		c.addClosings(b, last)
 	}
 }
@@ -142,6 +143,8 @@
 type sendProgress struct {
 	incarnation   string
 	parts, counts sentPositions
+	// estimates is the position up to which the last message held estimates.
+	estimates uint64
 }
 
 // addChanges adds the prompt parts that were recorded since the last message, and the counts that changed since the
@@ -154,11 +157,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.sendProgress[peer.ID]
-	if p == nil || p.incarnation != peer.Incarnation {
-		p = &sendProgress{incarnation: peer.Incarnation}
-		c.sendProgress[peer.ID] = p
-	}
+	p := c.progressOf(peer)
 	// Parts are sent once: a lost one costs at most a repeated prefill.
 	sentParts, next := partsSince(p.parts.last)
 	p.parts.advance(next)
@@ -175,6 +174,16 @@
 	}
 }
 
+// progressOf returns the positions of a peer; c.mu must be held.
+func (c *Coordinator) progressOf(peer *gossiper.Member) *sendProgress {
+	p := c.sendProgress[peer.ID]
+	if p == nil || p.incarnation != peer.Incarnation {
+		p = &sendProgress{incarnation: peer.Incarnation}
+		c.sendProgress[peer.ID] = p
+	}
+	return p
+}
+
 // announceOrders records this instance's pending orders in the registry and sends them to the peers.
 func (c *Coordinator) announceOrders() {
 	for _, p := range c.stageController.Pending() {
@@ -227,6 +236,7 @@
 	for _, n := range b.Counts {
 		mergeCount(counter.Count{Incarnation: n.Incarnation, Window: n.Window, Team: identifier.TeamID(n.Team), Requests: n.Requests})
 	}
+	c.applyCalibration(b, receipt)
 	c.applyClosings(b)
 	c.applyQuarantine(b, now)
 	c.applyLimits(b, receipt)
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -58,5 +58,6 @@
 		fence = 0 // This instance does not hold the duties.
 	}
 	set("DutyFence", float64(fence))
+	c.updateSlowness(now)
 	set("StoreEra", float64(c.platform.Store.Era()))
 }
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -182,6 +182,7 @@
 		c.quarantine.Expire(time.Now())
 		c.applyOutdatedConfiguration()
 		c.targetStates.Retain(c.registry.Targets(), time.Now())
+		c.calibrator.Retain(c.registry.Targets(), time.Now())
 		c.demand.Sample(time.Now())
 		c.updateGauges(time.Now())
 		c.counts.Prune(c.medianTime().UnixMilli() / c.bounds.UsageWindow.Milliseconds())
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -41,8 +41,8 @@
 	retryAfterJitter = 300 * time.Millisecond
 	// staleConfigurationAge is the configuration age beyond which an unknown route or key may be a new one.
 	staleConfigurationAge = 1500 * time.Millisecond
-	// plainServiceTime is the usual duration of a call to a plain target.
-	plainServiceTime = 20 * time.Millisecond
+	// defaultPlainServiceTime is the duration of a call to a plain target until it is measured, from the first customer's services.
+	defaultPlainServiceTime = 20 * time.Millisecond
 	// minimumConnections is the number of connections to a target that each instance may open, however small its share:
 	// without one it could not use the target.
 	minimumConnections = 1
@@ -96,8 +96,10 @@
 	RecordDemand func(service identifier.ServiceID, tokens identifier.Tokens, now time.Time)
 	// CountRequest counts a request that a target has started to run, or may have.
 	CountRequest func(team identifier.TeamID)
-	Logger       *zap.Logger
-	Metrics      tally.Scope
+	// Calibrator learns how long targets take; nil learns nothing.
+	Calibrator Calibrator
+	Logger     *zap.Logger
+	Metrics    tally.Scope
 
 	// reachability lets the requests that break at a target share one check of it.
 	reachability singleflight.Group
@@ -304,10 +306,11 @@
 	if rs.route.Resumable && rs.pin == nil {
 		chargeLoneBuilds(list)
 	}
+	defer rs.f.TargetStates.Release(list)
 	if rs.route.HasPrompts {
 		return rs.f.Chooser.Answer(rs.f.Zone, rs.jitter(), list)
 	}
-	return rs.f.Chooser.Plain(rs.f.Zone, plainServiceTime, list)
+	return rs.f.Chooser.Plain(rs.f.Zone, defaultPlainServiceTime, list)
 }
 
 // takeRetry reports whether another attempt is allowed and, if so, takes it from the retry budget.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -153,8 +153,10 @@
 		expected, prefilled = answersWait, func() bool { return fake.prefillCalls > 0 }
 	}
 	answersFrom := time.Time{}
+	learner, _ := states.Model.(forwarder.Calibrator)
 	f := &forwarder.Forwarder{
-		Table: func() *matcher.Table { return table }, TableAge: func() time.Duration { return 0 },
+		Calibrator: learner,
+		Table:      func() *matcher.Table { return table }, TableAge: func() time.Duration { return 0 },
 		Targets: func(_ identifier.ServiceID, now time.Time) []*registrar.Target {
 			if prefilled() && answersFrom.IsZero() {
 				answersFrom = now.Add(answersWait)
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -41,7 +41,7 @@
 		if !ok {
 			return rs.refuseNoTarget()
 		}
-		response, buffered, err := rs.attemptPlain(ctx, choice.Target)
+		response, buffered, err := rs.attemptPlain(ctx, choice)
 		if err != nil || response.Status >= http.StatusInternalServerError {
 			rs.logFailedAttempt(choice.Target, response, err)
 		}
@@ -127,7 +127,8 @@
 
 // attemptPlain makes one attempt and buffers the start of the response, which is all of it in most cases. If the response
 // breaks off there, the client receives none of it.
-func (rs *requestState) attemptPlain(ctx context.Context, t *registrar.Target) (*Response, []byte, error) {
+func (rs *requestState) attemptPlain(ctx context.Context, choice chooser.Choice) (*Response, []byte, error) {
+	t, started := choice.Target, time.Now()
 	end := rs.f.TargetStates.Begin(t.ID, chooser.Load{Answers: 1}, time.Now())
 	defer end()
 	sendCtx, done := rs.await(ctx, t, rs.route.Kind == matcher.Safe)
@@ -145,6 +146,9 @@
 	buffered, err := io.ReadAll(io.LimitReader(response.Body, bufferedResponseBytes))
 	if err == nil {
 		rs.f.Quarantine.Completed(rs.digest(), nil, time.Now())
+		if response.Status < http.StatusBadRequest && len(buffered) < bufferedResponseBytes {
+			rs.observePlain(choice, time.Since(started))
+		}
 	}
 	if err != nil {
 		response.Body.Close()
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
 )
@@ -40,15 +41,22 @@
 func (s *stream) relay(ctx context.Context, response *Response, t *registrar.Target) error {
 	r := bufio.NewReaderSize(response.Body, eventBufferBytes)
 	flusher := http.NewResponseController(s.requestState.w)
+	var first, last time.Time
+	events := 0
 	for {
 		event, err := readEvent(r)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			s.requestState.writeHeader(response)
+			s.requestState.observeAnswer(t, first, last, events)
 			return nil
 		}
 		if err != nil {
 			return fmt.Errorf("%w: reading the event after %d: %w", ErrOutcomeUnknown, s.lastID, err)
 		}
+		last = time.Now()
+		if events++; events == 1 {
+			first = last
+		}
 		s.requestState.markStarted()
 		if t != nil {
 			s.requestState.f.Reach.Answered(t.Address)
--- a/internal/forwarder/streamed.go
+++ b/internal/forwarder/streamed.go
@@ -98,6 +98,7 @@
 		}
 		promptTargets := rs.candidates(rs.call.Parts, registrar.Prompts)
 		promptChoice, ok := rs.f.Chooser.Prompt(&chooser.Prompt{Zone: rs.f.Zone, Parts: rs.call.Parts, Jitter: rs.jitter()}, promptTargets)
+		rs.f.TargetStates.Release(promptTargets)
 		if !ok && rs.couldHandOver() {
 			return nil, nil, rs.refuseNoTarget()
 		}
@@ -189,6 +190,7 @@
 	rs.logEntry.promptTarget, rs.logEntry.predicted, rs.logEntry.uncached, rs.logEntry.prefillTook =
 		choice.Target.ID, choice.Predicted, choice.Uncached, time.Since(started)
 	rs.f.Metrics.Timer("PromptRead").Record(rs.logEntry.prefillTook)
+	rs.observePrefill(choice, rs.logEntry.prefillTook)
 	return handle, nil
 }
 
