calibrator: low quantiles of targets, no samples from disturbed calls

Cause: with loads that are a second old, up to half of the calls to targets that seem idle meet a queue. A report at the end of a call also does not hold for the whole call.

Change: a target's value is the 0.3 quantile of its samples, and nothing is learned from a call whose target reports 1.5 times or two thirds of its usual slowness. Tests with news through hubs, and of shares of answers.

--- a/internal/calibrator/calibrator.go
+++ b/internal/calibrator/calibrator.go
@@ -34,6 +34,8 @@
 	// minimumPlainDifference is the difference of plain durations that counts: below, it is that of a network and a scheduler.
 	// Without it, an idle target that was measured as 2 ms instead of 1 would get nothing.
 	minimumPlainDifference = 5 * time.Millisecond
+	// maximumDisturbance is the reported slowness relative to the usual one beyond which nothing is learned from a call.
+	maximumDisturbance = 1.5
 	// maximumDuration is the longest credible call.
 	maximumDuration = time.Hour
 )
@@ -123,6 +125,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s, ts := c.service(t.Service), c.target(t)
+	if ts.disturbed(c.instant(now)) {
+		return
+	}
 	x := float64(tokens) * ts.slownessAt(c.instant(now))
 	s.fitter.observe(sample{tokens: x, seconds: took.Seconds(), at: now})
 	if s.fitter.sums(now, true).Samples < learningSamples {
@@ -154,9 +159,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s, ts := c.service(t.Service), c.target(t)
+	if ts.disturbed(c.instant(now)) {
+		return
+	}
 	seconds := took.Seconds() / ts.slownessAt(c.instant(now))
 	if s.estimates[kind] == nil {
-		s.estimates[kind] = &estimate{}
+		s.estimates[kind] = &estimate{ofService: true}
 	}
 	s.estimates[kind].observe(seconds, 1, now)
 	c.mark(s.estimates[kind], now)
@@ -266,6 +274,16 @@
 	return math.Exp(deviation * min(share, 1))
 }
 
+// disturbed reports whether the target is much slower or faster at the given time than it usually is. What it reports at the end of
+// a call then says little about the call as a whole: divided by it, a target that slowed down at the end would look fast.
+func (ts *target) disturbed(now instant) bool {
+	if ts.usual == 0 {
+		return false
+	}
+	ratio := ts.slownessAt(now) / ts.usual
+	return ratio > maximumDisturbance || ratio < 1/maximumDisturbance
+}
+
 // slownessAt returns the slowness at the given time: the reported one, which fades into the usual one.
 func (ts *target) slownessAt(now instant) float64 {
 	if ts.usual == 0 {
--- a/internal/calibrator/calibrator_test.go
+++ b/internal/calibrator/calibrator_test.go
@@ -53,6 +53,15 @@
 	return 1
 }
 
+// links describes how instances learn from each other: the time between two exchanges, and the jitter of choices that goes with
+// it. In a full mesh that is 250 ms; through hubs, a status takes up to 1 s and more.
+type links struct{ interval, jitter time.Duration }
+
+var (
+	mesh = links{250 * time.Millisecond, 10 * time.Millisecond}
+	hubs = links{time.Second, 80 * time.Millisecond}
+)
+
 // arrival is the end of a call that an instance observes.
 type arrival struct {
 	at       time.Time
@@ -65,8 +74,9 @@
 }
 
 // fleet is a number of instances that send prompts to the engines of a customer and exchange loads and what
-// they learn every 250 ms, as in a full mesh.
+// they learn.
 type fleet struct {
+	links
 	customer  customer
 	engines   []*engine
 	instances []*calibrator.Calibrator
@@ -83,7 +93,7 @@
 var sizes = []identifier.Tokens{200, 1460, 4000, 9200, 17000, 40000}
 
 func newFleet(c customer, engines, instances int, seed uint64) *fleet {
-	f := &fleet{customer: c, random: rand.New(rand.NewPCG(seed, 1)), now: start, ratios: map[identifier.Tokens][]float64{}, offset: make([]uint64, instances)}
+	f := &fleet{links: mesh, customer: c, random: rand.New(rand.NewPCG(seed, 1)), now: start, ratios: map[identifier.Tokens][]float64{}, offset: make([]uint64, instances)}
 	for i := range engines {
 		e := &engine{factor: 1, seed: uint64(i)}
 		if i%3 == 0 {
@@ -111,7 +121,7 @@
 // send lets an instance choose an engine for a prompt.
 func (f *fleet) send(instance int, tokens identifier.Tokens) {
 	parts := []chooser.Part{{ID: identifier.PartID(f.random.Uint64()), Tokens: tokens}}
-	jitter := chooser.Jitter{Seed: f.random.Uint64(), MaximumJitter: 10 * time.Millisecond}
+	jitter := chooser.Jitter{Seed: f.random.Uint64(), MaximumJitter: f.jitter}
 	choice, _ := chooser.PromptTarget(&chooser.Prompt{Zone: "z", Parts: parts, Jitter: jitter}, f.states[instance].Candidates(f.targets(), parts, f.now))
 	e := f.engines[slices.IndexFunc(f.engines, func(e *engine) bool { return e.target.ID == choice.Target.ID })]
 	work := time.Duration(float64(f.customer.perToken) * float64(tokens) * e.factor * f.customer.slowness(e, f.now) * math.Exp(0.05*f.random.NormFloat64()))
@@ -184,12 +194,25 @@
 			}
 		}
 		f.observe()
-		if f.now.Sub(start)%(250*time.Millisecond) == 0 {
+		if f.now.Sub(start)%f.interval == 0 {
 			f.exchange()
 		}
 	}
 }
 
+// mostOfShare returns the most that an engine has served, as a multiple of its share by capacity.
+func (f *fleet) mostOfShare() float64 {
+	total, capacity, most := 0.0, 0.0, 0.0
+	for _, e := range f.engines {
+		total += e.served
+		capacity += 1 / e.factor
+	}
+	for _, e := range f.engines {
+		most = max(most, e.served/total/(1/e.factor/capacity))
+	}
+	return most
+}
+
 func median(list []float64) float64 {
 	sorted := slices.Sorted(slices.Values(list))
 	return sorted[len(sorted)/2]
@@ -198,13 +221,20 @@
 // TestPredictions lets 12 instances, each with 3 prompts a second, learn the engines of each customer: after 5 s, measured over
 // predicted times are within 25 % in the median at every size of prompt. It guards against predictions with the engines of
 // another customer.
-func TestPredictions(t *testing.T) {
+func TestPredictions(t *testing.T) { testPredictions(t, mesh, 3) }
+
+// TestPredictionsThroughHubs is TestPredictions with news that are up to a second old, and 2 prompts a second. More calls then
+// meet queues that nobody knew of; targets that met some must not look slow for it.
+func TestPredictionsThroughHubs(t *testing.T) { testPredictions(t, hubs, 2) }
+
+func testPredictions(t *testing.T, l links, rate float64) {
 	for name, c := range customers {
 		for seed := range uint64(3) {
 			f := newFleet(c, 30, 12, seed)
-			f.run(3, 5*time.Second)
+			f.links = l
+			f.run(rate, 5*time.Second)
 			f.ratios = map[identifier.Tokens][]float64{}
-			f.run(3, 20*time.Second)
+			f.run(rate, 20*time.Second)
 			for _, size := range sizes {
 				ratio := median(f.ratios[size])
 				t.Logf("%s seed %d, %d tokens: median ratio %.2f of %d", name, seed, size, ratio, len(f.ratios[size]))
@@ -216,23 +246,74 @@
 
 // TestUnequalTargetsShareWork lets engines of unequal speed serve half of what they can: none gets more than 1.5 times its
 // share by capacity.
-func TestUnequalTargetsShareWork(t *testing.T) {
+func TestUnequalTargetsShareWork(t *testing.T) { testShares(t, mesh) }
+
+// TestUnequalTargetsShareWorkThroughHubs is TestUnequalTargetsShareWork with news that are up to a second old.
+func TestUnequalTargetsShareWorkThroughHubs(t *testing.T) { testShares(t, hubs) }
+
+func testShares(t *testing.T, l links) {
 	for seed := range uint64(3) {
 		c := customers["C"]
 		f := newFleet(c, 12, 10, seed)
+		f.links = l
 		f.run(4, 5*time.Second)
 		for _, e := range f.engines {
 			e.served = 0
 		}
 		f.run(4, 40*time.Second)
-		total, capacity, most := 0.0, 0.0, 0.0
-		for _, e := range f.engines {
-			total += e.served
-			capacity += 1 / e.factor
+		most := f.mostOfShare()
+		t.Logf("seed %d: most %.2f times the share by capacity", seed, most)
+		quicktest.Check(t, most <= 1.5, quicktest.IsTrue, quicktest.Commentf("seed %d: %.2f times its share", seed, most))
+	}
+}
+
+// TestUnequalTargetsShareAnswers lets engines of unequal speed generate answers, at a pace that falls with their batch: none gets
+// more than 1.5 times its share by capacity.
+func TestUnequalTargetsShareAnswers(t *testing.T) {
+	const events = 60
+	for seed := range uint64(3) {
+		f := newFleet(customers["C"], 12, 10, seed)
+		batch := map[*engine]int{}
+		type answer struct {
+			engine *engine
+			end    func()
 		}
-		for _, e := range f.engines {
-			most = max(most, e.served/total/(1/e.factor/capacity))
+		ending := map[time.Time][]answer{}
+		send := func(instance int) {
+			jitter := chooser.Jitter{Seed: f.random.Uint64(), MaximumJitter: f.jitter}
+			choice, _ := chooser.AnswerTarget("z", jitter, f.states[instance].Candidates(f.targets(), nil, f.now))
+			e := f.engines[slices.IndexFunc(f.engines, func(e *engine) bool { return e.target.ID == choice.Target.ID })]
+			batch[e]++
+			e.served++
+			pace := e.factor * f.customer.slowness(e, f.now) * (1 + float64(batch[e])/64) * math.Exp(0.05*f.random.NormFloat64())
+			gap := time.Duration(20 * pace * float64(time.Millisecond))
+			begin, done := f.states[instance].Begin(e.target.ID, chooser.Load{Answers: 1}, f.now), f.now.Add(events*gap).Truncate(10*time.Millisecond)
+			ending[done] = append(ending[done], answer{e, func() {
+				begin()
+				f.instances[instance].ObserveLoad(&e.target, calibrator.Load{Slots: 128, Slowness: f.customer.slowness(e, f.now)}, f.now)
+				f.instances[instance].ObserveAnswer(&e.target, gap, f.now)
+			}})
+		}
+		for f.now = start; f.now.Sub(start) < 40*time.Second; f.now = f.now.Add(10 * time.Millisecond) {
+			if f.now.Sub(start) == 10*time.Second {
+				for _, e := range f.engines {
+					e.served = 0
+				}
+			}
+			for i := range f.instances {
+				if f.random.Float64() < 0.15 {
+					send(i)
+				}
+			}
+			for _, a := range ending[f.now] {
+				batch[a.engine]--
+				a.end()
+			}
+			if f.now.Sub(start)%f.interval == 0 {
+				f.exchange()
+			}
 		}
+		most := f.mostOfShare()
 		t.Logf("seed %d: most %.2f times the share by capacity", seed, most)
 		quicktest.Check(t, most <= 1.5, quicktest.IsTrue, quicktest.Commentf("seed %d: %.2f times its share", seed, most))
 	}
--- a/internal/calibrator/estimate.go
+++ b/internal/calibrator/estimate.go
@@ -15,6 +15,10 @@
 	// trustedSamples is the number of samples at which a target's value counts half against that of its service. A tenth of the
 	// calls takes up to three times as long, and more meet a queue that nobody knew of, so that a few samples show little.
 	trustedSamples = 3.0
+	// targetQuantile is the quantile of a target's samples that counts. Queues that nobody knew of only lengthen calls, and with
+	// loads that are a second old half of the calls meet one: with medians, targets that had met queues looked slow, the others
+	// got their work, and met more queues.
+	targetQuantile = 0.3
 	// reportChange and reportInterval: an estimate is reported once it has changed by a tenth, or after three seconds of use.
 	reportChange   = 0.1
 	reportInterval = 3 * time.Second
@@ -31,13 +35,15 @@
 	fromHub bool
 }
 
-// estimate is a learned time: the weighted median of own samples and what peers report of theirs. A median is moved little by a
+// estimate is a learned time: a weighted quantile of own samples and what peers report of theirs, which is moved little by a
 // sample that is far off.
 type estimate struct {
-	samples []evidence
-	next    int
-	peers   map[string]peerEvidence
-	pooled  evidence
+	// ofService is set if it is the value of a whole service.
+	ofService bool
+	samples   []evidence
+	next      int
+	peers     map[string]peerEvidence
+	pooled    evidence
 
 	sequence    uint64
 	reportedLog float64
@@ -73,7 +79,7 @@
 	e.pooled = e.combine(All, now)
 }
 
-// combine returns the weighted median of the samples in a scope.
+// combine returns the weighted quantile of the samples in a scope: the median for a service.
 func (e *estimate) combine(scope Scope, now time.Time) evidence {
 	var buffer [ownSamples + 16]evidence
 	list := buffer[:0]
@@ -87,11 +93,14 @@
 			list = append(list, p.evidence)
 		}
 	}
-	return weightedMedian(list, now)
+	if e.ofService {
+		return weightedQuantile(list, 0.5, now)
+	}
+	return weightedQuantile(list, targetQuantile, now)
 }
 
-// weightedMedian sorts the list and returns its median with the total weight. Between two values in the middle it takes the mean.
-func weightedMedian(list []evidence, now time.Time) evidence {
+// weightedQuantile sorts the list and returns its quantile with the total weight. Exactly between two values it takes the mean.
+func weightedQuantile(list []evidence, quantile float64, now time.Time) evidence {
 	slices.SortFunc(list, func(a, b evidence) int { return cmp.Compare(a.log, b.log) })
 	total := 0.0
 	for _, s := range list {
@@ -100,9 +109,9 @@
 	below := 0.0
 	for i, s := range list {
 		switch below += s.weight; {
-		case below > total/2:
+		case below > total*quantile:
 			return evidence{s.log, total, now}
-		case below == total/2 && i+1 < len(list):
+		case below == total*quantile && i+1 < len(list):
 			return evidence{(s.log + list[i+1].log) / 2, total, now}
 		}
 	}
--- a/internal/calibrator/share.go
+++ b/internal/calibrator/share.go
@@ -131,7 +131,7 @@
 		return
 	}
 	if estimates[e.Kind] == nil {
-		estimates[e.Kind] = &estimate{}
+		estimates[e.Kind] = &estimate{ofService: e.Target == ""}
 	}
 	estimates[e.Kind].merge(source, peerEvidence{evidence{math.Log(e.Seconds), e.Samples, now}, fromHub}, now)
 	c.mark(estimates[e.Kind], now)
