--- a/internal/calibrator/calibrator.go
+++ b/internal/calibrator/calibrator.go
@@ -328,6 +328,9 @@
 	defer c.mu.Unlock()
 	var list []float64
 	for _, ts := range c.targets {
+		if ts.estimates == ([kinds]*estimate{}) {
+			continue // Only its load is known.
+		}
 		b := c.base(ts.service)
 		if ts.estimates[Plain] != nil {
 			list = append(list, bounded(ts.factor(Plain, b.logPlain)*ts.slownessAt(c.instant(now))))
