calibrator: fixed time of each target, comparison with the median target

Cause: where a slow target's whole call is longer, its short prompts were predicted too short.

Change: an estimate of each target's fixed time, comparison with the median of the targets, each of which counts once, earlier reports of first samples, and 2.5 samples for half of the trust. The bound of 1.5 is unchanged.

--- a/internal/calibrator/calibrator.go
+++ b/internal/calibrator/calibrator.go
@@ -18,13 +18,13 @@
 	minimumFactor, maximumFactor = 0.2, 20.0
 	// alikeSlower and distinctSlower bound how much slower a target is than its service, as logarithms: up to alikeSlower, 16 %,
 	// it is taken for noise, and from distinctSlower on, 35 %, it counts in full. Without that all instances would send to the
-	// target that happened to be measured as the fastest, and meet there. A faster one draws work, so it has to be 1.35 to 1.8
+	// target that happened to be measured as the fastest, and meet there. A faster one draws work, so it has to be 1.5 to 2
 	// times as fast.
 	alikeSlower, distinctSlower = 0.15, 0.3
-	alikeFaster, distinctFaster = 0.3, 0.59
+	alikeFaster, distinctFaster = 0.4, 0.69
 	// learningSamples is the number of samples of the service's line before targets are compared with it.
 	learningSamples = 6
-	// minimumWeight is the least weight of a prefill for its target's factor: short ones show the fixed time only.
+	// minimumWeight is the least weight of a prefill for one of the two parts of its target's time.
 	minimumWeight = 0.05
 	// reportFresh is how long a reported slowness counts in full. It then fades until reportFaded.
 	reportFresh = 300 * time.Millisecond
@@ -34,6 +34,8 @@
 	// minimumPlainDifference is the difference of plain durations that counts: below, it is that of a network and a scheduler.
 	// Without it, an idle target that was measured as 2 ms instead of 1 would get nothing.
 	minimumPlainDifference = 5 * time.Millisecond
+	// compareInterval is how often the targets of a service are compared.
+	compareInterval = 500 * time.Millisecond
 	// maximumDisturbance is the reported slowness relative to the usual one beyond which nothing is learned from a call.
 	maximumDisturbance = 1.5
 	// maximumDuration is the longest credible call.
@@ -58,6 +60,8 @@
 	Gap
 	// Plain is the duration of a plain call.
 	Plain
+	// Fixed is the time of a prefill apart from its tokens.
+	Fixed
 	kinds
 )
 
@@ -71,11 +75,19 @@
 	targets  map[identifier.TargetID]*target
 	sequence uint64
 	epoch    time.Time
+	// lastSeen is the newest time that the calibrator has seen.
+	lastSeen time.Time
 }
 
 type service struct {
-	fitter    fitter
-	estimates [kinds]*estimate
+	fitter fitter
+	// plain is the duration of a plain call at all targets.
+	plain *estimate
+	// references are the logarithms with which the estimates of targets are compared, as of referencesAt; minus infinity stands
+	// for none.
+	references   [kinds]float64
+	referencesAt instant
+	compared     bool
 }
 
 type target struct {
@@ -97,6 +109,9 @@
 	if c.epoch.IsZero() {
 		c.epoch = now
 	}
+	if now.After(c.lastSeen) {
+		c.lastSeen = now
+	}
 	return instant(now.Sub(c.epoch))
 }
 
@@ -133,13 +148,19 @@
 	if s.fitter.sums(now, true).Samples < learningSamples {
 		return
 	}
+	c.compare(t.Service, s, now)
 	l := s.fitter.line
-	share := l.perToken * x / l.at(x)
-	if share*share < minimumWeight {
-		return
+	work := l.perToken * x
+	share := work / l.at(x)
+	// Each part of the time is what the other one leaves. A short prompt shows the fixed time, a long one the time per token.
+	if weight := share * share; weight >= minimumWeight {
+		fixed := l.fixed * bounded(ts.factor(Fixed, s.references[Fixed]))
+		c.observe(ts, PerToken, max(took.Seconds()-fixed, work*minimumFactor)/x, weight, now)
+	}
+	if weight := (1 - share) * (1 - share); weight >= minimumWeight {
+		work *= bounded(ts.factor(PerToken, s.references[PerToken]))
+		c.observe(ts, Fixed, max(took.Seconds()-work, l.fixed*minimumFactor), weight, now)
 	}
-	perToken := max(took.Seconds()-l.fixed, l.perToken*x*minimumFactor) / x
-	c.observe(ts, PerToken, perToken, share*share, now)
 }
 
 // ObserveAnswer records the mean time between two events of an answer.
@@ -163,11 +184,13 @@
 		return
 	}
 	seconds := took.Seconds() / ts.slownessAt(c.instant(now))
-	if s.estimates[kind] == nil {
-		s.estimates[kind] = &estimate{ofService: true}
+	if kind == Plain {
+		if s.plain == nil {
+			s.plain = &estimate{ofService: true}
+		}
+		s.plain.observe(seconds, 1, now)
+		c.mark(s.plain, now)
 	}
-	s.estimates[kind].observe(seconds, 1, now)
-	c.mark(s.estimates[kind], now)
 	c.observe(ts, kind, seconds, 1, now)
 }
 
@@ -204,7 +227,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	base, at := c.base(candidates[0].Target.Service), c.instant(now)
+	base, at := c.base(candidates[0].Target.Service, now), c.instant(now)
 	for i := range candidates {
 		t := candidates[i].Target
 		ts := c.targets[t.ID]
@@ -219,38 +242,62 @@
 // baseline holds the values of a service.
 type baseline struct {
 	line line
-	// logPerToken, logGap and logPlain are logarithms of seconds.
-	logPerToken, logGap, logPlain float64
-	capability                    chooser.Capability
+	// references are the logarithms with which the estimates of targets are compared.
+	references [kinds]float64
+	capability chooser.Capability
 }
 
-func (c *Calibrator) base(id identifier.ServiceID) baseline {
+func (c *Calibrator) base(id identifier.ServiceID, now time.Time) baseline {
 	b := baseline{line: defaultLine}
-	gap, plain := 0.0, defaultPlain.Seconds()
+	plain := defaultPlain.Seconds()
 	if s := c.services[id]; s != nil {
 		if s.fitter.line != (line{}) {
 			b.line = s.fitter.line
 		}
-		gap, plain = s.estimates[Gap].value(gap), s.estimates[Plain].value(plain)
+		plain = s.plain.value(plain)
+		c.compare(id, s, now)
+		b.references = s.references
 	}
 	b.capability = chooser.Capability{
 		Fixed: seconds(b.line.fixed), PerToken: b.line.perToken * float64(time.Second), Slowness: 1, Plain: seconds(plain),
 	}
-	b.logPerToken, b.logGap, b.logPlain = math.Log(b.line.perToken), math.Log(gap), math.Log(plain)
 	return b
 }
 
+// compare updates the references of a service: the median of its targets, each of which counts once, however many calls it gets. A
+// target that lies moves it no more than any other. The references are of the same quantile as the estimates; the line is a median.
+func (c *Calibrator) compare(id identifier.ServiceID, s *service, now time.Time) {
+	at := c.instant(now)
+	if s.compared && time.Duration(at-s.referencesAt) < compareInterval {
+		return
+	}
+	s.compared, s.referencesAt = true, at
+	for kind := range kinds {
+		var list []evidence
+		for _, ts := range c.targets {
+			if e := ts.estimates[kind]; ts.service == id && e != nil && e.pooled.weight > 0 {
+				list = append(list, evidence{log: e.pooled.log, weight: min(e.pooled.weight, trustedSamples)})
+			}
+		}
+		s.references[kind] = math.Inf(-1)
+		if len(list) > 0 {
+			s.references[kind] = weightedQuantile(list, 0.5, now).log
+		}
+	}
+}
+
 func (b *baseline) of(ts *target, now instant) chooser.Capability {
 	momentary := ts.slownessAt(now)
-	prefill := ts.factor(PerToken, b.logPerToken)
+	prefill := ts.factor(PerToken, b.references[PerToken])
 	slowness := prefill
 	if ts.estimates[Gap] != nil {
-		slowness = ts.factor(Gap, b.logGap)
+		slowness = ts.factor(Gap, b.references[Gap])
 	}
 	capability := b.capability
+	capability.Fixed = time.Duration(float64(capability.Fixed) * bounded(ts.factor(Fixed, b.references[Fixed])))
 	capability.PerToken *= bounded(prefill * momentary)
 	capability.Slowness = bounded(slowness * momentary)
-	plain := time.Duration(float64(capability.Plain) * bounded(ts.factor(Plain, b.logPlain)*momentary))
+	plain := time.Duration(float64(capability.Plain) * bounded(ts.factor(Plain, b.references[Plain])*momentary))
 	if (plain - capability.Plain).Abs() >= minimumPlainDifference {
 		capability.Plain = plain
 	}
@@ -304,7 +351,7 @@
 func (c *Calibrator) EngineRate(id identifier.ServiceID) float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b := c.base(id)
+	b := c.base(id, c.lastSeen)
 	n, sum := 0.0, 0.0
 	for _, ts := range c.targets {
 		if ts.service == id && ts.estimates[PerToken] != nil {
@@ -313,7 +360,7 @@
 				usual = ts.usual
 			}
 			n++
-			sum += bounded(ts.factor(PerToken, b.logPerToken) * usual)
+			sum += bounded(ts.factor(PerToken, b.references[PerToken]) * usual)
 		}
 	}
 	if n == 0 {
@@ -331,9 +378,9 @@
 		if ts.estimates == ([kinds]*estimate{}) {
 			continue // Only its load is known.
 		}
-		b := c.base(ts.service)
+		b := c.base(ts.service, now)
 		if ts.estimates[Plain] != nil {
-			list = append(list, bounded(ts.factor(Plain, b.logPlain)*ts.slownessAt(c.instant(now))))
+			list = append(list, bounded(ts.factor(Plain, b.references[Plain])*ts.slownessAt(c.instant(now))))
 			continue
 		}
 		list = append(list, b.of(ts, c.instant(now)).Slowness)
@@ -358,7 +405,9 @@
 	}
 	for _, s := range c.services {
 		s.fitter.forget(now)
-		poolAll(s.estimates, now)
+		if s.plain != nil {
+			s.plain.pool(now)
+		}
 	}
 }
 
--- a/internal/calibrator/estimate.go
+++ b/internal/calibrator/estimate.go
@@ -10,16 +10,19 @@
 const (
 	// ownSamples is the number of own samples of an estimate. Recent ones count, since a target's speed changes.
 	ownSamples = 8
+	// serviceSamples is the same for the value of a service, which has the samples of all targets.
+	serviceSamples = 48
 	// peerLifetime is how long a peer's estimate counts without news.
 	peerLifetime = 10 * time.Second
 	// trustedSamples is the number of samples at which a target's value counts half against that of its service. A tenth of the
 	// calls takes up to three times as long, and more meet a queue that nobody knew of, so that a few samples show little.
-	trustedSamples = 3.0
-	// targetQuantile is the quantile of a target's samples that counts. Queues that nobody knew of only lengthen calls, and with
+	trustedSamples = 2.5
+	// quantile is the quantile of the samples of a target, and of those of its service with which it is compared, that counts. Queues that nobody knew of only lengthen calls, and with
 	// loads that are a second old half of the calls meet one: with medians, targets that had met queues looked slow, the others
 	// got their work, and met more queues.
-	targetQuantile = 0.3
-	// reportChange and reportInterval: an estimate is reported once it has changed by a tenth, or after three seconds of use.
+	quantile = 0.3
+	// reportChange and reportInterval: an estimate is reported once it has changed by a tenth, or after three seconds of use. The
+	// first ones are also reported when their samples have doubled, because a few samples count for little.
 	reportChange   = 0.1
 	reportInterval = 3 * time.Second
 )
@@ -48,19 +51,28 @@
 	sequence    uint64
 	reportedLog float64
 	reportedAt  time.Time
+	// reportedWeight is the weight at the last report.
+	reportedWeight float64
 }
 
 func (e *estimate) observe(seconds, weight float64, now time.Time) {
 	s := evidence{math.Log(seconds), weight, now}
-	if len(e.samples) < ownSamples {
+	if limit := e.limit(); len(e.samples) < limit {
 		e.samples = append(e.samples, s)
 	} else {
-		e.samples[e.next%ownSamples] = s
+		e.samples[e.next%limit] = s
 	}
 	e.next++
 	e.pool(now)
 }
 
+func (e *estimate) limit() int {
+	if e.ofService {
+		return serviceSamples
+	}
+	return ownSamples
+}
+
 func (e *estimate) merge(source string, p peerEvidence, now time.Time) {
 	if e.peers == nil {
 		e.peers = map[string]peerEvidence{}
@@ -79,9 +91,9 @@
 	e.pooled = e.combine(All, now)
 }
 
-// combine returns the weighted quantile of the samples in a scope: the median for a service.
+// combine returns the weighted quantile of the samples in a scope.
 func (e *estimate) combine(scope Scope, now time.Time) evidence {
-	var buffer [ownSamples + 16]evidence
+	var buffer [serviceSamples + 16]evidence
 	list := buffer[:0]
 	for _, s := range e.samples {
 		if now.Sub(s.at) <= sampleLifetime {
@@ -93,14 +105,11 @@
 			list = append(list, p.evidence)
 		}
 	}
-	if e.ofService {
-		return weightedQuantile(list, 0.5, now)
-	}
-	return weightedQuantile(list, targetQuantile, now)
+	return weightedQuantile(list, quantile, now)
 }
 
 // weightedQuantile sorts the list and returns its quantile with the total weight. Exactly between two values it takes the mean.
-func weightedQuantile(list []evidence, quantile float64, now time.Time) evidence {
+func weightedQuantile(list []evidence, q float64, now time.Time) evidence {
 	slices.SortFunc(list, func(a, b evidence) int { return cmp.Compare(a.log, b.log) })
 	total := 0.0
 	for _, s := range list {
@@ -109,9 +118,9 @@
 	below := 0.0
 	for i, s := range list {
 		switch below += s.weight; {
-		case below > total*quantile:
+		case below > total*q:
 			return evidence{s.log, total, now}
-		case below == total*quantile && i+1 < len(list):
+		case below == total*q && i+1 < len(list):
 			return evidence{(s.log + list[i+1].log) / 2, total, now}
 		}
 	}
@@ -137,9 +146,10 @@
 
 // due reports whether the estimate is to be reported, and notes that it is.
 func (e *estimate) due(now time.Time) bool {
-	if !e.reportedAt.IsZero() && now.Sub(e.reportedAt) < reportInterval && math.Abs(e.pooled.log-e.reportedLog) < reportChange {
+	doubled := e.pooled.weight >= 2*e.reportedWeight && e.reportedWeight < ownSamples
+	if !e.reportedAt.IsZero() && now.Sub(e.reportedAt) < reportInterval && math.Abs(e.pooled.log-e.reportedLog) < reportChange && !doubled {
 		return false
 	}
-	e.reportedLog, e.reportedAt = e.pooled.log, now
+	e.reportedLog, e.reportedAt, e.reportedWeight = e.pooled.log, now, e.pooled.weight
 	return true
 }
--- a/internal/calibrator/share.go
+++ b/internal/calibrator/share.go
@@ -82,7 +82,7 @@
 		}
 	}
 	for id, s := range c.services {
-		add(s.estimates, Entry{Service: id})
+		add([kinds]*estimate{Plain: s.plain}, Entry{Service: id})
 	}
 	for id, t := range c.targets {
 		add(t.estimates, Entry{Service: t.service, Target: id, StartedAt: t.startedAt})
@@ -126,21 +126,25 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	estimates := c.estimatesOf(e)
-	if estimates == nil {
+	estimate := c.estimateOf(e)
+	if estimate == nil {
 		return
 	}
-	if estimates[e.Kind] == nil {
-		estimates[e.Kind] = &estimate{ofService: e.Target == ""}
-	}
-	estimates[e.Kind].merge(source, peerEvidence{evidence{math.Log(e.Seconds), e.Samples, now}, fromHub}, now)
-	c.mark(estimates[e.Kind], now)
+	estimate.merge(source, peerEvidence{evidence{math.Log(e.Seconds), e.Samples, now}, fromHub}, now)
+	c.mark(estimate, now)
 }
 
-// estimatesOf returns the estimates that an entry belongs to, or nil if it is about an earlier incarnation.
-func (c *Calibrator) estimatesOf(e Entry) *[kinds]*estimate {
+// estimateOf returns the estimate that an entry belongs to, or nil if there is none, or it is about an earlier incarnation.
+func (c *Calibrator) estimateOf(e Entry) *estimate {
 	if e.Target == "" {
-		return &c.service(e.Service).estimates
+		s := c.service(e.Service)
+		if e.Kind == Plain && s.plain == nil {
+			s.plain = &estimate{ofService: true}
+		}
+		if e.Kind != Plain {
+			return nil
+		}
+		return s.plain
 	}
 	t := c.targets[e.Target]
 	if t != nil && e.StartedAt.Before(t.startedAt) {
@@ -153,7 +157,10 @@
 		t = &target{service: e.Service, startedAt: e.StartedAt}
 		c.targets[e.Target] = t
 	}
-	return &t.estimates
+	if t.estimates[e.Kind] == nil {
+		t.estimates[e.Kind] = &estimate{}
+	}
+	return t.estimates[e.Kind]
 }
 
 // MergeSums applies the sums of a peer. Impossible ones are ignored.
