--- a/internal/calibrator/calibrator_test.go
+++ b/internal/calibrator/calibrator_test.go
@@ -549,3 +549,16 @@
 	}
 	quicktest.Check(t, c.Plain(list[0], start), quicktest.Equals, c.Plain(list[1], start))
 }
+
+// TestOverflowingSumsAreNotKept checks that sums of a peer that overflow the fit do not outlast it: a line that is not a number would
+// give all later samples weights that are not numbers either, and predictions would stay unusable.
+func TestOverflowingSumsAreNotKept(t *testing.T) {
+	c, targets, now := measured(4)
+	usual := c.Prefill(targets[0], 20_000, now)
+	c.MergeSums("peer", false, calibrator.ServiceSums{Service: "s", Sums: calibrator.Sums{Samples: 1, W: 1e300, X: 1e300, XX: 1e300, Y: 1e300, XY: 1e300}}, now)
+	quicktest.Check(t, c.Prefill(targets[0], 20_000, now) > 0, quicktest.IsTrue)
+	later := now.Add(11 * time.Second)
+	c.Retain(targets, later)
+	ratio := float64(c.Prefill(targets[0], 20_000, later)) / float64(usual)
+	quicktest.Check(t, ratio > 0.95 && ratio < 1.05, quicktest.IsTrue, quicktest.Commentf("%.2f", ratio))
+}
--- a/internal/calibrator/line.go
+++ b/internal/calibrator/line.go
@@ -84,6 +84,9 @@
 		s.addSample(1/(predicted*predicted*priorDeviation), tokens, predicted)
 	}
 	l := line{perToken: (s.W*s.XY - s.X*s.Y) / (s.W*s.XX - s.X*s.X)}
+	if math.IsNaN(l.perToken) {
+		return defaultLine // Sums of a peer overflow. The line gives the next weights, so this would last.
+	}
 	l.perToken = min(max(l.perToken, minimumPerToken), maximumPerToken)
 	l.fixed = (s.Y - l.perToken*s.X) / s.W
 	if l.fixed < minimumFixed || l.fixed > maximumFixed {
