--- a/internal/calibrator/calibrator.go
+++ b/internal/calibrator/calibrator.go
@@ -388,7 +388,7 @@
 	return list
 }
 
-// Retain removes the targets that are not in the list, and what peers no longer report.
+// Retain removes the targets that are not in the list, what peers no longer report, and services without samples.
 func (c *Calibrator) Retain(targets []*registrar.Target, now time.Time) {
 	keep := map[identifier.TargetID]bool{}
 	for _, t := range targets {
@@ -403,11 +403,14 @@
 		}
 		poolAll(ts.estimates, now)
 	}
-	for _, s := range c.services {
+	for id, s := range c.services {
 		s.fitter.forget(now)
 		if s.plain != nil {
 			s.plain.pool(now)
 		}
+		if s.fitter.sums(now, true).Samples == 0 && (s.plain == nil || s.plain.pooled.weight == 0) {
+			delete(c.services, id) // The defaults apply again, as for a service that is not known.
+		}
 	}
 }
 
