--- a/internal/calibrator/estimate.go
+++ b/internal/calibrator/estimate.go
@@ -15,11 +15,11 @@
 	// peerLifetime is how long a peer's estimate counts without news.
 	peerLifetime = 10 * time.Second
 	// trustedSamples is the number of samples at which a target's value counts half against that of its service. A tenth of the
-	// calls takes up to three times as long, and more meet a queue that nobody knew of, so that a few samples show little.
+	// calls takes up to three times as long, and more meet an unknown queue, so that a few samples show little.
 	trustedSamples = 2.5
-	// quantile is the quantile of the samples of a target, and of those of its service with which it is compared, that counts. Queues that nobody knew of only lengthen calls, and with
-	// loads that are a second old half of the calls meet one: with medians, targets that had met queues looked slow, the others
-	// got their work, and met more queues.
+	// quantile is the quantile that counts of the samples of a target, and of those of its service with which it is compared.
+	// Queues that no instance knew of only lengthen calls, and with loads that are a second old half of the calls meet one: with
+	// medians, targets that had met queues looked slow, the others got their work, and met more queues.
 	quantile = 0.3
 	// reportChange and reportInterval: an estimate is reported once it has changed by a tenth, or after three seconds of use. The
 	// first ones are also reported when their samples have doubled, because a few samples count for little.
--- a/internal/chooser/capability_test.go
+++ b/internal/chooser/capability_test.go
@@ -56,23 +56,23 @@
 	quicktest.Check(t, p.Target.ID, quicktest.Equals, identifier.TargetID("t0"))
 }
 
-// TestToldRequestsReplaceReports checks that a target's own count of its requests replaces what peers reported for 300 ms, and no
+// TestReportedLoadReplacesPeerLoads checks that a target's own count of its requests replaces what peers reported for 300 ms, and no
 // longer: loads of peers are older than that.
-func TestToldRequestsReplaceReports(t *testing.T) {
+func TestReportedLoadReplacesPeerLoads(t *testing.T) {
 	var states chooser.TargetStates
 	list := targets(1, registrar.Answers)
 	states.UpdatePeer("peer", map[identifier.TargetID]chooser.Load{"t0": {Answers: 5, AnswerTokens: 900}}, now)
 	end := states.Begin("t0", chooser.Load{Answers: 1}, now)
-	states.Told("t0", 20, 2, now)
+	states.ObserveLoad("t0", 20, 2, now)
 	load := func(at time.Time) chooser.Load { return states.Candidates(list, nil, at)[0].Load }
 	quicktest.Check(t, load(now), quicktest.Equals, chooser.Load{Answers: 22, AnswerTokens: 900})
 	end()
 	quicktest.Check(t, load(now.Add(299*time.Millisecond)).Answers, quicktest.Equals, 21)
 	quicktest.Check(t, load(now.Add(300*time.Millisecond)).Answers, quicktest.Equals, 5)
-	states.Told("t0", 0, 0, now)
+	states.ObserveLoad("t0", 0, 0, now)
 	quicktest.Check(t, load(now).Answers, quicktest.Equals, 0)
 	list[0].StartedAt = now
-	quicktest.Check(t, load(now).Answers, quicktest.Equals, 5, quicktest.Commentf("a restarted target has told nothing"))
+	quicktest.Check(t, load(now).Answers, quicktest.Equals, 5, quicktest.Commentf("a restarted target has reported nothing"))
 }
 
 // TestWaitingPromptsAreNoIdleTarget checks that a prompt target at which requests wait does not count as idle: a measurement on it
@@ -85,7 +85,7 @@
 		return choice.Idle
 	}
 	quicktest.Check(t, idle(now), quicktest.IsTrue)
-	states.Told("t0", 1, 1, now)
+	states.ObserveLoad("t0", 1, 1, now)
 	quicktest.Check(t, idle(now), quicktest.IsFalse)
 	quicktest.Check(t, idle(now.Add(time.Second)), quicktest.IsTrue)
 }
--- a/internal/chooser/states.go
+++ b/internal/chooser/states.go
@@ -25,9 +25,9 @@
 	recentPartsKept = 256
 	// peerLoadLifetime is how long a peer's reported load counts without a new report.
 	peerLoadLifetime = 3 * time.Second
-	// toldLifetime is how long a target's own count of its requests replaces what peers report: their reports are up to 1.5 s
+	// reportedLoadLifetime is how long a target's own count of its requests replaces what peers report: their reports are up to 1.5 s
 	// old, and requests take some hundred milliseconds.
-	toldLifetime = 300 * time.Millisecond
+	reportedLoadLifetime = 300 * time.Millisecond
 	// maximumReleased is the number of lists of candidates kept for later choices: few choices are made at the same time.
 	maximumReleased = 2
 )
@@ -74,15 +74,15 @@
 	tokens identifier.Tokens
 	// capacity is the size of the KV cache; zero means the default.
 	capacity identifier.Tokens
-	// toldOthers is the number of requests that were not this instance's when the target told its count at toldAt, and
-	// toldWaiting the number that waited.
-	toldOthers  int
-	toldWaiting int
-	toldAt      time.Time
-	failures    float64
-	failuresAt  time.Time
-	firstSeen   time.Time
-	startedAt   time.Time
+	// reportedOthers is the number of requests that were not this instance's when the target reported its count at loadReportedAt, and
+	// reportedWaiting the number that waited.
+	reportedOthers  int
+	reportedWaiting int
+	loadReportedAt  time.Time
+	failures        float64
+	failuresAt      time.Time
+	firstSeen       time.Time
+	startedAt       time.Time
 }
 
 // peerReport holds the loads of a peer's last report.
@@ -139,7 +139,7 @@
 		s := ts.targetState(t.ID, now)
 		// A restarted target has an empty cache.
 		if !t.StartedAt.Equal(s.startedAt) {
-			s.parts, s.tokens, s.startedAt, s.toldAt = nil, 0, t.StartedAt, time.Time{}
+			s.parts, s.tokens, s.startedAt, s.loadReportedAt = nil, 0, t.StartedAt, time.Time{}
 		}
 		s.capacity = capacity
 		list = append(list, Candidate{
@@ -318,32 +318,34 @@
 	return s
 }
 
-// Told records a target's own count of its requests: those that run, one of which is the one that it answers, and those that
+// ObserveLoad records a target's own count of its requests: those that run, one of which is the one that it answers, and those that
 // wait.
-func (ts *TargetStates) Told(id identifier.TargetID, running, waiting int, now time.Time) {
+func (ts *TargetStates) ObserveLoad(id identifier.TargetID, running, waiting int, now time.Time) {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	s := ts.targetState(id, now)
-	s.toldOthers, s.toldWaiting, s.toldAt = max(0, running+waiting-s.own.Answers), waiting, now
+	s.reportedOthers, s.reportedWaiting, s.loadReportedAt = max(0, running+waiting-s.own.Answers), waiting, now
 }
 
-// told reports whether the target has just told its own count.
-func (s *targetState) told(now time.Time) bool { return now.Sub(s.toldAt) < toldLifetime }
+// hasFreshLoad reports whether the target has just reported its own count.
+func (s *targetState) hasFreshLoad(now time.Time) bool {
+	return now.Sub(s.loadReportedAt) < reportedLoadLifetime
+}
 
 // loadAt returns the target's load. Its own count of requests is newer than what peers report; it says nothing about the tokens
 // of prompts.
 func (s *targetState) loadAt(stage registrar.Stage, now time.Time) Load {
 	total := s.own
 	total.add(s.peers, 1)
-	if stage != registrar.Prompts && s.told(now) {
-		total.Answers = s.own.Answers + s.toldOthers
+	if stage != registrar.Prompts && s.hasFreshLoad(now) {
+		total.Answers = s.own.Answers + s.reportedOthers
 	}
 	return total
 }
 
-// busy reports whether a prompt target has just said that requests wait for it.
+// busy reports whether a prompt target has just reported that requests wait for it.
 func (s *targetState) busy(stage registrar.Stage, now time.Time) bool {
-	return s.toldWaiting > 0 && stage == registrar.Prompts && s.told(now)
+	return s.reportedWaiting > 0 && stage == registrar.Prompts && s.hasFreshLoad(now)
 }
 
 func (l *Load) add(other Load, sign int) {
--- a/internal/coordinator/calibration.go
+++ b/internal/coordinator/calibration.go
@@ -26,7 +26,7 @@
 				return
 			}
 			c.calibrator.ObserveLoad(t, l, now)
-			c.targetStates.Told(t.ID, l.Running, l.Waiting, now)
+			c.targetStates.ObserveLoad(t.ID, l.Running, l.Waiting, now)
 		})
 	}
 }
