--- a/internal/chooser/states.go
+++ b/internal/chooser/states.go
@@ -1,6 +1,7 @@
 package chooser
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -14,7 +15,7 @@
 	// cacheFraction is the fraction of a target's memory that is assumed to hold prompt parts; running requests need the
 	// rest.
 	cacheFraction = 0.7
-	// defaultCacheTokens is the KV cache capacity assumed for each target, whose memory is not known here.
+	// defaultCacheTokens is the KV cache capacity assumed for targets without one in the configuration.
 	defaultCacheTokens = 300_000
 	// failureHalfLife is the half-life of the failure score.
 	failureHalfLife = 2 * time.Second
@@ -26,6 +27,11 @@
 	recentPartsKept = 256
 	// peerLoadLifetime is how long a peer's reported load counts without a new report.
 	peerLoadLifetime = 3 * time.Second
+	// reportedLoadLifetime is how long a target's own count of its requests replaces what peers report: their reports are up to 1.5 s
+	// old, and requests take some hundred milliseconds.
+	reportedLoadLifetime = 300 * time.Millisecond
+	// maximumReleased is the number of lists of candidates kept for later choices: few choices are made at the same time.
+	maximumReleased = 2
 )
 
 // CachedPart is a prompt part in the KV cache of a target; instances report new ones to their peers.
@@ -40,10 +46,16 @@
 	// SharedPartsOnly reports whether the last part of a prompt, which belongs to the request or its session, is not
 	// reported to peers; nil means that it is.
 	SharedPartsOnly func() bool
+	// CacheTokens returns the KV cache capacity of a service's targets, or zero if it is not known; nil means that it is not.
+	CacheTokens func(identifier.ServiceID) identifier.Tokens
+	// Model assesses candidates; nil leaves them at the defaults.
+	Model Model
 
 	mu      sync.Mutex
 	targets map[identifier.TargetID]*targetState
-	peers   map[string]peerReport
+	// released holds lists of candidates to be used again: one for 720 targets takes 80 KB.
+	released [][]Candidate
+	peers    map[string]peerReport
 	// recentParts holds the parts recorded last, to be reported to peers; the last one has the offset nextOffset-1.
 	recentParts []recentPart
 	nextOffset  uint64
@@ -61,9 +73,16 @@
 	peers Load
 	parts map[identifier.PartID]*partState
 	// tokens is the total size of all parts.
-	tokens     identifier.Tokens
-	failures   float64
-	failuresAt time.Time
+	tokens identifier.Tokens
+	// capacity is the size of the KV cache; zero means the default.
+	capacity identifier.Tokens
+	// reportedOthers is the number of requests that were not this instance's when the target reported its count at loadReportedAt, and
+	// reportedWaiting the number that waited.
+	reportedOthers  int
+	reportedWaiting int
+	loadReportedAt  time.Time
+	failures        float64
+	failuresAt      time.Time
 	// refusedAt is when the target last refused a request although its load gives no reason.
 	refusedAt time.Time
 	firstSeen time.Time
@@ -84,17 +103,52 @@
 
 // Candidates returns the state of the given targets for a choice; parts may be empty.
 func (ts *TargetStates) Candidates(targets []*registrar.Target, parts []Part, now time.Time) []Candidate {
+	list := ts.candidates(targets, parts, now)
+	if ts.Model != nil {
+		ts.Model.Assess(list, now)
+	}
+	return list
+}
+
+// Release lets a later choice use the memory of a list of candidates, which the caller must not use any more.
+func (ts *TargetStates) Release(list []Candidate) {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
-	list := make([]Candidate, 0, len(targets))
+	if cap(list) > 0 && len(ts.released) < maximumReleased {
+		ts.released = append(ts.released, list[:0])
+	}
+}
+
+// newList returns an empty list for n candidates.
+func (ts *TargetStates) newList(n int) []Candidate {
+	if last := len(ts.released) - 1; last >= 0 {
+		list := ts.released[last]
+		ts.released = ts.released[:last]
+		if cap(list) >= n {
+			return list
+		}
+	}
+	return make([]Candidate, 0, n)
+}
+
+func (ts *TargetStates) candidates(targets []*registrar.Target, parts []Part, now time.Time) []Candidate {
+	capacity := identifier.Tokens(0)
+	if ts.CacheTokens != nil && len(targets) > 0 {
+		capacity = ts.CacheTokens(targets[0].Service)
+	}
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	list := ts.newList(len(targets))
 	for _, t := range targets {
 		s := ts.targetState(t.ID, now)
 		// A restarted target has an empty cache.
 		if !t.StartedAt.Equal(s.startedAt) {
-			s.parts, s.tokens, s.startedAt = nil, 0, t.StartedAt
+			s.parts, s.tokens, s.startedAt, s.loadReportedAt = nil, 0, t.StartedAt, time.Time{}
 		}
+		s.capacity = capacity
 		c := Candidate{
-			Target: t, Load: s.load(), Cached: s.cached(parts), FailureScore: s.failureScore(now), Age: now.Sub(s.firstSeen),
+			Target: t, Load: s.loadAt(t.Stage, now), Cached: s.cached(parts), FailureScore: s.failureScore(now), Age: now.Sub(s.firstSeen),
+			Busy: s.busy(t.Stage, now),
 		}
 		if !s.refusedAt.IsZero() && now.Sub(s.refusedAt) < refusalPause {
 			c.Surcharge = AvoidanceCost
@@ -199,7 +253,7 @@
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	s := ts.targetState(t.ID, now)
-	if unexplained = t.Slots <= 0 || s.load().Answers < t.Slots; unexplained {
+	if unexplained = t.Slots <= 0 || s.loadAt(t.Stage, now).Answers < t.Slots; unexplained {
 		s.refusedAt = now
 	}
 	return unexplained
@@ -284,12 +338,36 @@
 	return s
 }
 
-func (s *targetState) load() Load {
+// ObserveLoad records a target's own count of its requests: those that run, one of which is the one that it answers, and those that
+// wait.
+func (ts *TargetStates) ObserveLoad(id identifier.TargetID, running, waiting int, now time.Time) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	s := ts.targetState(id, now)
+	s.reportedOthers, s.reportedWaiting, s.loadReportedAt = max(0, running+waiting-s.own.Answers), waiting, now
+}
+
+// hasFreshLoad reports whether the target has just reported its own count.
+func (s *targetState) hasFreshLoad(now time.Time) bool {
+	return now.Sub(s.loadReportedAt) < reportedLoadLifetime
+}
+
+// loadAt returns the target's load. Its own count of requests is newer than what peers report; it says nothing about the tokens
+// of prompts.
+func (s *targetState) loadAt(stage registrar.Stage, now time.Time) Load {
 	total := s.own
 	total.add(s.peers, 1)
+	if stage != registrar.Prompts && s.hasFreshLoad(now) {
+		total.Answers = s.own.Answers + s.reportedOthers
+	}
 	return total
 }
 
+// busy reports whether a prompt target has just reported that requests wait for it.
+func (s *targetState) busy(stage registrar.Stage, now time.Time) bool {
+	return s.reportedWaiting > 0 && stage == registrar.Prompts && s.hasFreshLoad(now)
+}
+
 func (l *Load) add(other Load, sign int) {
 	l.PromptTokens += identifier.Tokens(sign) * other.PromptTokens
 	l.Answers += sign * other.Answers
@@ -325,7 +403,7 @@
 	}
 	s.parts[part.ID] = &partState{tokens: part.Tokens, usedAt: now, reportedAt: now}
 	s.tokens += part.Tokens
-	for float64(s.tokens) > cacheFraction*defaultCacheTokens && len(s.parts) > 1 {
+	for float64(s.tokens) > cacheFraction*float64(cmp.Or(s.capacity, defaultCacheTokens)) && len(s.parts) > 1 {
 		s.evict()
 	}
 	return true
