Admission control, KV reservations, read-ahead and silent prompt targets

Change: internal/admitter judges requests before the first send where the settings name the contract part pressure; answer targets are reserved up to 0.9 of their KV memory; events are read up to 64 KiB ahead of a slow client; an attempt whose target answers nothing and accepts no connection within a quarter of the promised latency is repeated elsewhere, within the retry budget.

--- a/internal/chooser/states.go
+++ b/internal/chooser/states.go
@@ -64,6 +64,8 @@
 	failuresAt time.Time
 	firstSeen  time.Time
 	startedAt  time.Time
+	// restarts counts the changes of startedAt.
+	restarts int
 }
 
 // peerReport holds the loads of a peer's last report.
@@ -87,6 +89,10 @@
 		s := ts.targetState(t.ID, now)
 		// A restarted target has an empty cache.
 		if !t.StartedAt.Equal(s.startedAt) {
+			if !s.startedAt.IsZero() {
+				// Nor has it the work that was in flight, whose ends are still to come.
+				s.own, s.restarts = Load{}, s.restarts+1
+			}
 			s.parts, s.tokens, s.startedAt = nil, 0, t.StartedAt
 		}
 		list = append(list, Candidate{
@@ -98,15 +104,25 @@
 
 // Begin adds work to this instance's load of a target; the returned function removes it and may be called repeatedly.
 func (ts *TargetStates) Begin(id identifier.TargetID, work Load, now time.Time) (end func()) {
-	ts.add(id, work, 1, now)
-	var once sync.Once
-	return func() { once.Do(func() { ts.add(id, work, -1, now) }) }
-}
-
-func (ts *TargetStates) add(id identifier.TargetID, work Load, sign int, now time.Time) {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
-	ts.targetState(id, now).own.add(work, sign)
+	return ts.begin(id, ts.targetState(id, now), work)
+}
+
+// begin adds work to a target's state. The returned function removes it, unless the target has restarted. The caller must hold mu.
+func (ts *TargetStates) begin(id identifier.TargetID, s *targetState, work Load) (end func()) {
+	s.own.add(work, 1)
+	restarts := s.restarts
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			ts.mu.Lock()
+			defer ts.mu.Unlock()
+			if s.restarts == restarts && ts.targets[id] == s {
+				s.own.add(work, -1)
+			}
+		})
+	}
 }
 
 // Prefilled records that a target now caches the parts of a prompt, and queues the parts to be reported to peers.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/coltsfootscale/coltsfootscale/internal/admitter"
 	"github.com/coltsfootscale/coltsfootscale/internal/asserter"
 	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
 	"github.com/coltsfootscale/coltsfootscale/internal/counter"
@@ -75,6 +76,8 @@
 	// Gate stops requests to targets that leave or want none.
 	Gate  *gatekeeper.Gatekeeper
 	Store StoreEra
+	// RankedAdmission is set if requests are refused under overload, the least urgent ones first.
+	RankedAdmission bool
 	// Usage and Scaling are nil on a platform without usage reports and scaling.
 	Usage   reporter.UsagePlatform
 	Scaling scaler.TargetPlatform
@@ -126,9 +129,11 @@
 	quarantine      quarantiner.Quarantine
 	isolation       Isolation
 	pins            *pinner.Pinner
-	datagrams       datagrams
-	sightings       pinner.Sightings
-	prober          prober.Prober
+	// admitter is nil without admission control.
+	admitter  *admitter.Admitter
+	datagrams datagrams
+	sightings pinner.Sightings
+	prober    prober.Prober
 	// unreachable holds the services of which this instance cannot reach some targets.
 	unreachable atomic.Pointer[[]*gossiper.Unreachable]
 
@@ -248,6 +253,7 @@
 		Pins: c.pins, SoleBuild: c.soleBuild, Reach: &c.prober, Handover: c.platform.Handover, Peers: c.reachingPeers,
 		CountRequest: c.countRequest, RecordDemand: c.demand.Add, Logger: c.logger, Metrics: c.metrics,
 	}
+	c.wireAdmission()
 }
 
 // available returns the targets of a service that accept new requests and want them from this instance now.
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -59,4 +59,5 @@
 	}
 	set("DutyFence", float64(fence))
 	set("StoreEra", float64(c.platform.Store.Era()))
+	c.updateAdmissionGauges(now)
 }
--- /dev/null
+++ b/internal/forwarder/admission.go
@@ -0,0 +1,136 @@
+package forwarder
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/admitter"
+	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
+	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
+	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
+)
+
+// idleFailureScore is the failure score from which a target without work does not count as idle: it may be silent.
+const idleFailureScore = 0.5
+
+// Admission decides under overload which requests are sent.
+type Admission interface {
+	Judge(r *admitter.Request, now time.Time) admitter.Verdict
+	// ObserveRest records the time from the end of a prefill to the first event.
+	ObserveRest(id identifier.ServiceID, rest time.Duration, now time.Time)
+}
+
+// judgePrompt refuses a stream that cannot begin in time, or that gives way to more urgent ones, or returns nil.
+func (rs *requestState) judgePrompt(p *chooser.Prompt, candidates []chooser.Candidate, choice chooser.Choice) *Refusal {
+	if rs.f.Admission == nil {
+		return nil
+	}
+	r := rs.admissionRequest(choice, candidates)
+	r.HasRest, r.Capacity = true, len(candidates)
+	for i := range candidates {
+		c := candidates[i]
+		if c.Load.PromptTokens == 0 && rs.countsAsIdle(&c) {
+			r.Idle = true
+		}
+		if c.Target == choice.Target {
+			c.Load = chooser.Load{}
+			alone, _ := rs.f.Chooser.Prompt(p, []chooser.Candidate{c})
+			r.Alone = alone.Predicted
+		}
+	}
+	return rs.judge(r)
+}
+
+// judgePlain is judgePrompt for a request that one target answers without a separate prefill.
+func (rs *requestState) judgePlain(choice chooser.Choice) *Refusal {
+	if rs.f.Admission == nil || rs.route.HasPrompts {
+		return nil
+	}
+	r := rs.admissionRequest(choice, rs.answerCandidates)
+	for i := range rs.answerCandidates {
+		c := rs.answerCandidates[i]
+		slots := max(1, c.Target.Slots)
+		r.Capacity += slots
+		if c.Load.Answers < slots && rs.countsAsIdle(&c) {
+			r.Idle = true
+		}
+		if c.Target == choice.Target {
+			c.Load = chooser.Load{}
+			alone, _ := rs.f.Chooser.Plain(rs.f.Zone, plainServiceTime, []chooser.Candidate{c})
+			r.Alone = alone.Predicted
+		}
+	}
+	return rs.judge(r)
+}
+
+func (rs *requestState) countsAsIdle(c *chooser.Candidate) bool {
+	return c.FailureScore < idleFailureScore && !rs.f.Reach.Down(c.Target.Address)
+}
+
+func (rs *requestState) admissionRequest(choice chooser.Choice, candidates []chooser.Candidate) *admitter.Request {
+	now := time.Now()
+	r := &admitter.Request{
+		ID: rs.call.ID, Service: rs.service, Route: rs.route.ID, Team: rs.teamID(), Rank: matcher.EffectivePriority(rs.route, rs.team),
+		GoesOn: rs.call.LastEvent != "", Predicted: choice.Predicted, Remaining: rs.deadline.Sub(now), Promised: rs.route.Latency,
+		Instances: rs.f.Instances(), Repeated: rs.judged,
+	}
+	if rs.f.LoadAge != nil {
+		r.LoadAge = rs.f.LoadAge(now)
+	}
+	rs.judged = true
+	return r
+}
+
+// judge refuses a request that is not admitted. A request that may have run, or whose answer has begun, is not refused.
+func (rs *requestState) judge(r *admitter.Request) *Refusal {
+	if rs.started || rs.headerSent {
+		return nil
+	}
+	v := rs.f.Admission.Judge(r, time.Now())
+	if v.Reason == "" {
+		return nil
+	}
+	rs.f.Metrics.Tagged(map[string]string{"Rank": rankName(r.Rank)}).Counter("AdmissionRefusals").Inc(1)
+	rs.f.Logger.Info("request not admitted", zap.String("RequestID", string(rs.call.ID)), zap.String("Reason", string(v.Reason)),
+		zap.Duration("Predicted", v.Predicted), zap.Duration("Remaining", v.Remaining), zap.Int("Rank", r.Rank), zap.Int("JudgedRank", v.Rank),
+		zap.Float64("Pressure", v.Pressure), zap.Duration("PressureAge", v.PressureAge), zap.Duration("RetryAfter", v.RetryAfter))
+	return refuseNotRun(string(v.Reason), v.RetryAfter, nil)
+}
+
+// maximumRankName limits the names of ranks in metrics.
+const maximumRankName = 9
+
+// rankName returns the name of a rank in metrics.
+func rankName(rank int) string {
+	return string('0' + rune(max(0, min(maximumRankName, rank))))
+}
+
+// observeRest records the time from the end of the prefill to the first event.
+func (rs *requestState) observeRest() {
+	if rs.f.Admission != nil && !rs.prefilledAt.IsZero() {
+		now := time.Now()
+		rs.f.Admission.ObserveRest(rs.service, now.Sub(rs.prefilledAt), now)
+		rs.prefilledAt = time.Time{}
+	}
+}
+
+// otherLive reports whether the stage of a target has another target that can be reached and has not failed in this request.
+func (f *Forwarder) otherLive(service identifier.ServiceID, t *registrar.Target, failed []identifier.TargetID) bool {
+	for _, other := range f.Targets(service, time.Now()) {
+		if other.ID != t.ID && other.Stage == t.Stage && !f.Reach.Down(other.Address) && !contains(failed, other.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+func contains(list []identifier.TargetID, id identifier.TargetID) bool {
+	for _, each := range list {
+		if each == id {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -66,7 +66,7 @@
 	Completed(digest identifier.RequestDigest, parts []identifier.PartID, now time.Time)
 }
 
-// Forwarder handles client requests; all fields must be set.
+// Forwarder handles client requests; all fields but those after Metrics must be set.
 type Forwarder struct {
 	Zone         identifier.ZoneID
 	Table        func() *matcher.Table
@@ -98,9 +98,16 @@
 	CountRequest func(team identifier.TeamID)
 	Logger       *zap.Logger
 	Metrics      tally.Scope
+	// Admission decides under overload which requests are sent; nil sends all. LoadAge returns the age of the loads that peers
+	// reported; nil means none.
+	Admission Admission
+	LoadAge   func(now time.Time) time.Duration
+	// ReadAhead bounds what all streams hold for slow clients.
+	ReadAhead ReadAhead
 
 	// reachability lets the requests that break at a target share one check of it.
 	reachability singleflight.Group
+	answers      answerDurations
 }
 
 // requestState is the state of one request that is being served.
@@ -135,6 +142,16 @@
 	// headerSent is set once the response header has been sent to the client.
 	headerSent bool
 	logEntry   logEntry
+	// judged is set once the request was judged for admission; answerCandidates are those of the last choice of an answer target.
+	judged           bool
+	answerCandidates []chooser.Candidate
+	// prefilledAt is when the prompt was prefilled, until the first event.
+	prefilledAt time.Time
+	// memoryFull is set if the last choice found no answer target with memory for the request, which is expected after memoryWait.
+	memoryFull bool
+	memoryWait time.Duration
+	// retryTaken is set if the next attempt, after one at a silent target, was taken from the retry budget already.
+	retryTaken bool
 	// requestDigest is zero until it is needed.
 	requestDigest identifier.RequestDigest
 	// status is the status of the target's response.
@@ -301,6 +318,8 @@
 	list := slices.DeleteFunc(rs.candidates(nil, registrar.Answers, registrar.AnyStage), func(c chooser.Candidate) bool {
 		return !rs.admitsAnswer(c.Target)
 	})
+	list = rs.withMemory(list)
+	rs.answerCandidates = list
 	if rs.route.Resumable && rs.pin == nil {
 		chargeLoneBuilds(list)
 	}
@@ -313,7 +332,16 @@
 // takeRetry reports whether another attempt is allowed and, if so, takes it from the retry budget.
 func (rs *requestState) takeRetry() bool {
 	return rs.call.Body.Whole() && rs.attempts < rs.route.Attempts &&
-		time.Until(rs.deadline) > minimumRemaining && rs.f.Budget.TakeRetry(rs.service)
+		time.Until(rs.deadline) > minimumRemaining && rs.takeFromBudget()
+}
+
+// takeFromBudget takes a further attempt from the retry budget, unless that was done when the last one was ended.
+func (rs *requestState) takeFromBudget() bool {
+	if rs.retryTaken {
+		rs.retryTaken = false
+		return true
+	}
+	return rs.f.Budget.TakeRetry(rs.service)
 }
 
 // markStarted counts the request as started and records the time; only the first call has an effect.
@@ -322,6 +350,7 @@
 		rs.started = true
 		rs.logEntry.firstEvent = time.Since(rs.start)
 		rs.f.Metrics.Timer("FirstEvent").Record(rs.logEntry.firstEvent)
+		rs.observeRest()
 		rs.countStarted(rs.teamID())
 	}
 }
--- a/internal/forwarder/handover.go
+++ b/internal/forwarder/handover.go
@@ -30,6 +30,8 @@
 	// down and silent.
 	Begin(address string, end func()) (done func())
 	Answered(address string)
+	// Silent reports whether a target has answered nothing since and accepts no connection within the given time.
+	Silent(ctx context.Context, address string, since time.Time, limit time.Duration) bool
 	Failed(address string)
 }
 
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -14,7 +14,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
 	"github.com/coltsfootscale/coltsfootscale/internal/gatekeeper"
 	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
@@ -23,6 +22,7 @@
 
 // servePlain tries targets of a plain service until one gives a final response.
 func (rs *requestState) servePlain(ctx context.Context) *Refusal {
+	memoryDeadline := rs.memoryDeadline()
 	for {
 		if refusal := rs.refuseDenied(); refusal != nil {
 			return refusal
@@ -38,9 +38,15 @@
 				return refusal
 			}
 		}
+		if !ok && rs.awaitMemory(ctx, memoryDeadline) {
+			continue
+		}
 		if !ok {
 			return rs.refuseNoTarget()
 		}
+		if refusal := rs.judgePlain(choice); refusal != nil {
+			return refusal
+		}
 		response, buffered, err := rs.attemptPlain(ctx, choice.Target)
 		if err != nil || response.Status >= http.StatusInternalServerError {
 			rs.logFailedAttempt(choice.Target, response, err)
@@ -77,6 +83,9 @@
 // avoid excludes a target from further attempts of this request after a failed one, which counts as a failure of the target
 // unless the request was withheld from it.
 func (rs *requestState) avoid(id identifier.TargetID, err error) {
+	if errors.Is(err, errMemory) {
+		return // The target is a candidate again once it has memory.
+	}
 	if !errors.Is(err, gatekeeper.ErrWithheld) {
 		rs.f.TargetStates.Failed(id, time.Now())
 	}
@@ -102,6 +111,9 @@
 	if refusal := rs.refuseAbsentBuild(); refusal != nil {
 		return refusal
 	}
+	if rs.memoryFull {
+		return rs.refuseMemory()
+	}
 	retryAfter := defaultRetryAfter
 	if wait, expected := rs.f.Expected(rs.service, registrar.Answers, time.Now()); expected {
 		retryAfter = wait + rand.N(retryAfterJitter)
@@ -128,12 +140,15 @@
 // attemptPlain makes one attempt and buffers the start of the response, which is all of it in most cases. If the response
 // breaks off there, the client receives none of it.
 func (rs *requestState) attemptPlain(ctx context.Context, t *registrar.Target) (*Response, []byte, error) {
-	end := rs.f.TargetStates.Begin(t.ID, chooser.Load{Answers: 1}, time.Now())
+	end, ok := rs.f.TargetStates.BeginWithin(t.ID, rs.answerLoad(), rs.memoryLimit(), time.Now())
+	if !ok {
+		return nil, nil, fmt.Errorf("%w: %w", ErrNotSent, errMemory)
+	}
 	defer end()
 	sendCtx, done := rs.await(ctx, t, rs.route.Kind == matcher.Safe)
 	rs.attempts++
 	rs.logEntry.answerTarget = t.ID
-	response, err := rs.f.Backend.Run(sendCtx, rs.call, rs.attempt(t, nil, rs.call.LastEvent))
+	response, err := rs.run(sendCtx, t, nil, rs.call.LastEvent)
 	rs.observe(ctx, t, err)
 	if err != nil {
 		done()
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -38,10 +38,15 @@
 
 // relay forwards the events of a target, or of a peer if t is nil, until the target's response ends; it returns ErrOutcomeUnknown if the response breaks off.
 func (s *stream) relay(ctx context.Context, response *Response, t *registrar.Target) error {
-	r := bufio.NewReaderSize(response.Body, eventBufferBytes)
+	queue := readEvents(response.Body, &s.requestState.f.ReadAhead, func() {
+		if t != nil {
+			s.requestState.f.Reach.Answered(t.Address)
+		}
+	})
+	defer queue.close()
 	flusher := http.NewResponseController(s.requestState.w)
 	for {
-		event, err := readEvent(r)
+		event, err := queue.next()
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			s.requestState.writeHeader(response)
 			return nil
@@ -50,9 +55,6 @@
 			return fmt.Errorf("%w: reading the event after %d: %w", ErrOutcomeUnknown, s.lastID, err)
 		}
 		s.requestState.markStarted()
-		if t != nil {
-			s.requestState.f.Reach.Answered(t.Address)
-		}
 		if err := s.advance(event); err != nil {
 			return err
 		}
--- a/internal/forwarder/streamed.go
+++ b/internal/forwarder/streamed.go
@@ -84,20 +84,25 @@
 
 // prepare chooses the answer target and prefills the prompt for it if the service has prompt targets.
 func (rs *requestState) prepare(ctx context.Context) (*registrar.Target, *KVHandle, *Refusal) {
+	memoryDeadline := rs.memoryDeadline()
 	for {
 		if handle := rs.unusedCache; handle != nil {
 			rs.unusedCache = nil
 			return rs.pairWithAnswerTarget(ctx, handle)
 		}
 		answerChoice, ok := rs.chooseAnswerTarget()
+		if !ok && rs.awaitMemory(ctx, memoryDeadline) {
+			continue
+		}
 		if !ok {
 			return nil, nil, rs.refuseNoTarget()
 		}
 		if !rs.route.HasPrompts {
-			return answerChoice.Target, nil, nil
+			return answerChoice.Target, nil, rs.judgePlain(answerChoice)
 		}
 		promptTargets := rs.candidates(rs.call.Parts, registrar.Prompts)
-		promptChoice, ok := rs.f.Chooser.Prompt(&chooser.Prompt{Zone: rs.f.Zone, Parts: rs.call.Parts, Jitter: rs.jitter()}, promptTargets)
+		prompt := &chooser.Prompt{Zone: rs.f.Zone, Parts: rs.call.Parts, Jitter: rs.jitter()}
+		promptChoice, ok := rs.f.Chooser.Prompt(prompt, promptTargets)
 		if !ok && rs.couldHandOver() {
 			return nil, nil, rs.refuseNoTarget()
 		}
@@ -111,8 +116,11 @@
 		if rs.attempts == 0 && len(rs.failedTargets) == 0 {
 			rs.f.RecordDemand(rs.service, promptChoice.Uncached, time.Now())
 		}
+		if refusal := rs.judgePrompt(prompt, promptTargets, promptChoice); refusal != nil {
+			return nil, nil, refusal
+		}
 		// The first prefill of a request does not count against the retry budget.
-		if rs.prefills > 0 && !rs.f.Budget.TakeRetry(rs.service) {
+		if rs.prefills > 0 && !rs.takeFromBudget() {
 			return nil, nil, rs.adjustRefusal(refuseNotRun("RetryBudgetSpent", defaultRetryAfter, nil))
 		}
 		rs.prefills++
@@ -146,6 +154,9 @@
 			return choice.Target, handle, nil
 		}
 		wait, expected := rs.f.Expected(rs.service, registrar.Answers, time.Now())
+		if rs.memoryFull {
+			wait, expected = minimumAnswerWait, true
+		}
 		wait = max(wait, minimumAnswerWait)
 		if !expected || waited+wait > maximumAnswerWait || wait > time.Until(rs.deadline)/2 {
 			rs.free(handle)
@@ -179,11 +190,16 @@
 	defer end()
 	ctx, done := rs.await(ctx, choice.Target, true)
 	defer done()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	started := time.Now()
+	stop := rs.endIfSilent(ctx, choice.Target, cancel, rs.mayPrefillElsewhere(choice.Target))
 	handle, err := rs.f.Backend.Prefill(ctx, rs.call, rs.attempt(choice.Target, nil, ""))
+	rs.retryTaken = stop() && err != nil
 	if err != nil {
 		return nil, err
 	}
+	rs.prefilledAt = time.Now()
 	rs.f.TargetStates.Succeeded(choice.Target.ID, time.Now())
 	rs.f.TargetStates.Prefilled(choice.Target.ID, rs.call.Parts, time.Now())
 	rs.logEntry.promptTarget, rs.logEntry.predicted, rs.logEntry.uncached, rs.logEntry.prefillTook =
@@ -208,17 +224,18 @@
 
 // generate runs the request on the answer target and relays the events.
 func (rs *requestState) generate(ctx context.Context, s *stream, t *registrar.Target, source *KVHandle) error {
-	tokens := rs.call.AnswerTokens
-	for _, part := range rs.call.Parts {
-		tokens += part.Tokens
+	end, ok := rs.f.TargetStates.BeginWithin(t.ID, rs.answerLoad(), rs.memoryLimit(), time.Now())
+	if !ok {
+		rs.unusedCache = source
+		return fmt.Errorf("%w: %w", ErrNotSent, errMemory)
 	}
-	end := rs.f.TargetStates.Begin(t.ID, chooser.Load{Answers: 1, AnswerTokens: tokens}, time.Now())
 	defer end()
+	began := time.Now()
 	rs.attempts++
 	rs.logEntry.answerTarget, rs.logEntry.build = t.ID, t.Build
 	sendCtx, done := rs.await(ctx, t, rs.route.Resumable)
 	defer done()
-	response, err := rs.f.Backend.Run(sendCtx, rs.call, rs.attempt(t, source, s.lastEvent))
+	response, err := rs.run(sendCtx, t, source, s.lastEvent)
 	rs.observe(ctx, t, err)
 	if err != nil {
 		switch {
@@ -246,6 +263,7 @@
 	}
 	rs.f.Quarantine.Completed(rs.digest(), rs.call.sharedParts(), time.Now())
 	rs.f.TargetStates.Succeeded(t.ID, time.Now())
+	rs.f.answers.add(rs.service, time.Since(began))
 	return nil
 }
 
--- a/internal/parser/entry.go
+++ b/internal/parser/entry.go
@@ -26,6 +26,8 @@
 	// RelayListen is the listen address for requests that peers pass on; if it is empty, none are.
 	RelayListen string
 	Seeds       []string
+	// Contracts lists the parts that the deployment's contract names.
+	Contracts []string
 	// FirstStart is set if the whole fleet starts for the first time: nothing has happened before.
 	FirstStart bool
 	Store      string
@@ -101,6 +103,7 @@
 	}
 	s.Seeds = parseSeeds(instance, s.PeerListen)
 	s.FirstStart = instance.boolean("FirstStart", false)
+	s.Contracts = parseWords(instance.text("Contracts", ""))
 	s.Store = "http://" + d.sectionNamed("Store").hostPort("Address", "")
 	if cloud := d.sectionNamed("Cloud"); cloud.text("Address", "") != "" {
 		s.Cloud = "http://" + cloud.hostPort("Address", "")
@@ -136,6 +139,17 @@
 	return seeds
 }
 
+// parseWords returns the words of a list that commas separate.
+func parseWords(list string) []string {
+	var words []string
+	for _, word := range strings.Split(list, ",") {
+		if word = strings.TrimSpace(word); word != "" {
+			words = append(words, word)
+		}
+	}
+	return words
+}
+
 func parseRouting(s *section) EntryRouting {
 	r := EntryRouting{Policy: chooser.Policy(s.text("Policy", string(chooser.Predicted)))}
 	if !slices.Contains(chooser.Policies, r.Policy) {
--- a/internal/parser/entry_test.go
+++ b/internal/parser/entry_test.go
@@ -22,6 +22,7 @@
 PeerListen = 10.0.0.1:7780
 Seeds = 10.0.0.1:8367,10.0.0.2:8367
 FirstStart = true
+Contracts = quota, pressure ,
 [Store]
 Address = 10.0.0.9:90
 [Cloud]
@@ -40,6 +41,7 @@
 	quicktest.Assert(t, err, quicktest.IsNil)
 	quicktest.Check(t, s.Seeds, quicktest.DeepEquals, []string{"10.0.0.1:7780", "10.0.0.2:7780"})
 	quicktest.Check(t, s.FirstStart, quicktest.IsTrue)
+	quicktest.Check(t, s.Contracts, quicktest.DeepEquals, []string{"quota", "pressure"})
 	quicktest.Check(t, s.Routing, quicktest.Equals, parser.EntryRouting{Policy: chooser.LeastLoad})
 	quicktest.Check(t, s.Cloud, quicktest.Equals, "")
 	quicktest.Check(t, s.Bounds.Lease, quicktest.Equals, 3*time.Second)
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 )
 
 const (
@@ -51,6 +52,8 @@
 	waiting map[*attempt]bool
 	// probing is the number of probes that run.
 	probing int
+	// checks lets the attempts that wait for a target share one check of it.
+	checks singleflight.Group
 }
 
 // state is what is known of one target.
@@ -117,6 +120,37 @@
 	p.state(address).answeredAt = time.Now()
 }
 
+// Silent reports whether a target has answered nothing since and accepts no connection within the given time. It then also starts a
+// probe, which decides whether the target counts as unreachable.
+func (p *Prober) Silent(ctx context.Context, address string, since time.Time, limit time.Duration) bool {
+	if p.Connect == nil || p.answeredSince(address, since) {
+		return false
+	}
+	result := p.checks.DoChan(address, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+		defer cancel()
+		reached, tried := p.Connect(ctx, address)
+		return tried && !reached, nil
+	})
+	select {
+	case <-ctx.Done():
+		return false
+	case r := <-result:
+		if unreached := r.Val.(bool); !unreached || p.answeredSince(address, since) {
+			return false
+		}
+	}
+	p.Failed(address)
+	return true
+}
+
+func (p *Prober) answeredSince(address string, since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.targets[address]
+	return s != nil && s.answeredAt.After(since)
+}
+
 // Failed records that a connection to a target broke or could not be opened, which starts a probe.
 func (p *Prober) Failed(address string) {
 	p.mu.Lock()
