--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -13,14 +12,16 @@
 )
 
 const (
-	// pressureSpan, offeredSpan and restSpan are the time constants of the smoothed pressure, the offered work and the time from
-	// the prefill to the first event. An instance sees three requests per second of a service, and ten under overload.
+	idleDivisor = 2
+	// maximumSpread is the work that a busy target gets within the age of the loads; below minimumSpreadWait nothing is spread.
+	maximumSpread     = time.Second
+	minimumSpreadWait = 80 * time.Millisecond
+	// pressureSpan, offeredSpan, mixSpan and restSpan are the time constants of the smoothed pressure, the offered work, the shares
+	// of the ranks in it and the time from the prefill to the first event. An instance sees three requests per second of a service, and ten under overload.
 	pressureSpan = 300 * time.Millisecond
 	offeredSpan  = time.Second
+	mixSpan      = 4 * time.Second
 	restSpan     = 2 * time.Second
-	// correctionRate is the rise of the correction per second and second of wait beyond the target; correctionLimit bounds it.
-	correctionRate  = 0.15
-	correctionLimit = 2
 	// startSpan is the time after the first request in which the state is not used.
 	startSpan = 2 * time.Second
 	// returnSlack is how much later than its Retry-After, as a share of it and in any case, a client counts as returning, and
@@ -47,6 +48,9 @@
 	// Predicted is the predicted time until the prompt is prefilled or a plain request answered, and Alone the same at an idle target.
 	Predicted time.Duration
 	Alone     time.Duration
+	// MeanWait is the mean of the predicted waits of all candidates. That of the best one is too low: it is best because its load is
+	// not known yet.
+	MeanWait time.Duration
 	// HasRest is set if the first event follows the predicted work by the measured rest.
 	HasRest   bool
 	Remaining time.Duration
@@ -57,7 +61,7 @@
 	// instances that share them; zero means unknown.
 	Capacity  int
 	Instances int
-	// Repeated is set for later sends, which are refused only if they are out of time.
+	// Repeated is set for later sends of a request, whose client has not returned.
 	Repeated bool
 }
 
@@ -71,6 +75,17 @@
 	Returned bool
 }
 
+// Idle reports whether so many of the targets of a stage have no work that nothing is refused: half. Loads are a second old, so
+// that a single target without work gets requests from all instances until they learn of each other's.
+func Idle(idle, targets int) bool { return idle > 0 && idle*idleDivisor >= targets }
+
+// Spread returns the scale of the random costs by which targets are chosen while they have queues. Instances whose loads are a second
+// old would otherwise all choose the few targets that seem free; with random costs of Gumbel's distribution, a target gets requests in
+// proportion to the exponential of its wait over the spread.
+func Spread(meanWait time.Duration) time.Duration {
+	return max(0, min(maximumSpread, meanWait-minimumSpreadWait))
+}
+
 // Admitter keeps the state of each service; the zero value is ready to use.
 type Admitter struct {
 	mu       sync.Mutex
@@ -84,14 +99,16 @@
 	pressure   float64
 	promised   float64
 	pressureAt time.Time
-	correction float64
 	rest       float64
 	restAt     time.Time
-	ranks      map[int]*rank
-	returns    []refusal
+	// work is the offered work of all ranks, in seconds of a target per second.
+	work    float64
+	workAt  time.Time
+	ranks   map[int]*rank
+	returns []refusal
 }
 
-// rank is the offered work of one rank, in seconds of a target per second.
+// rank is the offered work of one rank, smoothed over a longer time: an instance sees few requests of each.
 type rank struct {
 	offered float64
 	at      time.Time
@@ -110,24 +127,17 @@
 	defer a.mu.Unlock()
 	s := a.service(r.Service, now)
 	v := Verdict{Rank: r.Rank, Input: s.input(r, now)}
-	if r.Repeated {
-		v.PressureAge = maximumAge + 1
-	} else {
-		s.observe(r, &v.Input, now)
-		v.Rank, v.Returned = s.effectiveRank(r, now)
-		v.Position = s.position(v.Rank, hashShare(r.ID), now)
-		v.Offered = s.offered(now)
-		if r.Capacity > 0 && r.Instances > 0 {
-			v.Offered *= float64(r.Instances) / float64(r.Capacity)
-		} else {
-			v.Offered = 1
-		}
+	v.Rank, v.Returned = s.effectiveRank(r, now)
+	s.observe(r, v.Rank, &v.Input, now)
+	v.Position, v.Offered = s.position(v.Rank, hashShare(r.ID), now), 1
+	if r.Capacity > 0 && r.Instances > 0 {
+		v.Offered = s.work * float64(r.Instances) / float64(r.Capacity)
 	}
 	d := Decide(&v.Input)
 	v.Reason = d.Reason
 	if d.Reason != "" {
-		// A random half spreads the clients that return.
-		v.RetryAfter = d.RetryAfter + time.Duration(rand.Float64()/2*float64(d.RetryAfter))
+		// Up to half as much again spreads the clients that return.
+		v.RetryAfter = d.RetryAfter + time.Duration(hashShare("retry "+r.ID)/2*float64(d.RetryAfter))
 		v.RetryAfter = max(minimumRetryAfter, min(v.RetryAfter, r.Remaining/remainingDivisor))
 		s.remember(r, v.RetryAfter, now)
 	}
@@ -182,41 +192,28 @@
 }
 
 // observe adds a request to the pressure and the offered work, and completes its input with them.
-func (s *service) observe(r *Request, in *Input, now time.Time) {
-	if s.pressureAt.IsZero() || now.Sub(s.pressureAt) > maximumAge {
-		s.correction = 0
-	}
+func (s *service) observe(r *Request, judged int, in *Input, now time.Time) {
 	if r.LoadAge <= maximumAge && r.Promised > 0 {
-		elapsed := min(now.Sub(s.pressureAt), pressureSpan).Seconds()
-		s.pressure = smooth(s.pressure, in.Wait.Seconds()/r.Promised.Seconds(), s.pressureAt, now, pressureSpan)
+		s.pressure = smooth(s.pressure, r.MeanWait.Seconds()/r.Promised.Seconds(), s.pressureAt, now, pressureSpan)
 		s.promised = smooth(s.promised, r.Promised.Seconds(), s.pressureAt, now, pressureSpan)
 		s.pressureAt = now
-		excess := (s.pressure - targetPressure) * s.promised
-		s.correction = max(-correctionLimit, min(correctionLimit, s.correction+correctionRate*excess*elapsed))
 	}
-	k := s.ranks[r.Rank]
+	k := s.ranks[judged]
 	if k == nil {
 		k = &rank{at: now}
-		s.ranks[r.Rank] = k
+		s.ranks[judged] = k
 	}
-	k.offered = k.now(now) + r.Alone.Seconds()/offeredSpan.Seconds()
+	k.offered = k.now(now) + r.Alone.Seconds()/mixSpan.Seconds()
 	k.at = now
-	in.Pressure, in.Correction, in.PressureAge = s.pressure, s.correction, now.Sub(s.pressureAt)
+	s.work = s.work*math.Exp(-now.Sub(s.workAt).Seconds()/offeredSpan.Seconds()) + r.Alone.Seconds()/offeredSpan.Seconds()
+	s.workAt = now
+	in.Pressure, in.PressureAge = s.pressure, now.Sub(s.pressureAt)
 	in.Promised = time.Duration(s.promised * float64(time.Second))
 }
 
 // now returns the offered work of a rank, which decays without new requests.
 func (k *rank) now(now time.Time) float64 {
-	return k.offered * math.Exp(-now.Sub(k.at).Seconds()/offeredSpan.Seconds())
-}
-
-// offered returns the work of all ranks.
-func (s *service) offered(now time.Time) float64 {
-	total := 0.0
-	for _, k := range s.ranks {
-		total += k.now(now)
-	}
-	return total
+	return k.offered * math.Exp(-now.Sub(k.at).Seconds()/mixSpan.Seconds())
 }
 
 // position returns the share of the offered work that comes before a request: all of the more urgent ranks, and the given share of
@@ -242,7 +239,7 @@
 // effectiveRank returns the rank at which a request is judged: one rank in use more urgent than its own for each that it goes on
 // with a stream or returns after a refusal.
 func (s *service) effectiveRank(r *Request, now time.Time) (effective int, returned bool) {
-	returned = s.takeReturn(r, now)
+	returned = !r.Repeated && s.takeReturn(r, now)
 	effective = r.Rank
 	if r.GoesOn {
 		effective = s.moreUrgent(effective, now)
--- a/internal/admitter/decide.go
+++ b/internal/admitter/decide.go
@@ -19,13 +19,18 @@
 const (
 	// maximumAge is the age beyond which loads and pressure say nothing about the present.
 	maximumAge = 2 * time.Second
-	// minimumPressure is the ratio of wait to promised latency below which nothing is refused as less urgent, and targetPressure
-	// the ratio at which exactly the overload is refused. Between the two the refused share of the overload rises linearly.
+	// minimumPressure is the ratio of wait to promised latency below which nothing is refused as less urgent; from there to fullPressure
+	// the refused share rises to what the controller calls for. At targetPressure exactly the overload is refused.
 	minimumPressure = 0.25
-	targetPressure  = 0.5
+	fullPressure    = 0.4
+	targetPressure  = 1
 	// feedback is the rise of the exponent of the admitted share with the wait beyond the target, per second. Loads are up to
 	// 1.5 s old with the way of a status, and a loop with that delay is stable below pi/2 over it, which is 1.05.
 	feedback = 0.6
+	// maximumOpening and maximumClosing bound the exponent that feedback adds to that of the offered work: at
+	// most 1.6 times and at least half of what the targets can do is admitted.
+	maximumOpening = 0.5
+	maximumClosing = 0.7
 	// minimumRetryAfter is the least Retry-After of a refusal.
 	minimumRetryAfter = 50 * time.Millisecond
 	// remainingDivisor limits a Retry-After to a third of the time left, so that the client can still be served when it returns.
@@ -50,10 +55,8 @@
 	PressureAge time.Duration
 	// Starting is set in the first seconds of the instance, when it has not measured enough.
 	Starting bool
-	// Offered is the offered work as a multiple of what the targets can do, as far as known; Correction is the exponent by which
-	// the admitted share was too high so far.
-	Offered    float64
-	Correction float64
+	// Offered is the offered work as a multiple of what the targets can do, as far as known.
+	Offered float64
 	// Position is the request's place in the order of urgency, from 0 to 1: the share of the offered work that comes before it.
 	Position float64
 }
@@ -86,8 +89,8 @@
 		return 1
 	}
 	excess := (in.Pressure - targetPressure) * in.Promised.Seconds()
-	exponent := math.Log(max(1, in.Offered)) + in.Correction + feedback*max(0, excess)
-	ramp := min(1, (in.Pressure-minimumPressure)/(targetPressure-minimumPressure))
+	exponent := math.Log(max(1, in.Offered)) + max(-maximumOpening, min(maximumClosing, feedback*excess))
+	ramp := min(1, (in.Pressure-minimumPressure)/(fullPressure-minimumPressure))
 	return math.Exp(-ramp * max(0, exponent))
 }
 
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -70,13 +70,22 @@
 type Jitter struct {
 	Seed          uint64
 	MaximumJitter time.Duration
+	// Spread is the scale of a further random cost, of Gumbel's distribution, for targets that all have queues.
+	Spread time.Duration
 }
 
 func (j Jitter) offset(t *registrar.Target) time.Duration {
-	if j.MaximumJitter <= 0 {
+	if j.MaximumJitter <= 0 && j.Spread <= 0 {
 		return 0
 	}
-	return time.Duration(mixBits(j.Seed^xxhash.Sum64String(string(t.ID))) % uint64(j.MaximumJitter))
+	hash, offset := mixBits(j.Seed^xxhash.Sum64String(string(t.ID))), time.Duration(0)
+	if j.MaximumJitter > 0 {
+		offset = time.Duration(hash % uint64(j.MaximumJitter))
+	}
+	if j.Spread > 0 {
+		offset += spreadOffset(mixBits(hash), j.Spread)
+	}
+	return offset
 }
 
 // Prompt describes a prompt for the choice of its target.
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -23,23 +23,25 @@
 }
 
 // judgePrompt refuses a stream that cannot begin in time, or that gives way to more urgent ones, or returns nil.
-func (rs *requestState) judgePrompt(p *chooser.Prompt, candidates []chooser.Candidate, choice chooser.Choice) *Refusal {
+func (rs *requestState) judgePrompt(choice chooser.Choice) *Refusal {
 	if rs.f.Admission == nil {
 		return nil
 	}
-	r := rs.admissionRequest(choice, candidates)
-	r.HasRest, r.Capacity = true, len(candidates)
+	candidates, prompt := rs.promptCandidates, &chooser.Prompt{Zone: rs.f.Zone, Parts: rs.call.Parts}
+	r := rs.admissionRequest(choice)
+	r.HasRest, r.Capacity, r.MeanWait = true, len(candidates), rs.meanPromptWait
+	idle := 0
 	for i := range candidates {
 		c := candidates[i]
 		if c.Load.PromptTokens == 0 && rs.countsAsIdle(&c) {
-			r.Idle = true
+			idle++
 		}
 		if c.Target == choice.Target {
 			c.Load = chooser.Load{}
-			alone, _ := rs.f.Chooser.Prompt(p, []chooser.Candidate{c})
-			r.Alone = alone.Predicted
+			r.Alone = rs.promptTime(prompt, c)
 		}
 	}
+	r.Idle = admitter.Idle(idle, len(candidates))
 	return rs.judge(r)
 }
 
@@ -48,28 +50,60 @@
 	if rs.f.Admission == nil || rs.route.HasPrompts {
 		return nil
 	}
-	r := rs.admissionRequest(choice, rs.answerCandidates)
+	r := rs.admissionRequest(choice)
+	idle := 0
 	for i := range rs.answerCandidates {
 		c := rs.answerCandidates[i]
 		slots := max(1, c.Target.Slots)
 		r.Capacity += slots
 		if c.Load.Answers < slots && rs.countsAsIdle(&c) {
-			r.Idle = true
+			idle++
 		}
+		busy := rs.plainTime(c)
+		c.Load = chooser.Load{}
+		alone := rs.plainTime(c)
+		r.MeanWait += max(0, busy-alone) / time.Duration(len(rs.answerCandidates))
 		if c.Target == choice.Target {
-			c.Load = chooser.Load{}
-			alone, _ := rs.f.Chooser.Plain(rs.f.Zone, plainServiceTime, []chooser.Candidate{c})
-			r.Alone = alone.Predicted
+			r.Alone = alone
 		}
 	}
+	r.Idle = admitter.Idle(idle, len(rs.answerCandidates))
 	return rs.judge(r)
 }
 
+// spreadPrompts lets the choice of a prompt target be the more random the longer all of them are busy. It does nothing without
+// admission control.
+func (rs *requestState) spreadPrompts(p *chooser.Prompt, candidates []chooser.Candidate) {
+	if rs.f.Admission == nil || len(candidates) == 0 {
+		return
+	}
+	total, plain := time.Duration(0), &chooser.Prompt{Zone: p.Zone, Parts: p.Parts}
+	for _, c := range candidates {
+		busy := rs.promptTime(plain, c)
+		c.Load = chooser.Load{}
+		total += max(0, busy-rs.promptTime(plain, c))
+	}
+	rs.meanPromptWait = total / time.Duration(len(candidates))
+	p.Jitter.Spread = admitter.Spread(rs.meanPromptWait)
+}
+
+// promptTime returns the predicted time until a prompt is prefilled at a target.
+func (rs *requestState) promptTime(p *chooser.Prompt, c chooser.Candidate) time.Duration {
+	choice, _ := rs.f.Chooser.Prompt(p, []chooser.Candidate{c})
+	return choice.Predicted
+}
+
+// plainTime returns the predicted time until a target has answered a plain request.
+func (rs *requestState) plainTime(c chooser.Candidate) time.Duration {
+	choice, _ := rs.f.Chooser.Plain(rs.f.Zone, plainServiceTime, []chooser.Candidate{c})
+	return choice.Predicted
+}
+
 func (rs *requestState) countsAsIdle(c *chooser.Candidate) bool {
 	return c.FailureScore < idleFailureScore && !rs.f.Reach.Down(c.Target.Address)
 }
 
-func (rs *requestState) admissionRequest(choice chooser.Choice, candidates []chooser.Candidate) *admitter.Request {
+func (rs *requestState) admissionRequest(choice chooser.Choice) *admitter.Request {
 	now := time.Now()
 	r := &admitter.Request{
 		ID: rs.call.ID, Service: rs.service, Route: rs.route.ID, Team: rs.teamID(), Rank: matcher.EffectivePriority(rs.route, rs.team),
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -142,8 +142,11 @@
 	// headerSent is set once the response header has been sent to the client.
 	headerSent bool
 	logEntry   logEntry
-	// judged is set once the request was judged for admission; answerCandidates are those of the last choice of an answer target.
+	// judged is set once the request was judged for admission; meanPromptWait is the mean wait of its prompt targets. promptCandidates
+	// and answerCandidates are those of the last choices.
 	judged           bool
+	meanPromptWait   time.Duration
+	promptCandidates []chooser.Candidate
 	answerCandidates []chooser.Candidate
 	// prefilledAt is when the prompt was prefilled, until the first event.
 	prefilledAt time.Time
--- a/internal/forwarder/streamed.go
+++ b/internal/forwarder/streamed.go
@@ -100,9 +100,7 @@
 		if !rs.route.HasPrompts {
 			return answerChoice.Target, nil, rs.judgePlain(answerChoice)
 		}
-		promptTargets := rs.candidates(rs.call.Parts, registrar.Prompts)
-		prompt := &chooser.Prompt{Zone: rs.f.Zone, Parts: rs.call.Parts, Jitter: rs.jitter()}
-		promptChoice, ok := rs.f.Chooser.Prompt(prompt, promptTargets)
+		promptChoice, ok := rs.choosePromptTarget()
 		if !ok && rs.couldHandOver() {
 			return nil, nil, rs.refuseNoTarget()
 		}
@@ -116,7 +114,7 @@
 		if rs.attempts == 0 && len(rs.failedTargets) == 0 {
 			rs.f.RecordDemand(rs.service, promptChoice.Uncached, time.Now())
 		}
-		if refusal := rs.judgePrompt(prompt, promptTargets, promptChoice); refusal != nil {
+		if refusal := rs.judgePrompt(promptChoice); refusal != nil {
 			return nil, nil, refusal
 		}
 		// The first prefill of a request does not count against the retry budget.
@@ -146,6 +144,14 @@
 	}
 }
 
+// choosePromptTarget chooses the target that prefills the prompt.
+func (rs *requestState) choosePromptTarget() (chooser.Choice, bool) {
+	rs.promptCandidates = rs.candidates(rs.call.Parts, registrar.Prompts)
+	prompt := &chooser.Prompt{Zone: rs.f.Zone, Parts: rs.call.Parts, Jitter: rs.jitter()}
+	rs.spreadPrompts(prompt, rs.promptCandidates)
+	return rs.f.Chooser.Prompt(prompt, rs.promptCandidates)
+}
+
 // pairWithAnswerTarget chooses the answer target for a prefilled prompt. If none accepts requests now but one is expected to
 // soon, it waits for that: refusing the request would waste the prefill.
 func (rs *requestState) pairWithAnswerTarget(ctx context.Context, handle *KVHandle) (*registrar.Target, *KVHandle, *Refusal) {
