--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	idleDivisor = 2
+	idleDivisor = 4
 	// maximumSpread is the work that a busy target gets within the age of the loads; below minimumSpreadWait nothing is spread.
 	maximumSpread     = time.Second
 	minimumSpreadWait = 80 * time.Millisecond
@@ -57,7 +57,7 @@
 	Promised  time.Duration
 	LoadAge   time.Duration
 	Idle      bool
-	// Capacity is the number of requests that the reachable targets of the stage run at once, and Instances the number of
+	// Capacity is the number of requests that the reachable targets of the stage run at once, and Instances the number of live
 	// instances that share them; zero means unknown.
 	Capacity  int
 	Instances int
@@ -75,7 +75,7 @@
 	Returned bool
 }
 
-// Idle reports whether so many of the targets of a stage have no work that nothing is refused: half. Loads are a second old, so
+// Idle reports whether so many of the targets of a stage have no work that nothing is refused: a quarter. Loads are a second old, so
 // that a single target without work gets requests from all instances until they learn of each other's.
 func Idle(idle, targets int) bool { return idle > 0 && idle*idleDivisor >= targets }
 
--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -18,7 +18,7 @@
 	c.forward.ReadAhead.MaximumBytes = c.bounds.MemoryMegabytes << 20 / readAheadDivisor
 	if c.platform.RankedAdmission {
 		c.admitter = &admitter.Admitter{}
-		c.forward.Admission, c.forward.LoadAge = c.admitter, c.loadAge
+		c.forward.Admission, c.forward.LoadAge, c.forward.LiveInstances = c.admitter, c.loadAge, c.instanceCount
 	}
 }
 
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -108,7 +108,10 @@
 	r := &admitter.Request{
 		ID: rs.call.ID, Service: rs.service, Route: rs.route.ID, Team: rs.teamID(), Rank: matcher.EffectivePriority(rs.route, rs.team),
 		GoesOn: rs.call.LastEvent != "", Predicted: choice.Predicted, Remaining: rs.deadline.Sub(now), Promised: rs.route.Latency,
-		Instances: rs.f.Instances(), Repeated: rs.judged,
+		Repeated: rs.judged,
+	}
+	if rs.f.LiveInstances != nil {
+		r.Instances = rs.f.LiveInstances()
 	}
 	if rs.f.LoadAge != nil {
 		r.LoadAge = rs.f.LoadAge(now)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -99,9 +99,10 @@
 	Logger       *zap.Logger
 	Metrics      tally.Scope
 	// Admission decides under overload which requests are sent; nil sends all. LoadAge returns the age of the loads that peers
-	// reported; nil means none.
-	Admission Admission
-	LoadAge   func(now time.Time) time.Duration
+	// reported, nil means none, and LiveInstances the number of instances that are live, including this one.
+	Admission     Admission
+	LoadAge       func(now time.Time) time.Duration
+	LiveInstances func() int
 	// ReadAhead bounds what all streams hold for slow clients.
 	ReadAhead ReadAhead
 
--- a/internal/forwarder/pressure_test.go
+++ b/internal/forwarder/pressure_test.go
@@ -236,7 +236,7 @@
 	e := &engines{}
 	f := newForwarder(e, 9)
 	a := &refuseAll{}
-	f.Admission, f.LoadAge = a, func(time.Time) time.Duration { return time.Second }
+	f.Admission, f.LoadAge, f.LiveInstances = a, func(time.Time) time.Duration { return time.Second }, func() int { return 77 }
 	f.TargetStates.Begin("p1", chooser.Load{PromptTokens: 50_000}, time.Now())
 	f.TargetStates.Begin("p2", chooser.Load{PromptTokens: 50_000}, time.Now())
 	call := stream("x")
@@ -247,7 +247,7 @@
 	quicktest.Assert(t, a.judged, quicktest.HasLen, 1)
 	r := a.judged[0]
 	quicktest.Check(t, r.Predicted > r.Alone && r.Alone > 0 && r.MeanWait > time.Second, quicktest.IsTrue, quicktest.Commentf("%+v", r))
-	quicktest.Check(t, r.Idle || !r.GoesOn || r.LoadAge != time.Second || r.Capacity != 2 || r.Promised != promised, quicktest.IsFalse, quicktest.Commentf("%+v", r))
+	quicktest.Check(t, r.Idle || !r.GoesOn || r.LoadAge != time.Second || r.Capacity != 2 || r.Instances != 77 || r.Promised != promised, quicktest.IsFalse, quicktest.Commentf("%+v", r))
 	f.Admission = nil
 	quicktest.Check(t, serveStream(t.Context(), f, stream("y")).Code, quicktest.Equals, http.StatusOK)
 }
