Silent targets are checked later and less often

Cause: with a check after an eighth of the promised latency each prefill of an idle target on B (107 ms) would have opened a connection, and each request in a queue ten a second. Change: the check takes the last sixteenth of the quarter, and the silence before the next one doubles. Measured: go test -race ./internal/forwarder -run Silent: still 200 ms at 800 ms promised; ./internal/forwarder and ./internal/prober pass.

--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// silenceDivisor gives the share of the promised latency after which a target that has answered nothing is checked, and the
-	// longest time of the check: both together are a quarter.
-	silenceDivisor = 8
+	// silenceDivisor gives the share of the promised latency within which an attempt at a silent target is ended, and checkDivisor the
+	// part of it at the end in which the target is checked.
+	silenceDivisor = 4
+	checkDivisor   = 16
 	// minimumSilence and minimumCheck keep an instance that gets its processor share in periods of 100 ms from taking sound targets
 	// for silent.
 	minimumSilence = 25 * time.Millisecond
@@ -27,13 +28,15 @@
 	if rs.route.Latency <= 0 {
 		return func() bool { return false }
 	}
-	silence, check := max(minimumSilence, rs.route.Latency/silenceDivisor), max(minimumCheck, rs.route.Latency/silenceDivisor)
+	check := max(minimumCheck, rs.route.Latency/checkDivisor)
+	silence := max(minimumSilence, rs.route.Latency/silenceDivisor-check)
 	ctx, end := context.WithCancel(ctx)
 	finished := make(chan struct{})
 	var ended atomic.Bool
 	go func() {
 		defer close(finished)
-		for {
+		// Each check opens a connection, so they become rarer at a target that accepts them.
+		for ; ; silence *= 2 {
 			since := time.Now()
 			select {
 			case <-ctx.Done():
