--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -107,7 +107,7 @@
 	now := time.Now()
 	r := &admitter.Request{
 		ID: rs.call.ID, Service: rs.service, Route: rs.route.ID, Team: rs.teamID(), Rank: matcher.EffectivePriority(rs.route, rs.team),
-		GoesOn: rs.call.LastEvent != "", Predicted: choice.Predicted, Remaining: rs.deadline.Sub(now), Promised: rs.route.Latency,
+		GoesOn: rs.call.goesOn(), Predicted: choice.Predicted, Remaining: rs.deadline.Sub(now), Promised: rs.route.Latency,
 		Repeated: rs.judged,
 	}
 	if rs.f.LiveInstances != nil {
