forwarder: the poll for read-ahead memory cannot miss its wait

The timer could broadcast before the goroutine that set it waited, if that was descheduled for 20 ms between the two; the stream was then read again only once its client had taken an event.

--- a/internal/forwarder/readahead.go
+++ b/internal/forwarder/readahead.go
@@ -103,8 +103,8 @@
 		if q.limit.add(size) {
 			break
 		}
-		// Another stream releases memory, which this one is not told.
-		timer := time.AfterFunc(readAheadPoll, q.changed.Broadcast)
+		// Other streams release memory without notice to this one.
+		timer := time.AfterFunc(readAheadPoll, q.wake)
 		q.changed.Wait()
 		timer.Stop()
 	}
@@ -120,6 +120,13 @@
 	return true
 }
 
+// wake wakes the waiting goroutines. It takes the lock so that a goroutine that holds it, and is about to wait, is woken, too.
+func (q *eventQueue) wake() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.changed.Broadcast()
+}
+
 // next returns the next event, or what readEvent returned at the end.
 func (q *eventQueue) next() ([]byte, error) {
 	q.mu.Lock()
