--- a/internal/forwarder/pressure_test.go
+++ b/internal/forwarder/pressure_test.go
@@ -115,24 +115,29 @@
 
 // TestSilentPromptTarget guards against requests that wait to their deadline at a prompt target that is dark without a reset, while
 // another could serve them. It states how long they wait there: a quarter of the promised latency. A target that is merely slow, or that
-// has answered anything in the meantime, keeps its work, and without a retry budget nothing is ended.
+// has answered anything in the meantime, keeps its work, and without a retry budget or without admission control nothing is ended.
 func TestSilentPromptTarget(t *testing.T) {
 	for name, tc := range map[string]struct {
-		retries  int
-		accepts  bool
-		answers  bool
-		prefills int
-		status   int
+		retries   int
+		accepts   bool
+		answers   bool
+		admission forwarder.Admission
+		prefills  int
+		status    int
 	}{
-		"dark":                                   {5, false, false, 2, http.StatusOK},
-		"dark, no retry budget":                  {0, false, false, 1, http.StatusGatewayTimeout},
-		"slow, accepts connections":              {5, true, false, 1, http.StatusOK},
-		"slow, has answered others in that time": {5, false, true, 1, http.StatusOK},
+		"dark":                                   {5, false, false, &admitter.Admitter{}, 2, http.StatusOK},
+		"dark, no retry budget":                  {0, false, false, &admitter.Admitter{}, 1, http.StatusGatewayTimeout},
+		"dark, no admission control":             {5, false, false, nil, 1, http.StatusGatewayTimeout},
+		"slow, accepts connections":              {5, true, false, &admitter.Admitter{}, 1, http.StatusOK},
+		"slow, has answered others in that time": {5, false, true, &admitter.Admitter{}, 1, http.StatusOK},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			e := &engines{}
 			f := newForwarder(e, tc.retries)
+			f.Admission = tc.admission
+			connections := 0
 			reach := &prober.Prober{Connect: func(ctx context.Context, _ string) (reached, tried bool) {
+				connections++
 				if !tc.accepts {
 					<-ctx.Done()
 				}
@@ -163,6 +168,7 @@
 			w := serveStream(t.Context(), f, stream("x"))
 			quicktest.Check(t, w.Code, quicktest.Equals, tc.status, quicktest.Commentf(name))
 			quicktest.Assert(t, e.prefills, quicktest.HasLen, tc.prefills, quicktest.Commentf(name))
+			quicktest.Check(t, connections == 0 || tc.admission != nil, quicktest.IsTrue, quicktest.Commentf("%s: %d connections", name, connections))
 			if tc.prefills > 1 {
 				waited := e.prefills[1].Sub(began)
 				t.Logf("%s: tried elsewhere after %v", name, waited)
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -23,9 +23,10 @@
 // endIfSilent ends an attempt, by cancel, once its target has answered nothing since and accepts no connection either, if another
 // attempt is then allowed. The returned function ends the watch and reports whether the attempt was ended.
 //
-// A target with a long queue accepts connections, and one that has answered any request in the meantime is not silent.
+// A target with a long queue accepts connections, and one that has answered any request in the meantime is not silent. Without
+// admission control nothing is watched: each check opens a connection, of which other deployments get none.
 func (rs *requestState) endIfSilent(ctx context.Context, t *registrar.Target, cancel func(), allowed func() bool) (stop func() bool) {
-	if rs.route.Latency <= 0 {
+	if rs.f.Admission == nil || rs.route.Latency <= 0 {
 		return func() bool { return false }
 	}
 	check := max(minimumCheck, rs.route.Latency/checkDivisor)
