admitter: the limit of a Retry-After leaves it its random part

Requests with a long predicted wait were all told to return after exactly a third of their time: the limit cut the random part off.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -136,9 +136,9 @@
 	d := Decide(&v.Input)
 	v.Reason = d.Reason
 	if d.Reason != "" {
-		// Up to half as much again spreads the clients that return.
-		v.RetryAfter = d.RetryAfter + time.Duration(hashShare("retry "+r.ID)/2*float64(d.RetryAfter))
-		v.RetryAfter = max(minimumRetryAfter, min(v.RetryAfter, r.Remaining/remainingDivisor))
+		// Up to half as much again spreads the clients that return, also of those whose Retry-After is limited by the time left.
+		base := min(d.RetryAfter, r.Remaining/remainingDivisor*2/3)
+		v.RetryAfter = max(minimumRetryAfter, base+time.Duration(hashShare("retry "+r.ID)/2*float64(base)))
 		s.remember(r, v.RetryAfter, now)
 	}
 	return v
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -253,3 +253,18 @@
 		quicktest.Check(t, admitter.Decide(&later).Reason, quicktest.Equals, admitter.Reason(""), quicktest.Commentf("%s after %v", d.Reason, d.RetryAfter))
 	}
 }
+
+// TestRetryAfterIsSpread guards against clients that return together because the limit of a third of the time left cuts the random
+// part of their Retry-After off.
+func TestRetryAfterIsSpread(t *testing.T) {
+	least, most := time.Hour, time.Duration(0)
+	for i := range 100 {
+		a, r, now := pressed()
+		r.ID, r.Rank, r.Remaining = identifier.RequestID(fmt.Sprint("spread", i)), 2, 3300*time.Millisecond
+		v := a.Judge(&r, now)
+		quicktest.Assert(t, v.Reason, quicktest.Equals, admitter.LessUrgent)
+		quicktest.Check(t, v.RetryAfter <= 1100*time.Millisecond, quicktest.IsTrue)
+		least, most = min(least, v.RetryAfter), max(most, v.RetryAfter)
+	}
+	quicktest.Check(t, most > least*14/10, quicktest.IsTrue, quicktest.Commentf("%v to %v", least, most))
+}
