admitter: refuse what cannot be served in time also while the loads are old

Part 4 of docs/LOAD.md applies the rule of the time left to a state of more than two seconds, too; the code refused nothing then, so such requests waited to their deadline. The case of TestDecide that expected that now expects the refusal.

--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -217,7 +217,7 @@
 		"targets idle":               {func(in *admitter.Input) { in.Idle = true }, ""},
 		"out of time, targets idle":  {func(in *admitter.Input) { in.Idle, in.Remaining = true, 0 }, ""},
 		"loads are old":              {func(in *admitter.Input) { in.LoadAge = 2100 * time.Millisecond }, ""},
-		"out of time, loads are old": {func(in *admitter.Input) { in.LoadAge, in.Remaining = 2100*time.Millisecond, 0 }, ""},
+		"out of time, loads are old": {func(in *admitter.Input) { in.LoadAge, in.Remaining = 2100*time.Millisecond, 900*time.Millisecond }, admitter.OutOfTime},
 		"pressure is old":            {func(in *admitter.Input) { in.PressureAge = 2100 * time.Millisecond }, ""},
 		"no overload":                {func(in *admitter.Input) { in.Offered, in.Pressure = 0.5, 0.9 }, ""},
 		"no wait":                    {func(in *admitter.Input) { in.Pressure = 0.2 }, ""},
--- a/internal/admitter/decide.go
+++ b/internal/admitter/decide.go
@@ -71,13 +71,13 @@
 
 // Decide decides on one request.
 func Decide(in *Input) Decision {
-	if in.Idle || in.LoadAge > maximumAge {
+	if in.Idle {
 		return Decision{}
 	}
 	if in.Predicted > in.Remaining {
 		return Decision{Reason: OutOfTime, RetryAfter: retryAfter(in, in.Predicted-in.Remaining)}
 	}
-	if in.Starting || in.PressureAge > maximumAge || in.Position < AdmittedShare(in) {
+	if in.Starting || in.LoadAge > maximumAge || in.PressureAge > maximumAge || in.Position < AdmittedShare(in) {
 		return Decision{}
 	}
 	return Decision{Reason: LessUrgent, RetryAfter: retryAfter(in, in.Wait-time.Duration(minimumPressure*float64(in.Promised)))}
