--- a/internal/forwarder/memory.go
+++ b/internal/forwarder/memory.go
@@ -129,7 +129,7 @@
 // awaitMemory waits until an answer target has memory again, at most until the given time. It returns false if there was nothing to
 // wait for.
 func (rs *requestState) awaitMemory(ctx context.Context, until time.Time) bool {
-	if !rs.memoryFull || !time.Now().Before(until) {
+	if !rs.memoryFull || rs.answerLoad().AnswerTokens > rs.memoryLimit() || !time.Now().Before(until) {
 		return false
 	}
 	return sleeper.Sleep(ctx, minimumAnswerWait) == nil
--- a/internal/forwarder/pressure_test.go
+++ b/internal/forwarder/pressure_test.go
@@ -210,6 +210,19 @@
 	})
 }
 
+// TestRequestBeyondMemory guards against a request that waits for memory that no target will ever have for it.
+func TestRequestBeyondMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &engines{}
+		call := stream("large")
+		call.AnswerTokens = cacheTokens
+		began := time.Now()
+		w := serveStream(t.Context(), newForwarder(e, 9), call)
+		quicktest.Check(t, fmt.Sprint(w.Code, " ", w.Body, len(e.prefills)), quicktest.Equals, "503 MemoryFull\n 0")
+		quicktest.Check(t, time.Since(began), quicktest.Equals, time.Duration(0))
+	})
+}
+
 // TestMemoryOfRestartedTarget guards against reservations that outlive their target, or that are released a second time, at its successor.
 func TestMemoryOfRestartedTarget(t *testing.T) {
 	var states chooser.TargetStates
