--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -12,6 +12,7 @@
 )
 
 const (
+	// idleDivisor gives the share of the targets of a stage that must be idle for nothing to be refused.
 	idleDivisor = 4
 	// maximumSpread is the work that a busy target gets within the age of the loads; below minimumSpreadWait nothing is spread.
 	maximumSpread     = time.Second
--- a/internal/admitter/decide.go
+++ b/internal/admitter/decide.go
@@ -48,7 +48,7 @@
 	Promised time.Duration
 	// LoadAge is the age of the loads behind Predicted.
 	LoadAge time.Duration
-	// Idle is set if a target of the stage that can be reached has no work.
+	// Idle is set if so many targets of the stage have no work that nothing is refused; see Idle.
 	Idle bool
 	// Pressure is the smoothed ratio of wait to promised latency, and PressureAge the time since its last sample.
 	Pressure    float64
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -156,16 +157,7 @@
 // otherLive reports whether the stage of a target has another target that can be reached and has not failed in this request.
 func (f *Forwarder) otherLive(service identifier.ServiceID, t *registrar.Target, failed []identifier.TargetID) bool {
 	for _, other := range f.Targets(service, time.Now()) {
-		if other.ID != t.ID && other.Stage == t.Stage && !f.Reach.Down(other.Address) && !contains(failed, other.ID) {
-			return true
-		}
-	}
-	return false
-}
-
-func contains(list []identifier.TargetID, id identifier.TargetID) bool {
-	for _, each := range list {
-		if each == id {
+		if other.ID != t.ID && other.Stage == t.Stage && !f.Reach.Down(other.Address) && !slices.Contains(failed, other.ID) {
 			return true
 		}
 	}
