--- a/internal/coordinator/calibration.go
+++ b/internal/coordinator/calibration.go
@@ -13,9 +13,11 @@
 // LoadFunc receives what a target says about its load, or false if that is invalid.
 type LoadFunc = func(t *registrar.Target, l calibrator.Load, valid bool, now time.Time)
 
-// wireCalibration lets choices and the demand in engines follow what is measured.
+// wireCalibration lets the demand in engines follow what is measured, and choices if the settings say so.
 func (c *Coordinator) wireCalibration() {
-	c.targetStates.Model = &c.calibrator
+	if c.settings.Load().Routing.MeasuredTimes {
+		c.targetStates.Model = &c.calibrator
+	}
 	c.targetStates.CacheTokens = c.cacheTokens
 	c.demand.EngineRate = c.calibrator.EngineRate
 	if c.platform.OnLoad != nil {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/coltsfootscale/coltsfootscale/internal/admitter"
 	"github.com/coltsfootscale/coltsfootscale/internal/asserter"
 	"github.com/coltsfootscale/coltsfootscale/internal/calibrator"
 	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
@@ -79,6 +80,8 @@
 	// OnLoad sets the function that receives what targets say about their load; nil if they say nothing.
 	OnLoad func(LoadFunc)
 	Store  StoreEra
+	// RankedAdmission is set if requests are refused under overload, the least urgent ones first.
+	RankedAdmission bool
 	// Usage and Scaling are nil on a platform without usage reports and scaling.
 	Usage   reporter.UsagePlatform
 	Scaling scaler.TargetPlatform
@@ -133,9 +136,11 @@
 	plannedStages   PlannedStages
 	pins            *pinner.Pinner
 	quotas          *ratelimiter.Limiter
-	datagrams       datagrams
-	builds          Builds
-	prober          prober.Prober
+	// admitter is nil without admission control.
+	admitter  *admitter.Admitter
+	datagrams datagrams
+	builds    Builds
+	prober    prober.Prober
 	// unreachable holds the services of which this instance cannot reach some targets.
 	unreachable atomic.Pointer[[]*gossiper.Unreachable]
 
@@ -257,6 +262,7 @@
 		Pins: c.pins, SoleBuild: c.soleBuild, Reach: &c.prober, Handover: c.platform.Handover, Peers: c.reachingPeers,
 		CountRequest: c.countRequest, Quotas: c.quotas, RecordDemand: c.demand.Add, Calibrator: &c.calibrator, Logger: c.logger, Metrics: c.metrics,
 	}
+	c.wireAdmission()
 }
 
 // available returns the targets of a service that accept new requests and want them from this instance now.
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -61,4 +61,5 @@
 	set("DutyFence", float64(fence))
 	c.updateSlowness(now)
 	set("StoreEra", float64(c.platform.Store.Era()))
+	c.updateAdmissionGauges(now)
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -67,7 +67,7 @@
 	Completed(digest identifier.RequestDigest, parts []identifier.PartID, now time.Time)
 }
 
-// Forwarder handles client requests; all fields must be set.
+// Forwarder handles client requests; all fields but those after Metrics must be set.
 type Forwarder struct {
 	Zone     identifier.ZoneID
 	Table    func() *matcher.Table
@@ -108,9 +108,17 @@
 	Calibrator Calibrator
 	Logger     *zap.Logger
 	Metrics    tally.Scope
+	// Admission decides under overload which requests are sent; nil sends all. LoadAge returns the age of the loads that peers
+	// reported, nil means none, and LiveInstances the number of instances that are live, including this one.
+	Admission     Admission
+	LoadAge       func(now time.Time) time.Duration
+	LiveInstances func() int
+	// ReadAhead bounds what all streams hold for slow clients.
+	ReadAhead ReadAhead
 
 	// reachability lets the requests that break at a target share one check of it.
 	reachability singleflight.Group
+	answers      answerDurations
 }
 
 // requestState is the state of one request that is being served.
@@ -147,6 +155,19 @@
 	logEntry   logEntry
 	// permit is set if the request was counted against the quota of its team.
 	permit *ratelimiter.Permit
+	// judged is set once the request was judged for admission; meanPromptWait is the mean wait of its prompt targets. promptCandidates
+	// and answerCandidates are those of the last choices.
+	judged           bool
+	meanPromptWait   time.Duration
+	promptCandidates []chooser.Candidate
+	answerCandidates []chooser.Candidate
+	// prefilledAt is when the prompt was prefilled, until the first event.
+	prefilledAt time.Time
+	// memoryFull is set if the last choice found no answer target with memory for the request, which is expected after memoryWait.
+	memoryFull bool
+	memoryWait time.Duration
+	// retryTaken is set if the next attempt, after one at a silent target, was taken from the retry budget already.
+	retryTaken bool
 	// requestDigest is zero until it is needed.
 	requestDigest identifier.RequestDigest
 	// status is the status of the target's response.
@@ -328,20 +349,46 @@
 	list := slices.DeleteFunc(rs.candidates(nil, registrar.Answers, registrar.AnyStage), func(c chooser.Candidate) bool {
 		return !rs.admitsAnswer(c.Target)
 	})
+	list = rs.withMemory(list)
 	if rs.route.Resumable && rs.pin == nil {
 		chargeLoneBuilds(list)
 	}
-	defer rs.f.TargetStates.Release(list)
+	rs.answerCandidates = rs.keep(list)
+	defer rs.release(list)
 	if rs.route.HasPrompts {
 		return rs.f.Chooser.Answer(rs.f.Zone, rs.jitter(), list)
 	}
 	return rs.f.Chooser.Plain(rs.f.Zone, defaultPlainServiceTime, list)
 }
 
+// keep returns a list of candidates if admission control needs it after the choice.
+func (rs *requestState) keep(list []chooser.Candidate) []chooser.Candidate {
+	if rs.f.Admission == nil {
+		return nil
+	}
+	return list
+}
+
+// release lets a later choice use a list of candidates, unless it is kept.
+func (rs *requestState) release(list []chooser.Candidate) {
+	if rs.f.Admission == nil {
+		rs.f.TargetStates.Release(list)
+	}
+}
+
 // takeRetry reports whether another attempt is allowed and, if so, takes it from the retry budget.
 func (rs *requestState) takeRetry() bool {
 	return rs.call.Body.Whole() && rs.attempts < rs.route.Attempts &&
-		time.Until(rs.deadline) > minimumRemaining && rs.f.Budget.TakeRetry(rs.service)
+		time.Until(rs.deadline) > minimumRemaining && rs.takeFromBudget()
+}
+
+// takeFromBudget takes a further attempt from the retry budget, unless that was done when the last one was ended.
+func (rs *requestState) takeFromBudget() bool {
+	if rs.retryTaken {
+		rs.retryTaken = false
+		return true
+	}
+	return rs.f.Budget.TakeRetry(rs.service)
 }
 
 // markStarted counts the request as started and records the time; only the first call has an effect.
@@ -350,6 +397,7 @@
 		rs.started = true
 		rs.logEntry.firstEvent = time.Since(rs.start)
 		rs.f.Metrics.Timer("FirstEvent").Record(rs.logEntry.firstEvent)
+		rs.observeRest()
 		rs.countStarted(rs.teamID())
 	}
 }
--- a/internal/parser/entry.go
+++ b/internal/parser/entry.go
@@ -26,7 +26,9 @@
 	// RelayListen is the listen address for requests that peers pass on; if it is empty, none are.
 	RelayListen string
 	Seeds       []string
-	Store       string
+	// Contracts lists the parts that the deployment's contract names.
+	Contracts []string
+	Store     string
 	// Cloud is a base URL like Store; it is empty on a site without duties.
 	Cloud   string
 	Routing EntryRouting
@@ -38,6 +40,8 @@
 	Policy chooser.Policy
 	// FixedStages keeps the targets' stages unchanged.
 	FixedStages bool
+	// MeasuredTimes lets choices follow the measured times of each target in place of the defaults.
+	MeasuredTimes bool
 }
 
 // EntryBounds holds the bounds that the users promise their clients and the limits that the platform sets.
@@ -109,6 +113,7 @@
 	s.Seeds = parseSeeds(instance, s.PeerListen)
 	// Earlier builds' templates set this key, which has no effect: a restarted process reads the same file as the first one.
 	_ = instance.boolean("FirstStart", false)
+	s.Contracts = parseWords(instance.text("Contracts", ""))
 	s.Store = "http://" + d.sectionNamed("Store").hostPort("Address", "")
 	if cloud := d.sectionNamed("Cloud"); cloud.text("Address", "") != "" {
 		s.Cloud = "http://" + cloud.hostPort("Address", "")
@@ -144,6 +149,17 @@
 	return seeds
 }
 
+// parseWords returns the words of a list that commas separate.
+func parseWords(list string) []string {
+	var words []string
+	for _, word := range strings.Split(list, ",") {
+		if word = strings.TrimSpace(word); word != "" {
+			words = append(words, word)
+		}
+	}
+	return words
+}
+
 func parseRouting(s *section) EntryRouting {
 	r := EntryRouting{Policy: chooser.Policy(s.text("Policy", string(chooser.Predicted)))}
 	if !slices.Contains(chooser.Policies, r.Policy) {
@@ -156,6 +172,13 @@
 	default:
 		s.addFault("Stages", stages, "Followed, Fixed")
 	}
+	switch times := s.text("Times", "Default"); times {
+	case "Default":
+	case "Measured":
+		r.MeasuredTimes = true
+	default:
+		s.addFault("Times", times, "Default, Measured")
+	}
 	return r
 }
 
