Admission: requests of equal effective priority are ordered by their routes

Cause: a team's priority overrides that of its routes.

Change: matcher.AdmissionRank orders by effective priority, then by the route's.

--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -107,7 +108,7 @@
 func (rs *requestState) admissionRequest(choice chooser.Choice) *admitter.Request {
 	now := time.Now()
 	r := &admitter.Request{
-		ID: rs.call.ID, Service: rs.service, Route: rs.route.ID, Team: rs.teamID(), Rank: matcher.EffectivePriority(rs.route, rs.team),
+		ID: rs.call.ID, Service: rs.service, Route: rs.route.ID, Team: rs.teamID(), Rank: matcher.AdmissionRank(rs.route, rs.team),
 		GoesOn: rs.call.goesOn(), Predicted: choice.Predicted, Remaining: rs.deadline.Sub(now), Promised: rs.route.Latency,
 		Repeated: rs.judged,
 	}
@@ -138,12 +139,10 @@
 }
 
 // maximumRankName limits the names of ranks in metrics.
-const maximumRankName = 9
+const maximumRankName = 99
 
 // rankName returns the name of a rank in metrics.
-func rankName(rank int) string {
-	return string('0' + rune(max(0, min(maximumRankName, rank))))
-}
+func rankName(rank int) string { return strconv.Itoa(max(0, min(maximumRankName, rank))) }
 
 // observeRest records the time from the end of the prefill to the first event.
 func (rs *requestState) observeRest() {
--- a/internal/matcher/table.go
+++ b/internal/matcher/table.go
@@ -101,3 +101,12 @@
 	}
 	return strings.ToLower(host)
 }
+
+// priorityLevels is the number of priorities that a route may have within one priority of teams.
+const priorityLevels = 10
+
+// AdmissionRank orders requests under overload: by their effective priority, and among equals by the route's. A team's priority
+// overrides the routes', so that without the second step all requests of most teams would be equal.
+func AdmissionRank(r *Route, team *Team) int {
+	return EffectivePriority(r, team)*priorityLevels + min(priorityLevels-1, max(0, r.Priority))
+}
