--- a/internal/ratelimiter/limiter.go
+++ b/internal/ratelimiter/limiter.go
@@ -262,7 +262,7 @@
 	tolerated := matcher.QuotaUnits(l.Bounds.Overshoot)*regular + l.Bounds.Slack
 	t.Allowance, t.UnsettledAllowance = tolerated/2*matcher.QuotaUnits(t.Share), tolerated/8
 	// What is left of the tolerance covers the debts of keepers and a restart of one keeper.
-	t.Excess, t.Grant = tolerated/8, tolerated/2
+	t.Excess, t.Grant = tolerated/16, tolerated/4
 	t.Maximum = regular + tolerated
 	return t, true
 }
