--- a/internal/calibrator/calibrator.go
+++ b/internal/calibrator/calibrator.go
@@ -13,7 +13,7 @@
 const (
 	// defaultPlain is the duration of a call to a plain target until one is measured.
 	defaultPlain = 20 * time.Millisecond
-	// minimumFactor and maximumFactor bound what a target deviates from its service, so that a lying one draws or loses only
+	// minimumFactor and maximumFactor bound what a target deviates from its service, so that one that reports false values draws or loses only
 	// so much work.
 	minimumFactor, maximumFactor = 0.2, 20.0
 	// alikeSlower and distinctSlower bound how much slower a target is than its service, as logarithms: up to alikeSlower, 16 %,
@@ -265,7 +265,7 @@
 }
 
 // compare updates the references of a service: the median of its targets, each of which counts once, however many calls it gets. A
-// target that lies moves it no more than any other. The references are of the same quantile as the estimates; the line is a median.
+// target that reports false values moves it no more than any other. The references are of the same quantile as the estimates; the line is a median.
 func (c *Calibrator) compare(id identifier.ServiceID, s *service, now time.Time) {
 	at := c.instant(now)
 	if s.compared && time.Duration(at-s.referencesAt) < compareInterval {
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -10,10 +10,10 @@
 )
 
 // A prompt goes to the target with the lowest predicted time until it is prefilled. The prediction covers the prompt
-// tokens queued at the target and the tokens of this prompt that it has not cached, at the target's own speed. A target
-// in another availability zone costs extra, and so does prefilling shared parts on a target that is not their owner by rendezvous hashing: this
-// way instances agree even before they have received each other's gossip messages. An answer goes to the target with
-// the fewest answers in its batch for its speed.
+// tokens queued at the target and the tokens of this prompt that it has not cached, at the target's own speed where that is
+// measured. A target in another availability zone costs extra, and so does prefilling shared parts on a target that is not their
+// owner by rendezvous hashing: this way instances agree even before they have received each other's gossip messages. An answer
+// goes to the target with the fewest answers in its batch for its speed.
 
 const (
 	// crossZoneCost expresses the price of traffic between availability zones as time.
