--- /dev/null
+++ b/review/standin/early.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	// longStart is how much of a long request's body a consumer has sent when its sending is held up.
+	longStart = 600_000
+	// pause is how long the consumer's sending is held up.
+	pause = 400 * time.Millisecond
+)
+
+// rejectLong makes the workers answer long requests before they have read the body, as full workers do.
+func (s *site) rejectLong() {
+	for _, w := range s.workers {
+		w.early = func(r *http.Request) int {
+			if s.trouble && strings.HasPrefix(r.RequestURI, "/apply/long") {
+				return http.StatusServiceUnavailable
+			}
+			return 0
+		}
+	}
+}
+
+func (s *site) runsOf(id string) []run {
+	var list []run
+	for _, w := range s.workers {
+		list = append(list, w.ran(id)...)
+	}
+	return list
+}
+
+// smuggled lets consumers send a long request in chunks whose body holds the text of a request.
+func smuggled(s *site) (bool, error) {
+	s.rejectLong()
+	addr := s.instances[0].listen
+	for range 4 {
+		defer s.keepBusy(addr, http.MethodPost, "/apply/busy", 20*time.Millisecond)()
+		defer s.keepBusy(addr, http.MethodGet, "/status/busy", 20*time.Millisecond)()
+	}
+	time.Sleep(500 * time.Millisecond)
+	ran := 0
+	for range 40 {
+		hidden, err := s.smuggledRound(addr)
+		if err != nil {
+			return false, err
+		}
+		n := len(s.runsOf(hidden))
+		ran += n
+		if n > 0 {
+			s.rec.logf("%s, which is part of a body, has run", hidden)
+		}
+	}
+	s.rec.logf("%d requests have run that were part of a body", ran)
+	return ran > 0, nil
+}
+
+func (s *site) smuggledRound(addr string) (hidden string, err error) {
+	c, err := open(addr)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	first, hidden := newID("c"), newID("hidden")
+	text := head(http.MethodGet, "/status/hidden", hidden, "")
+	start := strings.Repeat("x", longStart)
+	s.rec.logf("consumer sends %s in chunks; the body holds the text of %s", first, hidden)
+	io.WriteString(c, head(http.MethodPost, "/apply/long", first, chunked))
+	fmt.Fprintf(c, "%x\r\n%s", len(start)+len(text), start)
+	time.Sleep(pause)
+	fmt.Fprintf(c, "%s\r\n0\r\n\r\n", text)
+	res, err := c.receive(http.MethodPost, 9*time.Second)
+	if err != nil {
+		s.rec.logf("%s is not answered: %v", first, err)
+		return hidden, nil
+	}
+	s.rec.logf("%s is answered %d, channel kept: %v", first, res.status, !res.close)
+	if res, err := c.receive(http.MethodPost, 300*time.Millisecond); err == nil {
+		s.rec.logf("a further answer arrives: %d %.60q", res.status, res.body)
+	} else {
+		s.rec.logf("no further answer: %v", err)
+	}
+	return hidden, nil
+}
