Review case 4: an old stream goes on at another version

The time budget of a stream is longer than its route's timeout. Workers of the version at which streams began leave; take-ups near the end of the time budget go on at the other version.

--- a/review/standin/moved.go
+++ b/review/standin/moved.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -61,13 +62,15 @@
 	return s.joined(list) > 0, nil
 }
 
-// goOn takes up a stream, and retries while the consumer is told that the request has not run.
+// goOn takes up a stream, and retries while the consumer is told that the request has not run and when to come back. It honours Retry-After
+// up to a third of the time that it has left.
 func (s *site) goOn(r *review, addr string, attempts int) {
 	for range attempts {
-		if s.read(r, addr, streamEvents) {
+		retryAfter, refused := s.read(r, addr, streamEvents)
+		if !refused {
 			return
 		}
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(min(retryAfter, (streamBudget-time.Since(r.began))/3))
 	}
 }
 
@@ -93,12 +96,12 @@
 }
 
 // read requests a review, after the last event that the consumer has, and reads until it has the given number of events; the channel is then
-// reset. It returns false if the request has not run.
-func (s *site) read(r *review, addr string, until int) bool {
+// reset. It returns whether the request was refused, and the Retry-After of that answer.
+func (s *site) read(r *review, addr string, until int) (retryAfter time.Duration, refused bool) {
 	c, err := open(addr)
 	if err != nil {
 		s.rec.logf("%s: no channel: %v", r.name, err)
-		return false
+		return 0, true
 	}
 	defer c.Close()
 	c.Conn.(*net.TCPConn).SetLinger(0)
@@ -115,11 +118,12 @@
 	res, err := http.ReadResponse(c.r, nil)
 	if err != nil {
 		s.rec.logf("%s: %s is not answered: %v", r.name, id, err)
-		return true
+		return 0, false
 	}
 	s.rec.logf("%s: %s is answered %d", r.name, id, res.StatusCode)
 	if res.StatusCode != http.StatusOK {
-		return res.StatusCode != http.StatusServiceUnavailable
+		seconds, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+		return time.Duration(seconds * float64(time.Second)), res.StatusCode == http.StatusServiceUnavailable
 	}
 	br := bufio.NewReader(res.Body)
 	for {
@@ -132,12 +136,12 @@
 			r.events = append(r.events, value)
 			if len(r.events) == until && until < streamEvents {
 				s.rec.logf("%s: the channel is reset after event %s", r.name, r.lastID)
-				return true
+				return 0, false
 			}
 		}
 		if err != nil {
 			r.complete = err == io.EOF
-			return true
+			return 0, false
 		}
 	}
 }
--- a/review/standin/old.go
+++ b/review/standin/old.go
@@ -10,10 +10,10 @@
 	// steadyTime is how long the instances have run when the streams begin. In the first minute they assume that streams are older.
 	steadyTime = 63 * time.Second
 	// oldReviews is the number of streams, of which half are reset. oldParts is the number of events that come before that.
-	oldReviews = 20
+	oldReviews = 40
 	oldParts   = 10
 	// takeUp is the age of a stream at which its consumer goes on.
-	takeUp = 5450 * time.Millisecond
+	takeUp = 5350 * time.Millisecond
 )
 
 // oldStream lets consumers go on with their streams near the end of their time budget, which is longer than the route's timeout. The workers
@@ -36,10 +36,10 @@
 			}
 			s.read(&list[i], s.instances[0].listen, oldParts)
 			time.Sleep(time.Until(list[i].began.Add(takeUp)))
-			s.read(&list[i], s.instances[1].listen, streamEvents)
+			s.goOn(&list[i], s.instances[1].listen, 4)
 		}()
 	}
-	time.Sleep(100 * time.Millisecond)
+	time.Sleep(30 * time.Millisecond)
 	if s.trouble {
 		for _, w := range s.workers {
 			if w.version == "v1" {
