Review case 5: an old stream goes on at another version after a restart

A route's timeout of 20 s is shortened to 4 s three seconds before all instances are killed. Workers of the version at which streams began have left; take-ups go on at the other version.

--- a/review/standin/entry.go
+++ b/review/standin/entry.go
@@ -21,6 +21,8 @@
 	listen    string
 	ready     string
 	directory string
+	root      string
+	settings  string
 	cmd       *exec.Cmd
 	log       *os.File
 }
@@ -95,6 +97,13 @@
 	if in.log, err = os.Create(filepath.Join(dir, in.name+".log")); err != nil {
 		return err
 	}
+	in.root, in.settings = root, file
+	return in.startAgain()
+}
+
+// startAgain starts the instance with the settings that it had.
+func (in *instance) startAgain() error {
+	root, file := in.root, in.settings
 	in.cmd = exec.Command(filepath.Join(root, entryCommand[0]), entryCommand[1:]...)
 	in.cmd.Dir, in.cmd.Stdout, in.cmd.Stderr = root, in.log, in.log
 	in.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "COLTSFOOTSCALE_NODE_FILE=" + file}
@@ -143,12 +152,19 @@
 	return errors.New(in.name + " does not become ready")
 }
 
-// stop kills the instance.
-func (in *instance) stop() {
+// kill kills the instance.
+func (in *instance) kill() {
 	if in.cmd == nil || in.cmd.Process == nil {
 		return
 	}
 	in.cmd.Process.Kill()
 	in.cmd.Wait()
-	in.log.Close()
+}
+
+// stop kills the instance for good.
+func (in *instance) stop() {
+	in.kill()
+	if in.log != nil {
+		in.log.Close()
+	}
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -54,6 +56,7 @@
 	"handed-over": {instances: 3, workers: applyWorkers, run: handedOver},
 	"moved-route": {instances: 2, workers: []workerKind{{"pool-a", "v1", 2}, {"pool-b", "v2", 2}}, run: movedRoute},
 	"old-stream":  {instances: 2, workers: []workerKind{{"pool-a", "v1", 2}, {"pool-a", "v2", 2}}, streamTimeout: 3 * time.Second, run: oldStream},
+	"shortened":   {instances: 2, workers: []workerKind{{"pool-a", "v1", 2}, {"pool-a", "v2", 2}}, streamTimeout: longBudget, run: shortened},
 }
 
 func main() { os.Exit(mainCode()) }
@@ -87,6 +90,14 @@
 		s.stop()
 		os.Exit(notRun)
 	})
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-interrupted
+		rec.logf("not run: interrupted")
+		s.stop()
+		os.Exit(notRun)
+	}()
 	defer s.stop()
 	if err := s.start(c); err != nil {
 		rec.logf("not run: %v", err)
--- a/review/standin/moved.go
+++ b/review/standin/moved.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -26,13 +27,17 @@
 	events   []string
 	lastID   string
 	complete bool
-	// began is when the consumer sent its first request.
-	began time.Time
+	// began is when the consumer sent its first request, and budget its time budget; zero means streamBudget.
+	began  time.Time
+	budget time.Duration
 }
 
-// streamBudget is the consumers' time budget for a stream.
+// streamBudget is the consumers' usual time budget for a stream.
 const streamBudget = 6 * time.Second
 
+// left returns the rest of the time budget.
+func (r *review) left() time.Duration { return cmp.Or(r.budget, streamBudget) - time.Since(r.began) }
+
 // movedRoute lets consumers go on with their streams, after their channels were reset, at a time when a config has moved the streams' route
 // to another service.
 func movedRoute(s *site) (bool, error) {
@@ -70,7 +75,7 @@
 		if !refused {
 			return
 		}
-		time.Sleep(min(retryAfter, (streamBudget-time.Since(r.began))/3))
+		time.Sleep(min(retryAfter, r.left()/3))
 	}
 }
 
@@ -113,8 +118,8 @@
 	if r.began.IsZero() {
 		r.began = time.Now()
 	}
-	io.WriteString(c, headWithin(streamBudget-time.Since(r.began), http.MethodPost, "/review/plan", id, resume+length(0)))
-	c.SetReadDeadline(time.Now().Add(8 * time.Second))
+	io.WriteString(c, headWithin(r.left(), http.MethodPost, "/review/plan", id, resume+length(0)))
+	c.SetReadDeadline(time.Now().Add(r.left() + 2*time.Second))
 	res, err := http.ReadResponse(c.r, nil)
 	if err != nil {
 		s.rec.logf("%s: %s is not answered: %v", r.name, id, err)
--- a/review/standin/old.go
+++ b/review/standin/old.go
@@ -10,10 +10,11 @@
 	// steadyTime is how long the instances have run when the streams begin. In the first minute they assume that streams are older.
 	steadyTime = 63 * time.Second
 	// oldReviews is the number of streams, of which half are reset. oldParts is the number of events that come before that.
-	oldReviews = 40
+	oldReviews = 80
 	oldParts   = 10
-	// takeUp is the age of a stream at which its consumer goes on.
-	takeUp = 5350 * time.Millisecond
+	// firstTakeUp is the age of a stream at which the first consumer goes on; the others follow within takeUpSpan.
+	firstTakeUp = 5250 * time.Millisecond
+	takeUpSpan  = 350 * time.Millisecond
 )
 
 // oldStream lets consumers go on with their streams near the end of their time budget, which is longer than the route's timeout. The workers
@@ -35,7 +36,7 @@
 				return
 			}
 			s.read(&list[i], s.instances[0].listen, oldParts)
-			time.Sleep(time.Until(list[i].began.Add(takeUp)))
+			time.Sleep(time.Until(list[i].began.Add(firstTakeUp + takeUpSpan*time.Duration(i)/oldReviews)))
 			s.goOn(&list[i], s.instances[1].listen, 4)
 		}()
 	}
