--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -70,16 +69,11 @@
 	return &response{res.StatusCode, res.Header, string(body), res.Close}, nil
 }
 
-// timedOut reports whether an error says that nothing came in time.
-func timedOut(err error) bool {
-	var netErr net.Error
-	return errors.As(err, &netErr) && netErr.Timeout()
-}
-
-// keepBusy sends a small request every interval, one after the other, until the returned function is called.
+// keepBusy sends a small request every interval, one after the other, until the returned function is called, which waits for the last one.
 func (s *site) keepBusy(addr, method, uri string, interval time.Duration) (stop func()) {
-	done := make(chan struct{})
+	done, ended := make(chan struct{}), make(chan struct{})
 	go func() {
+		defer close(ended)
 		var c *channel
 		for {
 			select {
@@ -108,5 +102,5 @@
 			}
 		}
 	}()
-	return func() { close(done) }
+	return func() { close(done); <-ended }
 }
--- a/review/standin/early.go
+++ b/review/standin/early.go
@@ -1,29 +1,42 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 )
 
 const (
 	// longStart is how much of a long request's body a consumer has sent when its sending is held up.
 	longStart = 600_000
+	// earlyShare is the largest share of early answers among the worker's answers.
+	earlyShare = 0.02
+	// uploaders consumers send uploads long requests each, one after the other.
+	uploaders = 4
+	uploads   = 60
 	// pause is how long the consumer's sending is held up.
 	pause = 400 * time.Millisecond
 )
 
-// rejectLong makes the workers answer long requests before they have read the body, as full workers do.
+// rejectLong makes the first worker answer long requests before it has read the body, as a full worker does, as long as these are at most
+// earlyShare of its answers.
 func (s *site) rejectLong() {
-	for _, w := range s.workers {
-		w.early = func(r *http.Request) int {
-			if s.trouble && strings.HasPrefix(r.RequestURI, "/apply/long") {
-				return http.StatusServiceUnavailable
-			}
+	w := s.workers[0]
+	w.early = func(r *http.Request) int {
+		if !s.trouble || !strings.HasPrefix(r.RequestURI, "/apply/long") {
+			return 0
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if float64(w.earlyAnswers+1) > earlyShare*float64(w.answers) {
 			return 0
 		}
+		w.earlyAnswers++
+		return http.StatusServiceUnavailable
 	}
 }
 
@@ -44,19 +57,41 @@
 		defer s.keepBusy(addr, http.MethodGet, "/status/busy", 20*time.Millisecond)()
 	}
 	time.Sleep(500 * time.Millisecond)
+	var mu sync.Mutex
+	var hidden []string
+	var group sync.WaitGroup
+	var failed error
+	for range uploaders {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			for range uploads {
+				id, err := s.smuggledRound(addr)
+				mu.Lock()
+				hidden = append(hidden, id)
+				failed = errors.Join(failed, err)
+				mu.Unlock()
+				if err != nil {
+					return
+				}
+			}
+		}()
+	}
+	group.Wait()
+	if failed != nil {
+		return false, failed
+	}
 	ran := 0
-	for range 40 {
-		hidden, err := s.smuggledRound(addr)
-		if err != nil {
-			return false, err
-		}
-		n := len(s.runsOf(hidden))
-		ran += n
-		if n > 0 {
-			s.rec.logf("%s, which is part of a body, has run", hidden)
+	for _, id := range hidden {
+		if n := len(s.runsOf(id)); n > 0 {
+			s.rec.logf("%s, which is part of a body, has run", id)
+			ran++
 		}
 	}
-	s.rec.logf("%d requests have run that were part of a body", ran)
+	w := s.workers[0]
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s.rec.logf("%d long requests; worker %s gave %d of %d answers early; %d requests have run that were part of a body", len(hidden), w.id, w.earlyAnswers, w.answers, ran)
 	return ran > 0, nil
 }
 
--- a/review/standin/entry.go
+++ b/review/standin/entry.go
@@ -32,7 +32,7 @@
 
 // startInstances starts n instances, each at a loopback address of its own, and waits until all are ready. The settings are the
 // deploy file's template with the values of a small site.
-func startInstances(root, dir string, n int, storeAddr string) ([]*instance, error) {
+func startInstances(rec *record, root, dir string, n int, storeAddr string) ([]*instance, error) {
 	template, err := os.ReadFile(filepath.Join(root, "deploy/settings.ini"))
 	if err != nil {
 		return nil, err
@@ -70,6 +70,7 @@
 		if err := in.start(root, dir, render(string(template), values)); err != nil {
 			return list, err
 		}
+		rec.logf("%s is process %d", in.name, in.cmd.Process.Pid)
 	}
 	for _, in := range list {
 		if err := in.awaitReady(10 * time.Second); err != nil {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -8,7 +8,6 @@
 	"net"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -63,7 +62,7 @@
 
 func mainCode() int {
 	if len(os.Args) != 4 {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE ROOT FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: standin CASE ROOT RECORD")
 		return notRun
 	}
 	c, ok := cases[os.Args[1]]
@@ -71,7 +70,7 @@
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
 		return notRun
 	}
-	rec, err := newRecord(filepath.Join(os.Args[3], "record.txt"))
+	rec, err := newRecord(os.Args[3])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return notRun
@@ -135,7 +134,7 @@
 		}
 	}
 	go s.beat()
-	s.instances, err = startInstances(s.root, s.dir, c.instances, s.store.addr)
+	s.instances, err = startInstances(s.rec, s.root, s.dir, c.instances, s.store.addr)
 	return err
 }
 
--- a/review/standin/shortened.go
+++ b/review/standin/shortened.go
@@ -66,6 +66,7 @@
 			if err := in.startAgain(); err != nil {
 				return false, err
 			}
+			s.rec.logf("%s is process %d", in.name, in.cmd.Process.Pid)
 		}
 		s.rec.logf("they start again")
 	}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -48,8 +48,8 @@
 	cond *sync.Cond
 	dark bool
 	runs []run
-	// heads holds the IDs of all requests whose head arrived.
-	heads map[string]int
+	// answers and earlyAnswers count the worker's answers and those that it gave before it had read the body.
+	answers, earlyAnswers int
 	// fillers occupy the queue of new channels while the worker is dark.
 	fillers  []net.Conn
 	sequence int
@@ -60,7 +60,7 @@
 const acceptQueue = 1
 
 func newWorker(rec *record, id, service, ip string) (*worker, error) {
-	w := &worker{id: id, service: service, version: "v1", rec: rec, workFor: 15 * time.Millisecond, eventGap: 100 * time.Millisecond, heads: map[string]int{}}
+	w := &worker{id: id, service: service, version: "v1", rec: rec, workFor: 15 * time.Millisecond, eventGap: 100 * time.Millisecond}
 	w.cond = sync.NewCond(&w.mu)
 	var err error
 	if w.lis, err = listenWithQueue(ip, acceptQueue); err != nil {
@@ -162,7 +162,7 @@
 func (w *worker) answer(conn net.Conn, r *http.Request) bool {
 	id := r.Header.Get("X-Request-Id")
 	w.mu.Lock()
-	w.heads[id]++
+	w.answers++
 	w.mu.Unlock()
 	if expected := r.Header.Get("X-Expected-Instance"); expected != "" && expected != w.id {
 		io.Copy(io.Discard, r.Body)
@@ -242,10 +242,3 @@
 	}
 	return list
 }
-
-// arrived reports whether the head of a request has arrived.
-func (w *worker) arrived(id string) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.heads[id] > 0
-}
