--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -158,6 +158,7 @@
 	bootAtStart time.Duration
 	leaving     atomic.Bool
 	inFlight    atomic.Int64
+	workload    workload
 	// receiving is the number of messages of peers that are being processed.
 	receiving atomic.Int32
 
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -165,7 +165,8 @@
 
 // cleanUp removes outdated state, and updates the demand samples and gauges, at each cleanupInterval.
 func (c *Coordinator) cleanUp(ctx context.Context) {
-	for sleeper.Sleep(ctx, cleanupInterval) == nil {
+	for started := time.Now(); sleeper.Sleep(ctx, cleanupInterval) == nil; started = time.Now() {
+		c.updateWorkload(time.Since(started) - cleanupInterval)
 		c.registry.Expire(time.Now())
 		c.recordBuilds(time.Now())
 		c.prober.Retain(c.targetAddresses())
@@ -212,29 +213,29 @@
 // serve runs the HTTP servers until a signal or the end of stop, and then until the last request is done.
 func (c *Coordinator) serve(stop context.Context, stopDuties func()) error {
 	settings := c.settings.Load()
-	client, err := c.listen(settings.Listen, max(1, settings.Bounds.Descriptors-reservedDescriptors), c.countInFlight(c.handlers.Client(c)))
+	client, err := c.listen(settings.Listen, max(1, settings.Bounds.Descriptors-reservedDescriptors), &c.workload.clients, c.countInFlight(c.handlers.Client(c)))
 	if err != nil {
 		return err
 	}
-	ready, err := c.listen(settings.ReadyListen, controlConnections, c.handlers.Ready(c))
+	ready, err := c.listen(settings.ReadyListen, controlConnections, nil, c.handlers.Ready(c))
 	if err != nil {
 		return err
 	}
-	directory, err := c.listen(settings.DirectoryListen, controlConnections, c.handlers.Directory(c))
+	directory, err := c.listen(settings.DirectoryListen, controlConnections, nil, c.handlers.Directory(c))
 	if err != nil {
 		return err
 	}
 	var once sync.Once
 	servers := []transport.Server{client, ready, directory}
 	if settings.RelayListen != "" {
-		relay, err := c.listen(settings.RelayListen, controlConnections, c.countInFlight(c.handlers.Relay(c)))
+		relay, err := c.listen(settings.RelayListen, controlConnections, &c.workload.peers, c.countInFlight(c.countOfPeers(c.handlers.Relay(c))))
 		if err != nil {
 			return err
 		}
 		c.relay = relay
 		servers = append(servers, relay)
 	}
-	if metrics, err := c.listen(settings.MetricsListen, controlConnections, c.Metrics); err != nil {
+	if metrics, err := c.listen(settings.MetricsListen, controlConnections, nil, c.Metrics); err != nil {
 		// The metrics port is fixed, while the other ports change daily: it may be in use, which must not stop the
 		// service.
 		c.logger.Error("cannot serve metrics", zap.Error(err))
@@ -266,11 +267,15 @@
 // controlConnections limits the connections to each listener for readiness, directory and metrics.
 const controlConnections = 400
 
-func (c *Coordinator) listen(addr string, connections int, h http.Handler) (*khttp.Server, error) {
+// listen opens a listener with a limit of connections, which are counted in count unless that is nil.
+func (c *Coordinator) listen(addr string, connections int, count *networker.ConnectionCount, h http.Handler) (*khttp.Server, error) {
 	lis, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
+	if count != nil {
+		lis = networker.CountListener(lis, count)
+	}
 	srv := khttp.NewServer(
 		khttp.Listener(networker.TimeoutListener(networker.LimitListener(lis, connections), c.timeLimits)),
 		khttp.Endpoint(&url.URL{Scheme: "http", Host: addr}),
@@ -297,6 +302,14 @@
 	})
 }
 
+func (c *Coordinator) countOfPeers(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.workload.ofPeers.Add(1)
+		defer c.workload.ofPeers.Add(-1)
+		h.ServeHTTP(w, r)
+	})
+}
+
 // leave announces that this instance leaves, and keeps serving for leaveTime until clients stop using its address.
 func (c *Coordinator) leave(client *khttp.Server, stopDuties func()) {
 	c.leaving.Store(true)
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -52,6 +52,8 @@
 	waiting map[*attempt]bool
 	// probing is the number of probes that run.
 	probing int
+	// probes is the number of probes that were started.
+	probes int64
 	// checks lets the attempts that wait for a target share one check of it.
 	checks singleflight.Group
 }
@@ -113,6 +115,13 @@
 	}
 }
 
+// Probes returns how many probes were started so far.
+func (p *Prober) Probes() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.probes
+}
+
 // Answered records that a target has answered.
 func (p *Prober) Answered(address string) {
 	p.mu.Lock()
@@ -206,6 +215,7 @@
 		return
 	}
 	p.probing++
+	p.probes++
 	s.probing, s.suspect, s.probedAt = true, false, time.Now()
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
