Gossip: a test that shows that hubs do not relay what cannot be reached

In a fleet with hubs an instance hears most others through a hub, and the status that a hub relays lacks the unreachable targets: the relayed copy is built field by field.

--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -27,6 +27,8 @@
 	capacity func(i int) uint32
 	// loads returns the loads in the statuses of an instance; nil means none.
 	loads func() []*gossiper.Load
+	// unreachable returns what an instance cannot reach; nil means that all instances reach everything.
+	unreachable func(id string) []*gossiper.Unreachable
 	// cut reports whether messages between two instances are lost; nil means that none are.
 	cut func(from, to string) bool
 }
@@ -79,6 +81,9 @@
 			if f.loads != nil {
 				s.Loads = f.loads()
 			}
+			if f.unreachable != nil {
+				s.Unreachable = f.unreachable(id)
+			}
 			return s
 		},
 		AddPayload: func(_, _ *gossiper.Beat, _ bool) {}, OnStatus: func(*gossiper.Status, time.Time) {}, OnMessage: func(*gossiper.Beat, gossiper.Receipt) {},
