Gossip: hubs relay a status whole, with what its instance cannot reach

So in a fleet of more than 12 most instances took all peers for reaching everything: they passed requests on to instances that were cut off too, the directory went on to name these, and holders of the duties did not see that a peer could reach the targets.

Change: a relayed status holds all fields of the status, also those that only a later build knows, but the member, and the rates where the receiver needs none. A change in which services an instance is cut off from is relayed at once, like readiness.

Evidence: TestReachIsRelayedByHubs failed before for 30 and 63 instances (all of them unaware) and passes.

--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -29,6 +29,9 @@
 	loads func() []*gossiper.Load
 	// unreachable returns what an instance cannot reach; nil means that all instances reach everything.
 	unreachable func(id string) []*gossiper.Unreachable
+	// unknownField is added to each status, as a later build would; nil means none. onStatus receives the statuses.
+	unknownField []byte
+	onStatus     func(to string, s *gossiper.Status)
 	// cut reports whether messages between two instances are lost; nil means that none are.
 	cut func(from, to string) bool
 }
@@ -84,9 +87,14 @@
 			if f.unreachable != nil {
 				s.Unreachable = f.unreachable(id)
 			}
+			s.ProtoReflect().SetUnknown(f.unknownField)
 			return s
 		},
-		AddPayload: func(_, _ *gossiper.Beat, _ bool) {}, OnStatus: func(*gossiper.Status, time.Time) {}, OnMessage: func(*gossiper.Beat, gossiper.Receipt) {},
+		AddPayload: func(_, _ *gossiper.Beat, _ bool) {}, OnStatus: func(s *gossiper.Status, _ time.Time) {
+			if f.onStatus != nil {
+				f.onStatus(id, s)
+			}
+		}, OnMessage: func(*gossiper.Beat, gossiper.Receipt) {},
 		Unfinished: func(*gossiper.Beat, time.Time) bool { return false },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gossiper/reach_test.go
+++ b/internal/gossiper/reach_test.go
@@ -1,12 +1,15 @@
 package gossiper_test
 
 import (
+	"bytes"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
+	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
 )
@@ -62,3 +65,27 @@
 		})
 	}
 }
+
+// TestHubsRelayFieldsOfLaterBuilds guards against hubs that relay only the fields of a status that they know: while builds are replaced
+// one after the other, instances of the later one would not learn what others of it say.
+func TestHubsRelayFieldsOfLaterBuilds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		field := protowire.AppendVarint(protowire.AppendTag(nil, 1000, protowire.VarintType), 7)
+		var received, without atomic.Int64
+		fl := &fleet{unknownField: field, onStatus: func(_ string, s *gossiper.Status) {
+			received.Add(1)
+			if !bytes.Equal(s.ProtoReflect().GetUnknown(), field) {
+				without.Add(1)
+			}
+		}}
+		for i := range 30 {
+			fl.start(i, 3, "first")
+		}
+		time.Sleep(8 * time.Second)
+		quicktest.Check(t, received.Load() > 30*29, quicktest.IsTrue, quicktest.Commentf("%d statuses", received.Load()))
+		quicktest.Check(t, without.Load(), quicktest.Equals, int64(0))
+		for id := range fl.nodes {
+			fl.stop(id)
+		}
+	})
+}
--- a/internal/gossiper/topology.go
+++ b/internal/gossiper/topology.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/reflect/protoreflect"
 )
 
 // A small fleet is a full mesh: all instances are partners of each other. In a large fleet the live instances with the
@@ -259,17 +260,22 @@
 	sequence       uint64
 	at             time.Time
 	ready, leaving bool
+	unreachable    []*Unreachable
 	// memberKnown is set once the partner has sent or was sent the member.
 	memberKnown bool
 }
 
+func newRelayedStatus(s *Status, now time.Time) *relayedStatus {
+	return &relayedStatus{sequence: s.Sequence, at: now, ready: s.Ready, leaving: s.Leaving, unreachable: s.Unreachable, memberKnown: true}
+}
+
 // receivedStatus records that the peer has a status, so that it is not sent back. The caller must hold mu.
 func (p *peer) receivedStatus(s *Status, now time.Time) {
 	if s.Member == nil {
 		return
 	}
 	if r := p.relayed[keyOf(s.Member)]; r == nil || r.sequence < s.Sequence {
-		p.relayed[keyOf(s.Member)] = &relayedStatus{sequence: s.Sequence, at: now, ready: s.Ready, leaving: s.Leaving, memberKnown: true}
+		p.relayed[keyOf(s.Member)] = newRelayedStatus(s, now)
 	}
 }
 
@@ -304,7 +310,7 @@
 		if requested || !unique || !last.memberKnown || !p.lastMessage.Extended {
 			s.Member = other.Member
 		}
-		*last = relayedStatus{sequence: other.status.Sequence, at: now, ready: other.Ready, leaving: other.Leaving, memberKnown: true}
+		*last = *newRelayedStatus(other.status, now)
 		list = append(list, s)
 	}
 	return list
@@ -312,17 +318,29 @@
 
 // due reports whether a newer status is relayed now.
 func (r *relayedStatus) due(other *peer, now time.Time, always bool) bool {
-	return always || now.Sub(r.at) >= relaySpacing || other.Ready != r.ready || other.Leaving != r.leaving
+	return always || now.Sub(r.at) >= relaySpacing || other.Ready != r.ready || other.Leaving != r.leaving ||
+		!SameReach(other.Unreachable, r.unreachable)
+}
+
+// SameReach reports whether two lists name the same services, and the same of them as cut off. How many targets cannot be reached
+// may differ: that changes many times as a cut begins.
+func SameReach(a, b []*Unreachable) bool {
+	return slices.EqualFunc(a, b, func(x, y *Unreachable) bool { return x.Service == y.Service && x.CutOff == y.CutOff })
 }
 
-// statusToRelay returns the peer's status for another instance, which shares its loads and rates.
+// statusToRelay returns the peer's status for another instance, which shares its lists. It holds all fields of the status, also those
+// that only later builds know, but the member and, with omitRates, the rates.
 func (p *peer) statusToRelay(now time.Time, omitRates bool) *Status {
-	s := &Status{
-		Incarnation: p.Member.Incarnation, Sequence: p.status.Sequence, AgeMilliseconds: now.Sub(p.StatusAt).Milliseconds(),
-		Ready: p.status.Ready, Leaving: p.status.Leaving, UnixMilliseconds: p.status.UnixMilliseconds, Loads: p.status.Loads,
-	}
-	if !omitRates {
-		s.Rates = p.status.Rates
+	s := &Status{}
+	from, to := p.status.ProtoReflect(), s.ProtoReflect()
+	from.Range(func(field protoreflect.FieldDescriptor, value protoreflect.Value) bool {
+		to.Set(field, value)
+		return true
+	})
+	to.SetUnknown(from.GetUnknown())
+	s.Member, s.Incarnation, s.AgeMilliseconds = nil, p.Member.Incarnation, now.Sub(p.StatusAt).Milliseconds()
+	if omitRates {
+		s.Rates = nil
 	}
 	return s
 }
