Handover: a peer that is cut off too refuses at once

Hubs of the build before go on to leave out what an instance cannot reach, so while builds are replaced one after the other, requests would still be passed on to peers that are cut off themselves and try them on the few targets that they reach, or until the deadline.

Change: an instance that cannot reach most targets of a service answers what a peer passes on with 421, which the build before takes for a refusal that has not run. The sender remembers that for two seconds and asks the next peer, eight at most, and does not count it among the two that it tries.

TestCutOffPeersRefuse fails without the change (it does not compile, and a passed-on call is answered by the target).

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -143,6 +143,7 @@
 	prober    prober.Prober
 	// unreachable holds the services of which this instance cannot reach some targets.
 	unreachable atomic.Pointer[[]*gossiper.Unreachable]
+	cutOffPeers cutOffPeers
 
 	// BodyBuffers limits the memory that request bodies use.
 	BodyBuffers forwarder.BodyBuffers
@@ -261,6 +262,7 @@
 		TargetStates: &c.targetStates, Chooser: &chooser.Chooser{Policy: c.settings.Load().Routing.Policy}, MaximumJitter: c.jitter,
 		Backend: c.platform.Backend, Budget: c.retryBudget, Quarantine: &gossipedQuarantine{&c.quarantine, c.peers},
 		Pins: c.pins, SoleBuild: c.soleBuild, Reach: &c.prober, Handover: c.platform.Handover, Peers: c.reachingPeers,
+		CutOff: c.cutOff, OnPeerCutOff: c.cutOffPeers.add,
 		CountRequest: c.countRequest, Quotas: c.quotas, RecordDemand: c.demand.Add, Calibrator: &c.calibrator, Logger: c.logger, Metrics: c.metrics,
 	}
 	c.wireAdmission()
--- a/internal/coordinator/reach.go
+++ b/internal/coordinator/reach.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -158,6 +160,7 @@
 	var list []candidate
 	for _, p := range c.peers.Alive(time.Now()) {
 		down, cutOff := unreachableTargets(p.Unreachable, service)
+		cutOff = cutOff || c.cutOffPeers.contains(service, p.Member.RelayAddress)
 		if p.Member.RelayAddress == "" || !p.Ready || p.Leaving || cutOff || !ReachesMore(own, down, listed) {
 			continue
 		}
@@ -174,6 +177,44 @@
 	return addresses
 }
 
+// cutOff reports whether this instance cannot reach most targets of a service.
+func (c *Coordinator) cutOff(service identifier.ServiceID) bool {
+	_, cutOff := unreachableTargets(c.unreachableServices(), service)
+	return cutOff
+}
+
+// cutOffMemory is how long a peer's word counts that it is cut off. By then its status tells, unless hubs of an earlier build leave
+// that out.
+const cutOffMemory = 2 * time.Second
+
+// cutOffPeers holds the peers that have refused a request because they are cut off from its service too. The zero value is ready to use.
+type cutOffPeers struct {
+	mu    sync.Mutex
+	until map[peerService]time.Time
+}
+
+type peerService struct {
+	service identifier.ServiceID
+	address string
+}
+
+func (p *cutOffPeers) add(service identifier.ServiceID, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if p.until == nil {
+		p.until = map[peerService]time.Time{}
+	}
+	maps.DeleteFunc(p.until, func(_ peerService, until time.Time) bool { return now.After(until) })
+	p.until[peerService{service, address}] = now.Add(cutOffMemory)
+}
+
+func (p *cutOffPeers) contains(service identifier.ServiceID, address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Before(p.until[peerService{service, address}])
+}
+
 // ReachesMore reports whether a peer that cannot reach some of a service's listed targets reaches so many more than this instance that
 // it should get its requests. Instances learn at different times that a few targets have crashed, which is no reason.
 func ReachesMore(ownDown, peerDown, listed int) bool {
--- a/internal/forwarder/backend.go
+++ b/internal/forwarder/backend.go
@@ -21,6 +21,8 @@
 	ErrNotSent = fmt.Errorf("%w: not sent", ErrNotRun)
 	// ErrUnreachable is returned when no connection to the target could be opened; it wraps ErrNotSent.
 	ErrUnreachable = fmt.Errorf("%w: unreachable", ErrNotSent)
+	// ErrPeerCutOff is returned when a peer cannot reach the targets either; it wraps ErrNotRun.
+	ErrPeerCutOff = fmt.Errorf("%w: the peer is cut off from the targets too", ErrNotRun)
 	// ErrOutcomeUnknown is returned when the target may have run the request.
 	ErrOutcomeUnknown = errors.New("target may have run the request")
 )
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -89,6 +89,10 @@
 	// Peers returns the addresses of instances that reach more targets of a service than this one, of which the given number could
 	// not be reached; those to try first come before the others.
 	Peers func(service identifier.ServiceID, unreachable int) []string
+	// CutOff reports whether this instance cannot reach most targets of a service; nil means that it can. OnPeerCutOff is called when a
+	// peer has said that of itself.
+	CutOff       func(service identifier.ServiceID) bool
+	OnPeerCutOff func(service identifier.ServiceID, address string)
 	// SoleBuild returns the only build of a service at which a stream that a client goes on with can have begun, or false if
 	// there were several, or it is not known.
 	SoleBuild func(ctx context.Context, service identifier.ServiceID) (identifier.Build, bool)
@@ -196,7 +200,9 @@
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, rs.deadline)
 		defer cancel()
-		refusal = rs.takeQuota(ctx)
+		if refusal = rs.refuseCutOff(); refusal == nil {
+			refusal = rs.takeQuota(ctx)
+		}
 		switch {
 		case refusal != nil:
 		case rs.route.Kind == matcher.Stream:
@@ -427,7 +433,11 @@
 
 // impliesNotRun reports whether the status means to the client that the request has not run and never will.
 func (r *Refusal) impliesNotRun() bool {
-	return r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests
+	switch r.Status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
 }
 
 func (r *Refusal) writeTo(w http.ResponseWriter) {
--- a/internal/forwarder/handover.go
+++ b/internal/forwarder/handover.go
@@ -21,6 +21,8 @@
 	maximumUnreachable = 2
 	// maximumHandovers is the number of peers to which a request may be passed one after the other.
 	maximumHandovers = 2
+	// maximumPeersAsked also counts the peers that answer at once that they are cut off too.
+	maximumPeersAsked = 8
 )
 
 // Reach knows which targets cannot be reached from this instance.
@@ -124,18 +126,35 @@
 	return rs.route.Kind == matcher.Safe || rs.route.Kind == matcher.Stream && rs.route.Resumable
 }
 
+// refuseCutOff refuses a request that a peer has passed on to an instance that cannot reach most targets either: the peer did not
+// know that. It returns nil for all others.
+func (rs *requestState) refuseCutOff() *Refusal {
+	if !rs.call.HandedOver || rs.f.CutOff == nil || !rs.f.CutOff(rs.service) {
+		return nil
+	}
+	return &Refusal{Status: http.StatusMisdirectedRequest, Reason: "CutOff"}
+}
+
 // handOver passes the request to peers until one answers. It returns false if none could be reached. s is nil for a plain
 // request.
 func (rs *requestState) handOver(ctx context.Context, s *stream) (done bool, refusal *Refusal) {
 	peers := rs.f.Peers(rs.service, rs.unreachable)
 	rs.peersTried = true
-	refused := false
-	for _, address := range peers[:min(maximumHandovers, len(peers))] {
+	refused, tried := false, 0
+	for _, address := range peers[:min(maximumPeersAsked, len(peers))] {
+		if tried == maximumHandovers {
+			break
+		}
 		err := rs.handOverTo(ctx, address, s)
 		if err == nil {
 			return true, nil
 		}
 		rs.f.Logger.Info("peer failed", zap.String("RequestID", string(rs.call.ID)), zap.String("Peer", address), zap.Error(err))
+		if errors.Is(err, ErrPeerCutOff) && ctx.Err() == nil {
+			rs.f.OnPeerCutOff(rs.service, address)
+			continue
+		}
+		tried++
 		switch {
 		case errors.Is(err, ErrNotRun):
 			refused = refused || !errors.Is(err, ErrNotSent)
--- a/internal/forwarder/handover_test.go
+++ b/internal/forwarder/handover_test.go
@@ -27,6 +27,9 @@
 type peers struct {
 	results  []step
 	received []forwarder.Call
+	// cutOffHere is set if the instance that is tested is cut off; cutOff holds the addresses of the peers that said so of themselves.
+	cutOffHere bool
+	cutOff     string
 }
 
 func (p *peers) Run(_ context.Context, c *forwarder.Call, _ *forwarder.HandoverAttempt) (*forwarder.Response, error) {
@@ -42,7 +45,7 @@
 	return &forwarder.Response{Status: st.status, Header: http.Header{"X-Test-Seal": {"peer"}}, Body: io.NopCloser(body)}, nil
 }
 
-// handOver serves a call at an instance with two peers, and returns the response and the number of requests counted here.
+// handOver serves a call at an instance with nine peers, and returns the response and the number of requests counted here.
 func handOver(b *backend, p *peers, route matcher.Route, call *forwarder.Call) (w *httptest.ResponseRecorder, aborted bool, counted int) {
 	route.ID, route.Host, route.Prefix, route.Timeout, route.Public = "r", "h", "/p/", 5*time.Second, true
 	route.WeightedServices = []matcher.WeightedService{{Service: "s", Weight: 1}}
@@ -58,7 +61,8 @@
 			return append([]*registrar.Target(nil), targets...)
 		},
 		TargetStates: &chooser.TargetStates{}, Chooser: &chooser.Chooser{}, Backend: b, Budget: &budget{9}, Quarantine: &quarantine{},
-		Reach: &prober.Prober{}, Handover: p, Peers: func(identifier.ServiceID, int) []string { return []string{"one", "two"} },
+		Reach: &prober.Prober{}, Handover: p, Peers: func(identifier.ServiceID, int) []string { return strings.Fields("1 2 3 4 5 6 7 8 9") },
+		CutOff: func(identifier.ServiceID) bool { return p.cutOffHere }, OnPeerCutOff: func(_ identifier.ServiceID, address string) { p.cutOff += address },
 		Pins: noPins{}, SoleBuild: func(context.Context, identifier.ServiceID) (identifier.Build, bool) { return "", true },
 		RecordDemand:  func(identifier.ServiceID, identifier.Tokens, time.Time) {},
 		MaximumJitter: func() time.Duration { return 0 }, Instances: func() int { return 1 },
@@ -108,6 +112,36 @@
 	quicktest.Check(t, fmt.Sprint(w.Code, len(p.received)), quicktest.Equals, "503 0")
 }
 
+// TestCutOffPeersRefuse guards against RECOVER in a large fleet beside hubs of an earlier build, which do not say who is cut off: a request
+// that was passed on to such a peer was tried on the few targets that it reached.
+func TestCutOffPeersRefuse(t *testing.T) {
+	unreachable := step{err: fmt.Errorf("%w: timeout", forwarder.ErrUnreachable)}
+	cutOff, peerDone := step{err: forwarder.ErrPeerCutOff}, step{status: 200, body: "peer"}
+	for name, tc := range map[string]struct {
+		runs, peers []step
+		result      string
+		cutOff      string
+	}{
+		"three peers are cut off too": {[]step{unreachable}, []step{cutOff, cutOff, cutOff, peerDone}, "200 peer", "123"},
+		"and two refuse":              {[]step{unreachable}, []step{cutOff, notRun}, "503 PeersRefused\n", "1"},
+		"all peers that are asked":    {[]step{unreachable, unreachable, {status: 200, body: "here"}}, []step{cutOff}, "200 here", "12345678"},
+	} {
+		p := &peers{results: tc.peers}
+		w, _, _ := handOver(&backend{runs: tc.runs}, p, matcher.Route{Kind: matcher.Unsafe, Attempts: 2}, &forwarder.Call{})
+		quicktest.Check(t, fmt.Sprint(w.Code, " ", w.Body), quicktest.Equals, tc.result, quicktest.Commentf(name))
+		quicktest.Check(t, p.cutOff, quicktest.Equals, tc.cutOff, quicktest.Commentf(name))
+	}
+	for _, handedOver := range []bool{false, true} {
+		b := &backend{runs: []step{{status: 200, body: "here"}}}
+		w, _, counted := handOver(b, &peers{cutOffHere: true}, matcher.Route{Kind: matcher.Unsafe, Attempts: 2}, &forwarder.Call{HandedOver: handedOver})
+		want := "200 here 1"
+		if handedOver {
+			want = "421 CutOff\n 0"
+		}
+		quicktest.Check(t, fmt.Sprint(w.Code, " ", w.Body, " ", counted), quicktest.Equals, want)
+	}
+}
+
 // TestHandedOverStreams guards against prompts that are read again at the peer, and streams that lose or repeat events there.
 func TestHandedOverStreams(t *testing.T) {
 	unreachable := step{err: fmt.Errorf("%w: timeout", forwarder.ErrUnreachable)}
