Handover: a long body that a peer may have read goes to no second peer

Cause: of a long body only the start is held. When a peer refused the request, the goroutine that sends it had read a part of the rest, and the second peer got what was left of it, which looks complete in chunks.

Change: after any answer of a peer but 'nothing was sent', a request whose body is not wholly held is refused with 503, as for targets.

--- a/internal/forwarder/handover.go
+++ b/internal/forwarder/handover.go
@@ -150,15 +150,17 @@
 			return true, nil
 		}
 		rs.f.Logger.Info("peer failed", zap.String("RequestID", string(rs.call.ID)), zap.String("Peer", address), zap.Error(err))
-		if errors.Is(err, ErrPeerCutOff) && ctx.Err() == nil {
+		if errors.Is(err, ErrPeerCutOff) {
 			rs.f.OnPeerCutOff(rs.service, address)
-			continue
+		} else {
+			tried++
 		}
-		tried++
 		switch {
 		case errors.Is(err, ErrNotRun):
-			refused = refused || !errors.Is(err, ErrNotSent)
-			if ctx.Err() != nil {
+			refused = refused || !errors.Is(err, ErrNotSent) && !errors.Is(err, ErrPeerCutOff)
+			// The peer may have read a part of the body that cannot be sent again.
+			bodySpent := !rs.call.Body.Whole() && !errors.Is(err, ErrNotSent)
+			if ctx.Err() != nil || bodySpent {
 				return true, rs.adjustRefusal(refuseNotRun("PeersRefused", defaultRetryAfter, err))
 			}
 		case !rs.repeatable() || !rs.takeRetry():
--- a/internal/forwarder/handover_test.go
+++ b/internal/forwarder/handover_test.go
@@ -142,6 +142,29 @@
 	}
 }
 
+// TestLongBodyGoesToOnePeer guards against UNASKED: the rest of a long body, of which a peer that refused the request had read a part, went
+// to a second peer, and the request ran without that part.
+func TestLongBodyGoesToOnePeer(t *testing.T) {
+	unreachable := step{err: fmt.Errorf("%w: timeout", forwarder.ErrUnreachable)}
+	peerDone := step{status: 200, body: "peer"}
+	for name, tc := range map[string]struct {
+		peers  []step
+		result string
+		handed int
+	}{
+		"the first peer refuses":           {[]step{notRun, peerDone}, "503 PeersRefused\n", 1},
+		"the first peer is cut off too":    {[]step{{err: forwarder.ErrPeerCutOff}, peerDone}, "503 PeersRefused\n", 1},
+		"the first peer got nothing of it": {[]step{notSent, peerDone}, "200 peer", 2},
+		"the first peer breaks":            {[]step{broken, peerDone}, "502 PeerFailed\n", 1},
+	} {
+		p := &peers{results: tc.peers}
+		call := &forwarder.Call{Body: forwarder.Body{Buffered: []byte("start"), Rest: strings.NewReader("rest"), RestBytes: -1}}
+		w, _, _ := handOver(&backend{runs: []step{unreachable}}, p, matcher.Route{Kind: matcher.Safe, Attempts: 3}, call)
+		quicktest.Check(t, fmt.Sprint(w.Code, " ", w.Body), quicktest.Equals, tc.result, quicktest.Commentf(name))
+		quicktest.Check(t, p.received, quicktest.HasLen, tc.handed, quicktest.Commentf(name))
+	}
+}
+
 // TestHandedOverStreams guards against prompts that are read again at the peer, and streams that lose or repeat events there.
 func TestHandedOverStreams(t *testing.T) {
 	unreachable := step{err: fmt.Errorf("%w: timeout", forwarder.ErrUnreachable)}
