Workers: a response that names no request is an answer on a new connection only

A response with a status of 400 or more and no X-Request-Id counted as the answer to the request at hand, and control calls, whose responses bear no ID, shared the connections of requests. A copy with the ID of an earlier request was skipped before, and is.

Change: on a connection that was used before, or behind a skipped response, a response without an ID leaves the outcome unknown and ends the connection: 502 for what must not run twice. On a new connection it can only be the answer. Each control call has a connection of its own.

TestCopyOfARefusalIsNotAnAnswer failed before in its five cases without an ID, TestControlCallsKeepToTheirConnections failed too; both pass.

--- a/internal/pooler/exchange.go
+++ b/internal/pooler/exchange.go
@@ -43,6 +43,11 @@
 	// Matches reports whether a response belongs to this request and not to another one on the same connection; nil
 	// accepts every response.
 	Matches func(status int, h http.Header) bool
+	// Unmarked reports whether a response does not say to which request it belongs; nil means that all do. It may then be the copy of an
+	// earlier one, unless the connection is new.
+	Unmarked func(h http.Header) bool
+	// Separate lets the request use a connection of its own, which is closed afterwards.
+	Separate bool
 	// Admit is called once a connection is available, right before the request is sent; an error stops it. It may be nil.
 	Admit func() error
 }
@@ -67,6 +72,7 @@
 	idleSince time.Time
 	expiresAt time.Time
 	reused    bool
+	separate  bool
 }
 
 func newConn(p *Pool, addr string, nc net.Conn) *conn {
@@ -112,10 +118,15 @@
 //
 // When ctx ends, the connection is closed, even while the body is being read.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c, err := p.get(ctx, r.Address, r.MaximumIdle, r.Connections)
+	maximumIdle := r.MaximumIdle
+	if r.Separate {
+		maximumIdle = 0
+	}
+	c, err := p.get(ctx, r.Address, maximumIdle, r.Connections)
 	if err != nil {
 		return nil, err
 	}
+	c.separate = r.Separate
 	stop := context.AfterFunc(ctx, c.close)
 	x := &exchange{conn: c, stop: stop, written: make(chan error, 1)}
 	head, err := r.head()
@@ -208,7 +219,7 @@
 // data is left to read; otherwise, or if keep is not positive, it closes the connection.
 func (x *exchange) finish(keep time.Duration) {
 	x.once.Do(func() {
-		if !x.stop() || keep <= 0 || x.conn.r.Buffered() > 0 || !x.requestWritten() {
+		if !x.stop() || keep <= 0 || x.conn.separate || x.conn.r.Buffered() > 0 || !x.requestWritten() {
 			x.conn.close()
 			return
 		}
@@ -249,6 +260,9 @@
 			}
 			continue
 		}
+		if (x.conn.reused || stray > 0) && r.Unmarked != nil && r.Unmarked(res.Header) {
+			return nil, fmt.Errorf("%w: status %d, for an unknown request", ErrUnexpectedResponse, res.StatusCode)
+		}
 		x.conn.input.remaining = noLimit
 		return &Response{
 			Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, Body: &responseBody{res: res, x: x},
