Builds: clients' deadlines count for the age of a stream

Cause: how old a stream may be was taken from the timeouts of the routes, each of which limits one attempt. A client's deadline bounds the stream with all its take-ups, and may be longer: 6 s against 5 s in the case.

Where deadlines are not longer than timeouts nothing changes.

--- a/internal/coordinator/builds.go
+++ b/internal/coordinator/builds.go
@@ -23,6 +23,8 @@
 	// maximumTransit is the longest time in transit of a message whose knowledge of builds is used. It is within the half of a
 	// timeout by which streams may be older.
 	maximumTransit = time.Second
+	// maximumDeadline is the longest deadline of a client that counts: half as much again is as long as sightings are remembered.
+	maximumDeadline = 40 * time.Second
 	// minimumStreamAge is the least time for which an instance that does not know where a stream began assumes that it may have
 	// begun; routes with longer timeouts extend it.
 	minimumStreamAge = 5 * time.Second
@@ -43,7 +45,8 @@
 
 	mu        sync.Mutex
 	startedAt time.Time
-	// timeout is the longest timeout in force, and earlier those that were in force before, until they no longer count.
+	// timeout is the longest timeout in force. earlier holds those that were in force before, and longer deadlines of clients, until
+	// they no longer count.
 	timeout time.Duration
 	earlier []expiredTimeout
 }
@@ -105,6 +108,16 @@
 	b.remember(timeout, earlierOf(until, now.Add(timeoutMemory)), now)
 }
 
+// SawDeadline takes how long a client waits for a stream, with all attempts to go on with it. That may be longer than the timeouts of
+// the routes, each of which limits one attempt.
+func (b *Builds) SawDeadline(deadline time.Duration, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if deadline > b.timeout {
+		b.remember(min(deadline, maximumDeadline), now.Add(timeoutMemory).Truncate(time.Second), now)
+	}
+}
+
 func earlierOf(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
@@ -126,7 +139,7 @@
 }
 
 // StreamAge returns the longest time for which clients wait for the end of a stream, with half as much again for what comes
-// late. The longest timeout of the last minute counts.
+// late. The longest timeout of the last minute counts, or a longer deadline of a client.
 func (b *Builds) StreamAge(now time.Time) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -261,7 +261,7 @@
 		Targets: c.available, Changing: c.changing, Starting: c.starting, Expected: c.expected, Instances: c.memberCount,
 		TargetStates: &c.targetStates, Chooser: &chooser.Chooser{Policy: c.settings.Load().Routing.Policy}, MaximumJitter: c.jitter,
 		Backend: c.platform.Backend, Budget: c.retryBudget, Quarantine: &gossipedQuarantine{&c.quarantine, c.peers},
-		Pins: c.pins, SoleBuild: c.soleBuild, Reach: &c.prober, Handover: c.platform.Handover, Peers: c.reachingPeers,
+		Pins: c.pins, SoleBuild: c.soleBuild, RecordDeadline: c.recordDeadline, Reach: &c.prober, Handover: c.platform.Handover, Peers: c.reachingPeers,
 		CutOff: c.cutOff, OnPeerCutOff: c.cutOffPeers.add,
 		CountRequest: c.countRequest, Quotas: c.quotas, RecordDemand: c.demand.Add, Calibrator: &c.calibrator, Logger: c.logger, Metrics: c.metrics,
 	}
--- a/internal/coordinator/pins.go
+++ b/internal/coordinator/pins.go
@@ -83,6 +83,11 @@
 	}
 }
 
+// recordDeadline records how long a client waits for a stream that may be taken up.
+func (c *Coordinator) recordDeadline(deadline time.Duration) {
+	c.builds.SawDeadline(deadline, c.wakefulTime(time.Now()))
+}
+
 // recordBuilds records the builds of all listed targets.
 func (c *Coordinator) recordBuilds(now time.Time) {
 	c.builds.Record(c.buildList(now), c.contact(now), c.wakefulTime(now))
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -96,6 +96,8 @@
 	// SoleBuild returns the only build of a service at which a stream that a client goes on with can have begun, or false if
 	// there were several, or it is not known.
 	SoleBuild func(ctx context.Context, service identifier.ServiceID) (identifier.Build, bool)
+	// RecordDeadline records how long a client waits for a stream that it may take up; nil records nothing.
+	RecordDeadline func(deadline time.Duration)
 	// Instances returns how many instances may share the targets' connections, including this one, or zero if it is not known.
 	Instances func() int
 	// Expected returns the time until a target that is changing to a stage is expected there, or false if there is none.
@@ -279,6 +281,9 @@
 	if d := rs.start.Add(rs.call.Deadline); rs.call.Deadline > 0 && d.Before(rs.deadline) {
 		rs.deadline = d
 	}
+	if rs.route.Resumable && rs.f.RecordDeadline != nil {
+		rs.f.RecordDeadline(rs.call.Deadline)
+	}
 	rs.service = rs.route.PickService(rand.Float64())
 	if !rs.call.HandedOver {
 		rs.f.Budget.AddRequest(rs.service)
