Builds: the longest time of streams outlives a restart of all instances

Cause: how long streams may go on that began before a restart was known to the processes alone.

Change: the longest timeout of the last minute, or longer deadline of a client, stands in the store beside the members, under a key of its own. One instance, the first by rank that differs from the record for long enough, writes it when it changes: one call for a deployment whose timeouts stay. A process that starts reads it with the members, which it reads anyway, and refuses to go on with unknown streams until it has.

The model reads and writes the record as instances do; its checks are unchanged.

What remains: a timeout that was raised while the store was away, and lowered right before all instances are killed, is not in the record.

--- a/internal/coordinator/builds.go
+++ b/internal/coordinator/builds.go
@@ -138,18 +138,42 @@
 	return longest, longest.timeout > b.timeout
 }
 
-// StreamAge returns the longest time for which clients wait for the end of a stream, with half as much again for what comes
-// late. The longest timeout of the last minute counts, or a longer deadline of a client.
-func (b *Builds) StreamAge(now time.Time) time.Duration {
+// Recall takes the longest time for which streams could go on that was known before this process started. It counts until streams of
+// then have ended.
+func (b *Builds) Recall(longest time.Duration, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.begin(now)
+	if until := b.startedAt.Add(max(timeoutMemory, longest+longest/2)); longest > 0 && now.Before(until) {
+		b.remember(longest, until, now)
+	}
+}
+
+// Longest returns the longest timeout of the last minute, or a longer deadline of a client.
+func (b *Builds) Longest(now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.longest(now)
+}
+
+// longest is Longest; the caller must hold mu.
+func (b *Builds) longest(now time.Time) time.Duration {
 	longest := b.timeout
 	for _, e := range b.earlier {
 		if now.Before(e.until) {
 			longest = max(longest, e.timeout)
 		}
 	}
+	return longest
+}
+
+// StreamAge returns the longest time for which clients wait for the end of a stream, with half as much again for what comes
+// late. The longest timeout of the last minute counts, or a longer deadline of a client.
+func (b *Builds) StreamAge(now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.begin(now)
+	longest := b.longest(now)
 	least := minimumStreamAge
 	if now.Sub(b.startedAt) < timeoutMemory {
 		least = unknownStreamAge
--- a/internal/coordinator/builds_test.go
+++ b/internal/coordinator/builds_test.go
@@ -88,6 +88,8 @@
 
 type buildWorld struct {
 	buildCase
+	// recorded is the longest time of streams in the store.
+	recorded  time.Duration
 	start     time.Time
 	instances [3]*buildInstance
 	streams   map[identifier.Build][3]begun
@@ -137,6 +139,10 @@
 			n.timeout = t
 			n.builds.SetLongestTimeout(t, w.clock(at))
 		}
+		n.builds.Recall(w.recorded, w.clock(at))
+		if longest := n.builds.Longest(w.clock(at)); at%time.Second == 0 && longest > 0 {
+			w.recorded = longest
+		}
 	}
 	if at%time.Second == 0 {
 		n.builds.Record(n.list, w.contact(i, at), w.clock(at))
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -140,7 +140,9 @@
 	admitter  *admitter.Admitter
 	datagrams datagrams
 	builds    Builds
-	prober    prober.Prober
+	// recordedLongest is the time.Duration in the StreamRecord that was read or written last.
+	recordedLongest atomic.Int64
+	prober          prober.Prober
 	// unreachable holds the services of which this instance cannot reach some targets.
 	unreachable atomic.Pointer[[]*gossiper.Unreachable]
 	cutOffPeers cutOffPeers
@@ -478,6 +480,10 @@
 }
 
 func (c *Coordinator) memberChanged(r mirrorer.Record) {
+	if r.Key == streamRecordKey {
+		c.streamRecordChanged(r.Value)
+		return
+	}
 	if len(r.Value) == 0 {
 		return // The member unregistered; it counts as alive until its last status is too old.
 	}
--- a/internal/coordinator/pins.go
+++ b/internal/coordinator/pins.go
@@ -70,6 +70,9 @@
 // for a list of targets that is as new as the question: the stream may have begun at a build that was listed just before.
 func (c *Coordinator) soleBuild(ctx context.Context, service identifier.ServiceID) (identifier.Build, bool) {
 	asked := c.wakefulTime(time.Now())
+	if _, read := c.members.Age(time.Now()); !read {
+		return "", false // The StreamRecord may tell of longer streams.
+	}
 	for {
 		now := time.Now()
 		wakeful := c.wakefulTime(now)
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -71,7 +71,7 @@
 	targets := c.newFollower(streamTargets, c.platform.Targets, &c.targets, c.copyAge)
 	c.targets.FailingFor = targets.FailingFor
 	for _, task := range []func(context.Context){
-		c.peers.Run, c.prober.Run, c.contactSeeds, c.register, c.cleanUp, c.watchSettings,
+		c.peers.Run, c.prober.Run, c.contactSeeds, c.register, c.cleanUp, c.watchSettings, c.keepStreamRecord,
 		func(ctx context.Context) {
 			c.awaitPeer(ctx)
 			c.newFollower(streamConfiguration, c.platform.Configuration, &c.config, c.copyAge).Run(ctx)
