Streams: what a route led to before counts where a stream may have begun

Cause: where nothing is known of a stream but its route, it was taken for one of the only build of the service that the route leads to now. That the route led to another service when the stream began was not considered.

Change: each configuration is compared with the one before: the prefixes whose streams go to other services since then are remembered for a minute, by digest, and told to peers (all of them by one mark beyond 64). A stream of which nothing is known goes on only if none of the prefixes of its path moved while it may have begun, by a configuration as new as the question.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -140,6 +140,7 @@
 	admitter  *admitter.Admitter
 	datagrams datagrams
 	builds    Builds
+	moves     Moves
 	// recordedLongest is the time.Duration in the StreamRecord that was read or written last.
 	recordedLongest atomic.Int64
 	prober          prober.Prober
@@ -435,6 +436,7 @@
 			return
 		}
 		if c.table.CompareAndSwap(old, next) {
+			c.moves.Record(next.Moves(old), c.wakefulTime(time.Now()))
 			asserter.That(old == nil || old.Version < next.Version, asserter.ConfigurationNeverReverts, "version %d replaces a later one", next.Version)
 			break
 		}
--- a/internal/coordinator/gossip.go
+++ b/internal/coordinator/gossip.go
@@ -74,6 +74,7 @@
 	c.addQuarantine(b, now)
 	c.addLimits(b, last, now)
 	c.builds.Compose(b, last, c.wakefulTime(now))
+	c.moves.Compose(b, c.wakefulTime(now))
 	if last != nil {
 		c.addChanges(b, last, firstHand)
 		c.addCalibration(b, last, firstHand, now)
@@ -242,6 +243,7 @@
 	c.applyLimits(b, receipt)
 	if composedAt := receipt.ComposedAt(b); !composedAt.IsZero() {
 		c.builds.Apply(b, c.wakefulTime(composedAt), c.wakefulTime(now))
+		c.moves.Apply(b, c.wakefulTime(composedAt), c.wakefulTime(now))
 	}
 	c.applyOrders(b, receipt)
 	if l := b.Lease; l != nil {
--- a/internal/coordinator/pins.go
+++ b/internal/coordinator/pins.go
@@ -66,19 +66,24 @@
 	return list
 }
 
-// soleBuild returns the only build of a service that targets had while a stream that is still going on may have begun. It waits
-// for a list of targets that is as new as the question: the stream may have begun at a build that was listed just before.
-func (c *Coordinator) soleBuild(ctx context.Context, service identifier.ServiceID) (identifier.Build, bool) {
+// soleBuild returns the only build of a service at which a stream on a path can have begun that is still going on: no other build was
+// listed, and the path led to no other service. It waits for a configuration and a list of targets that are as new as the question: the
+// stream may have begun at what was added just before.
+func (c *Coordinator) soleBuild(ctx context.Context, service identifier.ServiceID, host, path string) (identifier.Build, bool) {
 	asked := c.wakefulTime(time.Now())
 	if _, read := c.members.Age(time.Now()); !read {
 		return "", false // The StreamRecord may tell of longer streams.
 	}
+	ids := matcher.PathIDs(host, path)
 	for {
 		now := time.Now()
 		wakeful := c.wakefulTime(now)
 		build, err := c.builds.Sole(service, c.buildList(now), c.contact(now), asked, wakeful)
+		if err == nil && c.wakefulTime(now.Add(-c.tableAge())).Before(asked) {
+			err = ErrListOlder
+		}
 		if !errors.Is(err, ErrListOlder) || wakeful.Sub(asked) >= MaximumListWait {
-			return build, err == nil
+			return build, err == nil && !c.moves.Within(ids, c.builds.StreamAge(wakeful), wakeful)
 		}
 		if sleeper.Sleep(ctx, checkPause) != nil {
 			return "", false
--- a/internal/forwarder/changing_test.go
+++ b/internal/forwarder/changing_test.go
@@ -67,7 +67,7 @@
 		Changing:     func(identifier.ServiceID, time.Time) map[identifier.TargetID]bool { return changing },
 		TargetStates: states, Chooser: &chooser.Chooser{}, Backend: b, Budget: &budget{1000}, Quarantine: &quarantine{},
 		Reach: &prober.Prober{}, Peers: func(identifier.ServiceID, int) []string { return nil }, Pins: noPins{},
-		SoleBuild:     func(context.Context, identifier.ServiceID) (identifier.Build, bool) { return "", true },
+		SoleBuild:     func(context.Context, identifier.ServiceID, string, string) (identifier.Build, bool) { return "", true },
 		RecordDemand:  func(identifier.ServiceID, identifier.Tokens, time.Time) {},
 		MaximumJitter: func() time.Duration { return 80 * time.Millisecond }, Instances: func() int { return 1 },
 		Expected:     func(identifier.ServiceID, registrar.Stage, time.Time) (time.Duration, bool) { return 0, false },
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -93,9 +93,9 @@
 	// peer has said that of itself.
 	CutOff       func(service identifier.ServiceID) bool
 	OnPeerCutOff func(service identifier.ServiceID, address string)
-	// SoleBuild returns the only build of a service at which a stream that a client goes on with can have begun, or false if
-	// there were several, or it is not known.
-	SoleBuild func(ctx context.Context, service identifier.ServiceID) (identifier.Build, bool)
+	// SoleBuild returns the only build of a service at which a stream on a path that a client goes on with can have begun, or false if
+	// there were several, or other services, or it is not known.
+	SoleBuild func(ctx context.Context, service identifier.ServiceID, host, path string) (identifier.Build, bool)
 	// RecordDeadline records how long a client waits for a stream that it may take up; nil records nothing.
 	RecordDeadline func(deadline time.Duration)
 	// Instances returns how many instances may share the targets' connections, including this one, or zero if it is not known.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -167,7 +167,7 @@
 			return append([]*registrar.Target(nil), targets...)
 		},
 		TargetStates: states, Chooser: &chooser.Chooser{}, Backend: b, Budget: &budget{retries}, Quarantine: q,
-		Reach: &prober.Prober{}, Peers: func(identifier.ServiceID, int) []string { return nil }, Pins: noPins{}, SoleBuild: func(context.Context, identifier.ServiceID) (identifier.Build, bool) { return "", true },
+		Reach: &prober.Prober{}, Peers: func(identifier.ServiceID, int) []string { return nil }, Pins: noPins{}, SoleBuild: func(context.Context, identifier.ServiceID, string, string) (identifier.Build, bool) { return "", true },
 		RecordDemand:  func(identifier.ServiceID, identifier.Tokens, time.Time) {},
 		MaximumJitter: func() time.Duration { return 0 }, Instances: func() int { return instances },
 		Expected: func(identifier.ServiceID, registrar.Stage, time.Time) (time.Duration, bool) {
--- a/internal/forwarder/handover_test.go
+++ b/internal/forwarder/handover_test.go
@@ -63,7 +63,7 @@
 		TargetStates: &chooser.TargetStates{}, Chooser: &chooser.Chooser{}, Backend: b, Budget: &budget{9}, Quarantine: &quarantine{},
 		Reach: &prober.Prober{}, Handover: p, Peers: func(identifier.ServiceID, int) []string { return strings.Fields("1 2 3 4 5 6 7 8 9") },
 		CutOff: func(identifier.ServiceID) bool { return p.cutOffHere }, OnPeerCutOff: func(_ identifier.ServiceID, address string) { p.cutOff += address },
-		Pins: noPins{}, SoleBuild: func(context.Context, identifier.ServiceID) (identifier.Build, bool) { return "", true },
+		Pins: noPins{}, SoleBuild: func(context.Context, identifier.ServiceID, string, string) (identifier.Build, bool) { return "", true },
 		RecordDemand:  func(identifier.ServiceID, identifier.Tokens, time.Time) {},
 		MaximumJitter: func() time.Duration { return 0 }, Instances: func() int { return 1 },
 		Expected:     func(identifier.ServiceID, registrar.Stage, time.Time) (time.Duration, bool) { return 0, false },
--- a/internal/forwarder/pin.go
+++ b/internal/forwarder/pin.go
@@ -51,7 +51,7 @@
 		pin, err = rs.f.Pins.Find(ctx, pinner.KeyOf(rs.teamID(), rs.call.Origin))
 	}
 	if errors.Is(err, pinner.ErrUnknown) && len(rs.route.WeightedServices) == 1 {
-		if build, ok := rs.f.SoleBuild(ctx, rs.service); ok {
+		if build, ok := rs.f.SoleBuild(ctx, rs.service, rs.call.Host, rs.call.Path); ok {
 			pin, err = pinner.Pin{Service: rs.service, Build: build}, nil
 		}
 	}
--- a/internal/forwarder/pin_test.go
+++ b/internal/forwarder/pin_test.go
@@ -72,7 +72,9 @@
 			return list
 		},
 		TargetStates: &chooser.TargetStates{}, Chooser: &chooser.Chooser{}, Backend: b, Budget: &budget{9}, Quarantine: &quarantine{},
-		Reach: &prober.Prober{}, Peers: func(identifier.ServiceID, int) []string { return nil }, Pins: p, SoleBuild: func(context.Context, identifier.ServiceID) (identifier.Build, bool) { return sole, sole != "" },
+		Reach: &prober.Prober{}, Peers: func(identifier.ServiceID, int) []string { return nil }, Pins: p, SoleBuild: func(context.Context, identifier.ServiceID, string, string) (identifier.Build, bool) {
+			return sole, sole != ""
+		},
 		RecordDemand:  func(identifier.ServiceID, identifier.Tokens, time.Time) {},
 		MaximumJitter: func() time.Duration { return 0 }, Instances: func() int { return 1 },
 		Expected:     func(identifier.ServiceID, registrar.Stage, time.Time) (time.Duration, bool) { return 0, false },
--- a/internal/forwarder/pressure_test.go
+++ b/internal/forwarder/pressure_test.go
@@ -87,7 +87,7 @@
 		},
 		TargetStates: &chooser.TargetStates{}, Chooser: &chooser.Chooser{}, Backend: b, Budget: &budget{retries}, Quarantine: &quarantine{},
 		Reach: &prober.Prober{}, Peers: func(identifier.ServiceID, int) []string { return nil }, Pins: noPins{},
-		SoleBuild:     func(context.Context, identifier.ServiceID) (identifier.Build, bool) { return "", true },
+		SoleBuild:     func(context.Context, identifier.ServiceID, string, string) (identifier.Build, bool) { return "", true },
 		RecordDemand:  func(identifier.ServiceID, identifier.Tokens, time.Time) {},
 		MaximumJitter: func() time.Duration { return 0 }, Instances: func() int { return 1 },
 		Expected:     func(identifier.ServiceID, registrar.Stage, time.Time) (time.Duration, bool) { return 0, false },
