Prober: the probes of a cut do not grow with the number of targets

Cause: an instance that cannot reach its targets probed each of them 2.5 times a second, limited by 32 at once only: up to 128 a second in silence and 320 a second where they refuse.

Change: a round of probes each 400 ms has eight of the targets that cannot be reached, those first that have waited longest. For a second after one has returned all are probed as before.

TestProbesOfACutDoNotGrowWithTheTargets failed before (625 probes of 25 targets in ten seconds, bound 210) and passes for 25, 280 and 720 targets, which all are known again three seconds after the cut.

--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -20,8 +20,11 @@
 	silence = 500 * time.Millisecond
 	// checkInterval is the time between checks for missing answers.
 	checkInterval = 100 * time.Millisecond
-	// returnInterval is the time between probes of a target that cannot be reached.
+	// returnInterval is the time between probes of targets that cannot be reached, of which each round has returnSample at most: the work
+	// of an instance that is cut off must not grow with the targets. For returnTime after one has returned, all are probed.
 	returnInterval = 400 * time.Millisecond
+	returnSample   = 8
+	returnTime     = time.Second
 	// spread is the number of other targets that are probed once a target cannot be reached, and all if most of these, over
 	// recentTime, cannot either.
 	spread     = 3
@@ -52,6 +55,10 @@
 	waiting map[*attempt]bool
 	// probing is the number of probes that run.
 	probing int
+	// returnedAt is when a target could be reached again, and roundAt when the last round of probes of those that cannot began, which has
+	// had inRound probes.
+	returnedAt, roundAt time.Time
+	inRound             int
 	// probes is the number of probes that were started.
 	probes int64
 	// checks lets the attempts that wait for a target share one check of it.
@@ -202,11 +209,30 @@
 			p.probe(ctx, address, s, maximumProbes)
 		}
 	}
+	for _, address := range p.mayHaveReturned(now) {
+		p.probe(ctx, address, p.targets[address], maximumReturnProbes)
+	}
+}
+
+// mayHaveReturned returns the targets that cannot be reached and are to be probed now. The caller must hold mu.
+func (p *Prober) mayHaveReturned(now time.Time) []string {
+	var due []string
 	for address, s := range p.targets {
 		if !s.probing && s.down && now.Sub(s.probedAt) >= returnInterval {
-			p.probe(ctx, address, s, maximumReturnProbes)
+			due = append(due, address)
 		}
 	}
+	if now.Sub(p.returnedAt) < returnTime {
+		return due
+	}
+	if now.Sub(p.roundAt) >= returnInterval {
+		p.roundAt, p.inRound = now, 0
+	}
+	n := min(len(due), returnSample-p.inRound)
+	p.inRound += n
+	// Those that have waited longest come first.
+	slices.SortFunc(due, func(a, b string) int { return p.targets[a].probedAt.Compare(p.targets[b].probedAt) })
+	return due[:n]
 }
 
 // probe opens a connection to a target in the background, unless the given number of probes run. The caller must hold mu.
@@ -240,6 +266,8 @@
 	p.Logger.Info("connection to target", zap.String("Address", address), zap.Bool("Reachable", reached))
 	if s.down {
 		p.suspectOthers(time.Now())
+	} else {
+		p.returnedAt = time.Now()
 	}
 	return true
 }
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -172,3 +172,22 @@
 		quicktest.Check(t, n.down(p), quicktest.Equals, 0)
 	})
 }
+
+// TestProbesOfACutDoNotGrowWithTheTargets guards against RECOVER in a large fleet: an instance that was cut off spent its processor share on
+// probes of all targets, and fell behind its other work.
+func TestProbesOfACutDoNotGrowWithTheTargets(t *testing.T) {
+	for _, size := range []int{25, 280, 720} {
+		run(t, size, func(t *testing.T, n *network, p *prober.Prober) {
+			n.set(everything)
+			p.Failed("target-0")
+			time.Sleep(6 * time.Second)
+			quicktest.Check(t, n.down(p), quicktest.Equals, size)
+			before := p.Probes()
+			time.Sleep(10 * time.Second)
+			quicktest.Check(t, p.Probes()-before <= 210, quicktest.IsTrue, quicktest.Commentf("%d probes of %d targets in ten seconds", p.Probes()-before, size))
+			n.set(nil)
+			time.Sleep(3 * time.Second)
+			quicktest.Check(t, n.down(p), quicktest.Equals, 0, quicktest.Commentf("of %d", size))
+		})
+	}
+}
