Reach: peers are told at once only which services cannot be served

Peers need the verdict at once, whether an instance is cut off from a service; the number of targets goes with the next message, 0.25 to 0.5 s later.

TestInstancesCutOffFromTargetsGoOnServing and the tests of cuts in platform pass.

--- a/internal/coordinator/reach.go
+++ b/internal/coordinator/reach.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
@@ -25,11 +24,12 @@
 	c.prober.OnChange = c.updateReach
 }
 
-// updateReach determines which services this instance cannot serve as others can, and tells its peers if that has changed.
+// updateReach determines which services this instance cannot serve as others can, and tells its peers if that has changed. How many
+// targets it cannot reach goes with the next message: that changes with each target as a cut begins and ends.
 func (c *Coordinator) updateReach() {
 	now := c.determineReach()
 	before := c.unreachable.Swap(&now)
-	if before != nil && equalReach(*before, now) || before == nil && len(now) == 0 {
+	if before != nil && gossiper.SameReach(*before, now) || before == nil && len(now) == 0 {
 		return
 	}
 	for _, u := range now {
@@ -41,10 +41,6 @@
 	c.peers.SendNow()
 }
 
-func equalReach(a, b []*gossiper.Unreachable) bool {
-	return slices.EqualFunc(a, b, func(x, y *gossiper.Unreachable) bool { return proto.Equal(x, y) })
-}
-
 // unreachableServices returns the services of which this instance cannot reach some targets, in order.
 func (c *Coordinator) unreachableServices() []*gossiper.Unreachable {
 	if list := c.unreachable.Load(); list != nil {
