Handover: requests that are passed on are spread over the peers by capacity

Change: reach that differs by less than a tenth of the targets counts as the same, peers come first in proportion to their capacity, and the own zone comes first only if half of its capacity is left there.

--- a/internal/coordinator/reach.go
+++ b/internal/coordinator/reach.go
@@ -141,36 +141,27 @@
 }
 
 // reachingPeers returns the addresses of ready peers that reach at least half of the targets of a service more than this instance, of
-// which the given number is known to be unreachable. Those that reach most come first, then those of this availability zone, in random order.
+// which the given number is known to be unreachable, in the order in which they should be tried.
 func (c *Coordinator) reachingPeers(service identifier.ServiceID, unreachable int) []string {
 	own, _ := unreachableTargets(c.unreachableServices(), service)
 	if own = max(own, unreachable); own == 0 {
 		return nil
 	}
-	listed := len(c.registry.NotLeaving(service))
-	type candidate struct {
-		address string
-		down    int
-		far     bool
-	}
-	var list []candidate
+	l := ReachingPeers{Listed: len(c.registry.NotLeaving(service)), Zone: c.self.Zone, ZoneCapacity: uint64(c.self.Capacity)}
 	for _, p := range c.peers.Alive(time.Now()) {
+		if !p.Ready || p.Leaving {
+			continue
+		}
+		if p.Member.Zone == c.self.Zone {
+			l.ZoneCapacity += uint64(p.Member.Capacity)
+		}
 		down, cutOff := unreachableTargets(p.Unreachable, service)
 		cutOff = cutOff || c.cutOffPeers.contains(service, p.Member.RelayAddress)
-		if p.Member.RelayAddress == "" || !p.Ready || p.Leaving || cutOff || !ReachesMore(own, down, listed) {
-			continue
+		if p.Member.RelayAddress != "" && !cutOff && ReachesMore(own, down, l.Listed) {
+			l.Peers = append(l.Peers, ReachingPeer{Member: p.Member, Down: down})
 		}
-		list = append(list, candidate{p.Member.RelayAddress, down, p.Member.Zone != c.self.Zone})
 	}
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	slices.SortStableFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.down, b.down), cmp.Compare(btoi(a.far), btoi(b.far)))
-	})
-	addresses := make([]string, 0, len(list))
-	for _, p := range list {
-		addresses = append(addresses, p.address)
-	}
-	return addresses
+	return l.Addresses(rand.Float64)
 }
 
 // cutOff reports whether this instance cannot reach most targets of a service.
@@ -216,10 +207,3 @@
 func ReachesMore(ownDown, peerDown, listed int) bool {
 	return ownDown-peerDown >= max(1, (listed+1)/2)
 }
-
-func btoi(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
