Handover: an overloaded instance takes no requests of peers

Change: while a timer of a second fires a second late or more, what peers pass on is refused at once; they try another peer.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -265,7 +265,7 @@
 		TargetStates: &c.targetStates, Chooser: &chooser.Chooser{Policy: c.settings.Load().Routing.Policy}, MaximumJitter: c.jitter,
 		Backend: c.platform.Backend, Budget: c.retryBudget, Quarantine: &gossipedQuarantine{&c.quarantine, c.peers},
 		Pins: c.pins, SoleBuild: c.soleBuild, RecordDeadline: c.recordDeadline, Reach: &c.prober, Handover: c.platform.Handover, Peers: c.reachingPeers,
-		CutOff: c.cutOff, OnPeerCutOff: c.cutOffPeers.add,
+		CutOff: c.cutOff, OnPeerCutOff: c.cutOffPeers.add, Overloaded: c.workload.overloaded.Load,
 		CountRequest: c.countRequest, Quotas: c.quotas, RecordDemand: c.demand.Add, Calibrator: &c.calibrator, Logger: c.logger, Metrics: c.metrics,
 	}
 	c.wireAdmission()
--- a/internal/coordinator/delay.go
+++ b/internal/coordinator/delay.go
@@ -13,6 +13,9 @@
 // long, and clients allow a second.
 const behindThreshold = 250 * time.Millisecond
 
+// overloadedThreshold is the delay from which an instance takes no requests of peers: its own clients give up connections after as long.
+const overloadedThreshold = time.Second
+
 // workload counts the work that competes for this instance's processor and connections.
 type workload struct {
 	clients networker.ConnectionCount
@@ -22,12 +25,15 @@
 	// probes and accepted are the counts at the last update; behind is set while the instance is behind.
 	probes, accepted int64
 	behind           bool
+	// overloaded is set while requests of peers are refused.
+	overloaded atomic.Bool
 }
 
 // updateWorkload sets the gauges of the workload and logs it while the instance is behind; delay is how late the timer of this update
 // fired.
 func (c *Coordinator) updateWorkload(delay time.Duration) {
 	w := &c.workload
+	w.overloaded.Store(delay >= overloadedThreshold)
 	probes, accepted := c.prober.Probes(), w.clients.Accepted()
 	set := func(name string, value int64) { c.metrics.Gauge(name).Update(float64(value)) }
 	set("ClientConnections", w.clients.Open())
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -93,6 +93,8 @@
 	// peer has said that of itself.
 	CutOff       func(service identifier.ServiceID) bool
 	OnPeerCutOff func(service identifier.ServiceID, address string)
+	// Overloaded reports whether this instance is too far behind its work to take requests of peers; nil means that it is not.
+	Overloaded func() bool
 	// SoleBuild returns the only build of a service at which a stream on a path that a client goes on with can have begun, or false if
 	// there were several, or other services, or it is not known.
 	SoleBuild func(ctx context.Context, service identifier.ServiceID, host, path string) (identifier.Build, bool)
@@ -202,7 +204,7 @@
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, rs.deadline)
 		defer cancel()
-		if refusal = rs.refuseCutOff(); refusal == nil {
+		if refusal = rs.refusePassedOn(); refusal == nil {
 			refusal = rs.takeQuota(ctx)
 		}
 		switch {
--- a/internal/forwarder/handover.go
+++ b/internal/forwarder/handover.go
@@ -126,13 +126,17 @@
 	return rs.route.Kind == matcher.Safe || rs.route.Kind == matcher.Stream && rs.route.Resumable
 }
 
-// refuseCutOff refuses a request that a peer has passed on to an instance that cannot reach most targets either: the peer did not
-// know that. It returns nil for all others.
-func (rs *requestState) refuseCutOff() *Refusal {
-	if !rs.call.HandedOver || rs.f.CutOff == nil || !rs.f.CutOff(rs.service) {
-		return nil
+// refusePassedOn refuses a request that a peer has passed on to an instance that cannot reach most targets either, which the peer did not
+// know, or that is overloaded. It returns nil for all others.
+func (rs *requestState) refusePassedOn() *Refusal {
+	switch {
+	case !rs.call.HandedOver:
+	case rs.f.CutOff != nil && rs.f.CutOff(rs.service):
+		return &Refusal{Status: http.StatusMisdirectedRequest, Reason: "CutOff"}
+	case rs.f.Overloaded != nil && rs.f.Overloaded():
+		return refuseNotRun("Overloaded", defaultRetryAfter, nil)
 	}
-	return &Refusal{Status: http.StatusMisdirectedRequest, Reason: "CutOff"}
+	return nil
 }
 
 // handOver passes the request to peers until one answers. It returns false if none could be reached. s is nil for a plain
--- a/internal/forwarder/handover_test.go
+++ b/internal/forwarder/handover_test.go
@@ -29,7 +29,9 @@
 	received []forwarder.Call
 	// cutOffHere is set if the instance that is tested is cut off; cutOff holds the addresses of the peers that said so of themselves.
 	cutOffHere bool
-	cutOff     string
+	// overloadedHere is set if it is overloaded.
+	overloadedHere bool
+	cutOff         string
 }
 
 func (p *peers) Run(_ context.Context, c *forwarder.Call, _ *forwarder.HandoverAttempt) (*forwarder.Response, error) {
@@ -63,7 +65,8 @@
 		TargetStates: &chooser.TargetStates{}, Chooser: &chooser.Chooser{}, Backend: b, Budget: &budget{9}, Quarantine: &quarantine{},
 		Reach: &prober.Prober{}, Handover: p, Peers: func(identifier.ServiceID, int) []string { return strings.Fields("1 2 3 4 5 6 7 8 9") },
 		CutOff: func(identifier.ServiceID) bool { return p.cutOffHere }, OnPeerCutOff: func(_ identifier.ServiceID, address string) { p.cutOff += address },
-		Pins: noPins{}, SoleBuild: func(context.Context, identifier.ServiceID, string, string) (identifier.Build, bool) { return "", true },
+		Overloaded: func() bool { return p.overloadedHere },
+		Pins:       noPins{}, SoleBuild: func(context.Context, identifier.ServiceID, string, string) (identifier.Build, bool) { return "", true },
 		RecordDemand:  func(identifier.ServiceID, identifier.Tokens, time.Time) {},
 		MaximumJitter: func() time.Duration { return 0 }, Instances: func() int { return 1 },
 		Expected:     func(identifier.ServiceID, registrar.Stage, time.Time) (time.Duration, bool) { return 0, false },
@@ -142,6 +145,16 @@
 	}
 }
 
+// TestOverloadedInstanceTakesNoRequestsOfPeers guards against an instance whose own clients cannot connect because it serves requests that
+// others cannot.
+func TestOverloadedInstanceTakesNoRequestsOfPeers(t *testing.T) {
+	for handedOver, want := range map[bool]string{true: "503 Overloaded\n 0", false: "200 here 1"} {
+		b := &backend{runs: []step{{status: 200, body: "here"}}}
+		w, _, counted := handOver(b, &peers{overloadedHere: true}, matcher.Route{Kind: matcher.Unsafe, Attempts: 2}, &forwarder.Call{HandedOver: handedOver})
+		quicktest.Check(t, fmt.Sprint(w.Code, " ", w.Body, " ", counted), quicktest.Equals, want)
+	}
+}
+
 // TestLongBodyGoesToOnePeer guards against UNASKED: the rest of a long body, of which a peer that refused the request had read a part, went
 // to a second peer, and the request ran without that part.
 func TestLongBodyGoesToOnePeer(t *testing.T) {
