Stop: a process ends within its grace period though the store is silent

Two of the four were killed in the first wait, two in the second; no request was in progress in the second.

Change: 0.3 s for the call, half as long for the tasks.

--- a/internal/coordinator/constants.go
+++ b/internal/coordinator/constants.go
@@ -48,6 +48,8 @@
 	leaveTime = 2500 * time.Millisecond
 	// stopMargin is the time at the end of the grace period that is reserved for the exit of the process.
 	stopMargin = 700 * time.Millisecond
+	// endTimeout limits the call to the store at the end of the process; half as long, background tasks may take to end.
+	endTimeout = 300 * time.Millisecond
 	// memoryLimitFraction is the fraction of the instance's memory that becomes the soft memory limit of the runtime.
 	memoryLimitFraction = 0.7
 	// bodyMemoryDivisor sets the memory for request bodies: the instance's memory divided by this number.
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -54,13 +54,32 @@
 	var group sync.WaitGroup
 	c.start(background, duties, peerLis, &group)
 	err = c.serve(stop, stopDuties)
-	c.unregister(background)
+	ending, ended := context.WithTimeout(background, endTimeout)
+	defer ended()
+	c.unregister(ending)
 	cancel()
-	group.Wait()
+	if !waitUntil(time.Now().Add(endTimeout/2), &group) {
+		c.logger.Warn("background tasks still run at the end")
+	}
 	c.logger.Info("entry instance ends", zap.Error(err))
 	return errors.Join(err, c.closer())
 }
 
+// waitUntil waits for a group, until a time at most, and reports whether it has ended.
+func waitUntil(end time.Time, group *sync.WaitGroup) bool {
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-time.After(time.Until(end)):
+		return false
+	}
+}
+
 // start runs each background task in a goroutine of its own. The tasks of the lease holder end with duties.
 func (c *Coordinator) start(background, duties context.Context, peerLis net.Listener, group *sync.WaitGroup) {
 	peerServer := &exchanger.Server{
