Prober: the beginning of a cut is found by a sample of the targets

With the later probes bounded, the first ones remained: an instance that was cut off from 280 targets probed each of them within a second.

Change: once 16 sampled targets of more than 32 cannot be reached, and hardly any can, the rest is presumed unreachable, but those that answered in the last half second; the probes of targets that may have returned verify it. Up to 16 sampled targets are probed at a time until then.

--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -29,6 +29,11 @@
 	// recentTime, cannot either.
 	spread     = 3
 	recentTime = 2 * time.Second
+	// presumeSample is the number of targets of a sample that could not be reached, presumeRatio times as many as could, from which the rest
+	// of more than twice as many targets is presumed to be unreachable too: that is verified by the probes of targets that may have
+	// returned, as many as those are at a time.
+	presumeSample = 16
+	presumeRatio  = 15
 	// probePause is the least time between two probes of a target that can be reached.
 	probePause = time.Second
 	// maximumProbes limits the probes that run at once, and maximumReturnProbes those beside which targets that are down are
@@ -272,14 +277,16 @@
 	return true
 }
 
-// suspectOthers lets other targets be probed once one cannot be reached: a few, and all once most of them cannot. The caller
-// must hold mu.
+// suspectOthers lets other targets be probed once one cannot be reached: a few, and more once most of them cannot. If hardly any of a
+// large sample can be reached, it presumes that of the rest. The caller must hold mu.
 func (p *Prober) suspectOthers(now time.Time) {
 	addresses := p.Addresses()
-	down, up := 0, 0
+	down, up, pending := 0, 0, 0
 	for _, a := range addresses {
 		switch s := p.state(a); {
-		case !s.sample || s.probing || now.Sub(s.probedAt) >= recentTime:
+		case s.sample && (s.probing || s.suspect):
+			pending++
+		case !s.sample || now.Sub(s.probedAt) >= recentTime:
 		case s.down:
 			down++
 		default:
@@ -289,6 +296,12 @@
 	limit := spread
 	if down > max(up, spread) {
 		limit = len(addresses)
+		if clear := len(addresses) > 2*presumeSample && down >= presumeRatio*up; clear && down >= presumeSample {
+			p.presumeDown(addresses, now)
+			return
+		} else if clear {
+			limit = presumeSample - pending
+		}
 	}
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	for _, a := range addresses {
@@ -303,6 +316,20 @@
 	}
 }
 
+// presumeDown takes all targets for unreachable that have not answered lately. The caller must hold mu.
+func (p *Prober) presumeDown(addresses []string, now time.Time) {
+	presumed := 0
+	for _, a := range addresses {
+		if s := p.state(a); !s.down && !s.probing && now.Sub(s.answeredAt) >= silence {
+			s.down, s.suspect, s.probedAt = true, false, now
+			presumed++
+		}
+	}
+	if presumed > 0 {
+		p.Logger.Info("targets presumed unreachable", zap.Int("Targets", presumed))
+	}
+}
+
 // Retain forgets all targets but those at the given addresses.
 func (p *Prober) Retain(addresses []string) {
 	p.mu.Lock()
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -191,3 +191,34 @@
 		})
 	}
 }
+
+// TestBeginningOfACutProbesASample guards against an instance with hundreds of targets that falls behind as a cut begins, because it probes all
+// of them at once.
+func TestBeginningOfACutProbesASample(t *testing.T) {
+	for _, size := range []int{280, 720} {
+		run(t, size, func(t *testing.T, n *network, p *prober.Prober) {
+			n.set(everything)
+			p.Failed("target-0")
+			time.Sleep(1500 * time.Millisecond)
+			quicktest.Check(t, n.down(p), quicktest.Equals, size)
+			quicktest.Check(t, p.Probes() <= 80, quicktest.IsTrue, quicktest.Commentf("%d probes of %d targets", p.Probes(), size))
+
+			// The few that can be reached all the same are found.
+			reachable := func(a string) bool { return a == "target-11" || a == "target-222" }
+			n.set(func(a string) bool { return !reachable(a) })
+			time.Sleep(40 * time.Second)
+			quicktest.Check(t, n.down(p), quicktest.Equals, size-2)
+			n.set(nil)
+			time.Sleep(3 * time.Second)
+			quicktest.Check(t, n.down(p), quicktest.Equals, 0)
+		})
+	}
+	// Those of a tenth that were presumed to be down, because none was in the sample, are found too.
+	run(t, 280, func(t *testing.T, n *network, p *prober.Prober) {
+		tenth := func(a string) bool { return a[len(a)-1] == '7' }
+		n.set(func(a string) bool { return !tenth(a) })
+		p.Failed("target-0")
+		time.Sleep(20 * time.Second)
+		quicktest.Check(t, n.down(p), quicktest.Equals, 252)
+	})
+}
