Builds: a suspended instance does not take what it knew before for new

Cut off, or still while its clock runs on: ruled out by the model in virtual time.

Suspended, so that Go's clock stands still: it could happen here. Times were converted to a clock that runs on by adding all that the machine had been suspended. So a list of targets read before a suspension, and messages that had waited through it, seemed to be from after it: a request that waited through it was decided with the list of before, and a peer's message of before covered the gap in what the instance had seen.

Change: of times before a suspension was noticed it is assumed that they were before it.

--- a/internal/coordinator/builds_test.go
+++ b/internal/coordinator/builds_test.go
@@ -71,6 +71,8 @@
 type question struct {
 	asked time.Duration
 	build identifier.Build
+	// pinned is set if a reachable process knows where the stream began. Its answer may still come too late.
+	pinned bool
 }
 
 // maximumListWait is how long a resumption waits for such a list.
@@ -226,11 +228,14 @@
 	contact := w.contact(i, at)
 	for build, by := range w.streams {
 		for _, s := range by {
-			if s.timeout == 0 || at-s.at > s.timeout || w.pinKnown(i, s, at) {
+			if s.timeout == 0 || at-s.at > s.timeout {
 				continue
 			}
-			w.asked++
-			n.waiting = append(n.waiting, question{at, build})
+			pinned := w.pinKnown(i, s, at)
+			if !pinned {
+				w.asked++
+			}
+			n.waiting = append(n.waiting, question{at, build, pinned})
 		}
 	}
 	n.waiting = slices.DeleteFunc(n.waiting, func(q question) bool {
@@ -240,7 +245,7 @@
 			return false
 		case err == nil && sole != q.build:
 			w.joined++
-		case err != nil && w.couldKnow(i, at) && w.couldList(i, q.asked, at):
+		case err != nil && !q.pinned && w.couldKnow(i, at) && w.couldList(i, q.asked, at):
 			w.refused++
 		}
 		return true
--- a/internal/coordinator/clock.go
+++ b/internal/coordinator/clock.go
@@ -16,9 +16,20 @@
 	return time.Duration(ts.Nano())
 }
 
-// wakefulTime converts a time of Go's clock, which stands still while the machine is suspended, to one that runs on, so that a gap in
-// what this process has seen is noticed.
-func (c *Coordinator) wakefulTime(t time.Time) time.Time {
-	suspended := bootTime() - c.bootAtStart - time.Since(c.startedAt)
-	return t.Add(suspended)
+// wakefulNow converts the present time of Go's clock, which stands still while the machine is suspended, to one that runs on, so that a
+// gap in what this process has seen is noticed.
+func (c *Coordinator) wakefulNow(now time.Time) time.Time {
+	c.observeSuspension()
+	return c.suspensions.Now(now)
+}
+
+// wakefulPast converts a past time of Go's clock.
+func (c *Coordinator) wakefulPast(t time.Time) time.Time {
+	c.observeSuspension()
+	return c.suspensions.Past(t)
+}
+
+func (c *Coordinator) observeSuspension() {
+	now := time.Now()
+	c.suspensions.Observe(bootTime()-c.bootAtStart-now.Sub(c.startedAt), now)
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -160,6 +160,7 @@
 	startedAt time.Time
 	// bootAtStart is the time of bootTime at startedAt.
 	bootAtStart time.Duration
+	suspensions Suspensions
 	leaving     atomic.Bool
 	inFlight    atomic.Int64
 	workload    workload
@@ -436,12 +437,12 @@
 			return
 		}
 		if c.table.CompareAndSwap(old, next) {
-			c.moves.Record(next.Moves(old), c.wakefulTime(time.Now()))
+			c.moves.Record(next.Moves(old), c.wakefulNow(time.Now()))
 			asserter.That(old == nil || old.Version < next.Version, asserter.ConfigurationNeverReverts, "version %d replaces a later one", next.Version)
 			break
 		}
 	}
-	c.builds.SetLongestTimeout(longestTimeout(c.table.Load()), c.wakefulTime(time.Now()))
+	c.builds.SetLongestTimeout(longestTimeout(c.table.Load()), c.wakefulNow(time.Now()))
 	c.logger.Info("configuration in force", zap.Uint64("Version", uint64(cfg.Version)), zap.Uint64("Offset", uint64(r.Offset)),
 		zap.Int("Routes", len(cfg.Routes)), zap.Int("Teams", len(cfg.Teams)))
 	c.passOn()
@@ -466,7 +467,7 @@
 		c.logger.Info("older target entry ignored", zap.String("Target", r.Key), zap.Uint64("Beat", t.Revision), zap.Uint64("Offset", uint64(r.Offset)))
 		return
 	}
-	c.builds.Saw([]pinner.Pin{{Service: t.Service, Build: t.Build}}, c.wakefulTime(time.Now()))
+	c.builds.Saw([]pinner.Pin{{Service: t.Service, Build: t.Build}}, c.wakefulNow(time.Now()))
 	c.logger.Info("target", zap.String("Target", r.Key), zap.String("Service", string(t.Service)), zap.String("Zone", string(t.Zone)),
 		zap.Stringer("Stage", t.Stage), zap.String("Build", string(t.Build)), zap.Bool("Leaving", t.Leaving), zap.Bool("Cheap", t.Cheap), zap.Uint64("Beat", t.Revision), zap.Uint64("Offset", uint64(r.Offset)))
 	c.passOn()
--- a/internal/coordinator/gossip.go
+++ b/internal/coordinator/gossip.go
@@ -73,8 +73,8 @@
 	b.Departures = c.departures(now)
 	c.addQuarantine(b, now)
 	c.addLimits(b, last, now)
-	c.builds.Compose(b, last, c.wakefulTime(now))
-	c.moves.Compose(b, c.wakefulTime(now))
+	c.builds.Compose(b, last, c.wakefulNow(now))
+	c.moves.Compose(b, c.wakefulNow(now))
 	if last != nil {
 		c.addChanges(b, last, firstHand)
 		c.addCalibration(b, last, firstHand, now)
@@ -242,8 +242,8 @@
 	c.applyQuarantine(b, now)
 	c.applyLimits(b, receipt)
 	if composedAt := receipt.ComposedAt(b); !composedAt.IsZero() {
-		c.builds.Apply(b, c.wakefulTime(composedAt), c.wakefulTime(now))
-		c.moves.Apply(b, c.wakefulTime(composedAt), c.wakefulTime(now))
+		c.builds.Apply(b, c.wakefulPast(composedAt), c.wakefulNow(now))
+		c.moves.Apply(b, c.wakefulPast(composedAt), c.wakefulNow(now))
 	}
 	c.applyOrders(b, receipt)
 	if l := b.Lease; l != nil {
--- a/internal/coordinator/pins.go
+++ b/internal/coordinator/pins.go
@@ -70,16 +70,16 @@
 // listed, and the path led to no other service. It waits for a configuration and a list of targets that are as new as the question: the
 // stream may have begun at what was added just before.
 func (c *Coordinator) soleBuild(ctx context.Context, service identifier.ServiceID, host, path string) (identifier.Build, bool) {
-	asked := c.wakefulTime(time.Now())
+	asked := c.wakefulNow(time.Now())
 	if _, read := c.members.Age(time.Now()); !read {
 		return "", false // The StreamRecord may tell of longer streams.
 	}
 	ids := matcher.PathIDs(host, path)
 	for {
 		now := time.Now()
-		wakeful := c.wakefulTime(now)
+		wakeful := c.wakefulNow(now)
 		build, err := c.builds.Sole(service, c.buildList(now), c.contact(now), asked, wakeful)
-		if err == nil && c.wakefulTime(now.Add(-c.tableAge())).Before(asked) {
+		if err == nil && c.wakefulPast(now.Add(-c.tableAge())).Before(asked) {
 			err = ErrListOlder
 		}
 		if !errors.Is(err, ErrListOlder) || wakeful.Sub(asked) >= MaximumListWait {
@@ -93,12 +93,12 @@
 
 // recordDeadline records how long a client waits for a stream that may be taken up.
 func (c *Coordinator) recordDeadline(deadline time.Duration) {
-	c.builds.SawDeadline(deadline, c.wakefulTime(time.Now()))
+	c.builds.SawDeadline(deadline, c.wakefulNow(time.Now()))
 }
 
 // recordBuilds records the builds of all listed targets.
 func (c *Coordinator) recordBuilds(now time.Time) {
-	c.builds.Record(c.buildList(now), c.contact(now), c.wakefulTime(now))
+	c.builds.Record(c.buildList(now), c.contact(now), c.wakefulNow(now))
 }
 
 func (c *Coordinator) contact(now time.Time) Contact {
@@ -110,7 +110,7 @@
 func (c *Coordinator) buildList(now time.Time) BuildList {
 	l := BuildList{}
 	if age, known := c.targets.Age(now); known {
-		l.AsOf = c.wakefulTime(now.Add(-age))
+		l.AsOf = c.wakefulPast(now.Add(-age))
 	}
 	for _, t := range c.registry.Targets() {
 		l.Pins = append(l.Pins, pinner.Pin{Service: t.Service, Build: t.Build})
--- a/internal/coordinator/stream_record.go
+++ b/internal/coordinator/stream_record.go
@@ -25,7 +25,7 @@
 	differsSince := time.Time{}
 	for sleeper.Sleep(ctx, streamRecordInterval) == nil {
 		now := time.Now()
-		longest := roundUp(c.builds.Longest(c.wakefulTime(now)), time.Second)
+		longest := roundUp(c.builds.Longest(c.wakefulNow(now)), time.Second)
 		_, read := c.members.Age(now)
 		if !read || longest == 0 || longest == time.Duration(c.recordedLongest.Load()) {
 			differsSince = time.Time{}
@@ -67,7 +67,7 @@
 	}
 	longest := time.Duration(r.LongestMilliseconds) * time.Millisecond
 	c.recordedLongest.Store(int64(longest))
-	c.builds.Recall(longest, c.wakefulTime(time.Now()))
+	c.builds.Recall(longest, c.wakefulNow(time.Now()))
 }
 
 func roundUp(d, unit time.Duration) time.Duration {
