--- a/Makefile
+++ b/Makefile
@@ -27,9 +27,10 @@
 soak:
 	go test ./internal/runner -run TestSoak -timeout 0 -soak.seed $(SEED) -soak.runs $(RUNS)
 
-# Runs real entry processes under faults injected from outside. 50 seeds take half an hour.
+# Runs real entry processes under faults injected from outside. 50 seeds take half an hour. EARLIER is the program of an earlier
+# build that half of the processes run.
 fault-soak:
-	go test ./platform -run TestFaultSoak -v -timeout 0 -faultsoak.seed $(SEED) -faultsoak.runs $(RUNS)
+	go test ./platform -run TestFaultSoak -v -timeout 0 -faultsoak.seed $(SEED) -faultsoak.runs $(RUNS) $(if $(EARLIER),-faultsoak.earlier $(EARLIER))
 
 proto:
 	go build -modfile=tools/go.mod -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
