--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -58,15 +58,15 @@
 	defer ended()
 	c.unregister(ending)
 	cancel()
-	if !waitUntil(time.Now().Add(endTimeout/2), &group) {
+	if !waitFor(&group, endTimeout/2) {
 		c.logger.Warn("background tasks still run at the end")
 	}
 	c.logger.Info("entry instance ends", zap.Error(err))
 	return errors.Join(err, c.closer())
 }
 
-// waitUntil waits for a group, until a time at most, and reports whether it has ended.
-func waitUntil(end time.Time, group *sync.WaitGroup) bool {
+// waitFor waits for a group for the given time at most, and reports whether it has ended.
+func waitFor(group *sync.WaitGroup, limit time.Duration) bool {
 	done := make(chan struct{})
 	go func() {
 		group.Wait()
@@ -75,7 +75,7 @@
 	select {
 	case <-done:
 		return true
-	case <-time.After(time.Until(end)):
+	case <-time.After(limit):
 		return false
 	}
 }
