Builds: deadlines of clients expire by the steady clock

The expiry of a client's deadline was rounded, which drops the steady reading of a time, so a jump of the time of day moved it. It is renewed after a second now instead. TestStreamsTakenUpLateInLongDeadlines passes.

--- a/internal/coordinator/builds.go
+++ b/internal/coordinator/builds.go
@@ -25,6 +25,8 @@
 	maximumTransit = time.Second
 	// maximumDeadline is the longest deadline of a client that counts: half as much again is as long as sightings are remembered.
 	maximumDeadline = 40 * time.Second
+	// deadlineRefresh is the time after which a deadline that is seen again counts anew.
+	deadlineRefresh = time.Second
 	// minimumStreamAge is the least time for which an instance that does not know where a stream began assumes that it may have
 	// begun; routes with longer timeouts extend it.
 	minimumStreamAge = 5 * time.Second
@@ -113,8 +115,10 @@
 func (b *Builds) SawDeadline(deadline time.Duration, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if deadline > b.timeout {
-		b.remember(min(deadline, maximumDeadline), now.Add(timeoutMemory).Truncate(time.Second), now)
+	deadline, until := min(deadline, maximumDeadline), now.Add(timeoutMemory)
+	known := slices.ContainsFunc(b.earlier, func(e expiredTimeout) bool { return e.timeout >= deadline && until.Sub(e.until) < deadlineRefresh })
+	if deadline > b.timeout && !known {
+		b.remember(deadline, until, now)
 	}
 }
 
