Streams: a storm of configurations does not fill messages with moves

Beyond 256 all paths count as moved, at the time of the latest move. TestStreamsOfMovedRoutes plays 2,000 moves within two seconds; without the bound its message holds all of them.

--- a/internal/coordinator/moves.go
+++ b/internal/coordinator/moves.go
@@ -9,8 +9,12 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
 )
 
-// moveMemory is how long it is remembered that the requests of a path went to other services.
-const moveMemory = time.Minute
+const (
+	// moveMemory is how long it is remembered that the requests of a path went to other services.
+	moveMemory = time.Minute
+	// maximumMoves is the number of paths beyond which all count as moved: each message holds them.
+	maximumMoves = 256
+)
 
 // Moves records which paths led to other services lately: a stream of which nothing else is known may have begun there. The zero value
 // knows nothing. All times are the caller's.
@@ -19,6 +23,8 @@
 	// since is the time from which on all moves are known, or zero.
 	since time.Time
 	at    map[matcher.PathID]time.Time
+	// latest is the time of the latest move.
+	latest time.Time
 }
 
 // Record takes the paths that moved with a configuration that is in force from now on.
@@ -38,6 +44,13 @@
 	if m.at == nil {
 		m.at = map[matcher.PathID]time.Time{}
 	}
+	if at.After(m.latest) {
+		m.latest = at
+	}
+	if _, known := m.at[id]; !known && len(m.at) >= maximumMoves {
+		clear(m.at)
+		id, at = matcher.AllPaths, m.latest
+	}
 	if at.After(m.at[id]) {
 		m.at[id] = at
 	}
