Pool: a separate connection leaves the idle ones alone

A control call on a connection of its own closed all idle connections to its target, since it may use none of them.

--- a/internal/pooler/exchange.go
+++ b/internal/pooler/exchange.go
@@ -118,15 +118,10 @@
 //
 // When ctx ends, the connection is closed, even while the body is being read.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	maximumIdle := r.MaximumIdle
-	if r.Separate {
-		maximumIdle = 0
-	}
-	c, err := p.get(ctx, r.Address, maximumIdle, r.Connections)
+	c, err := p.connectionFor(ctx, r)
 	if err != nil {
 		return nil, err
 	}
-	c.separate = r.Separate
 	stop := context.AfterFunc(ctx, c.close)
 	x := &exchange{conn: c, stop: stop, written: make(chan error, 1)}
 	head, err := r.head()
@@ -152,6 +147,18 @@
 	return response, nil
 }
 
+// connectionFor returns the connection for a request. The idle ones stay as they are if it uses one of its own.
+func (p *Pool) connectionFor(ctx context.Context, r *Request) (*conn, error) {
+	if !r.Separate {
+		return p.get(ctx, r.Address, r.MaximumIdle, r.Connections)
+	}
+	c, err := p.connect(ctx, r.Address, r.Connections)
+	if err == nil {
+		c.separate = true
+	}
+	return c, err
+}
+
 // head returns the request line and headers.
 func (r *Request) head() ([]byte, error) {
 	if _, err := url.ParseRequestURI(r.URI); err != nil {
--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -65,6 +65,11 @@
 		}
 		c.close()
 	}
+	return p.connect(ctx, addr, limit)
+}
+
+// connect opens a new connection, within the limit.
+func (p *Pool) connect(ctx context.Context, addr string, limit int) (*conn, error) {
 	if !p.reserve(addr, limit) {
 		return nil, fmt.Errorf("%w: %w: %s", ErrNotSent, ErrConnectionLimit, addr)
 	}
--- a/internal/pooler/pooler_test.go
+++ b/internal/pooler/pooler_test.go
@@ -235,3 +235,17 @@
 	close(release)
 	quicktest.Check(t, <-done, quicktest.IsNil)
 }
+
+// TestSeparateConnectionLeavesIdleOnesAlone guards against a control call that costs each of the connections that are kept for requests.
+func TestSeparateConnectionLeavesIdleOnesAlone(t *testing.T) {
+	tg := listen(t, func(conn net.Conn, r *http.Request, _ int) { respond(conn, r.Header.Get("X-Id"), "ok") })
+	p := &pooler.Pool{}
+	for range 3 {
+		_, err := send(p, tg, "request", time.Minute)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		response, err := p.Do(context.Background(), &pooler.Request{Address: tg.addr, Method: http.MethodGet, URI: "/", Host: "h", Separate: true})
+		quicktest.Assert(t, err, quicktest.IsNil)
+		io.Copy(io.Discard, response.Body)
+	}
+	quicktest.Check(t, tg.conns.Load(), quicktest.Equals, int64(1+3))
+}
