Refusals: logs and metrics name what the claim that a request has not run rests on

A refusal with a promise may rest on this instance's own decision, on an attempt of which no byte was sent, on a target's word or on a peer's. The lines of a request did not tell these apart, so the hypotheses could not be either. The line 'request refused' now has Evidence and Peer, and RefusalsNotRun counts by Evidence. 408 counts as such a status too. No decision changes.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -180,6 +180,8 @@
 	requestDigest identifier.RequestDigest
 	// status is the status of the target's response.
 	status int
+	// evidence is what a refusal that implies that the request has not run would rest on.
+	evidence Evidence
 }
 
 // logEntry holds the choices and times of a request for the log.
@@ -234,6 +236,9 @@
 	asserter.That(!refusal.impliesNotRun() || !rs.started, asserter.NotRunIsTrue,
 		"request %s: %s", rs.call.ID, refusal.Reason)
 	rs.f.Metrics.Tagged(map[string]string{"Reason": refusal.Reason}).Counter("Refusals").Inc(1)
+	if refusal.impliesNotRun() {
+		rs.f.Metrics.Tagged(map[string]string{"Evidence": rs.evidence.String()}).Counter("RefusalsNotRun").Inc(1)
+	}
 	rs.logRefusal("request refused", refusal)
 	if rs.headerSent {
 		panic(http.ErrAbortHandler)
@@ -257,11 +262,15 @@
 	if rs.route != nil {
 		route = rs.route.ID
 	}
+	evidence := zap.Skip()
+	if r.impliesNotRun() {
+		evidence = zap.Stringer("Evidence", rs.evidence)
+	}
 	rs.f.Logger.Info(message,
 		zap.String("RequestID", string(rs.call.ID)), zap.String("Route", string(route)),
 		zap.String("Reason", r.Reason), zap.Int("Status", r.Status), zap.Duration("After", time.Since(rs.start)),
 		zap.Int("Sends", rs.attempts), zap.Duration("Deadline", rs.call.Deadline),
-		zap.String("Origin", string(rs.call.Origin)), zap.String("LastEvent", rs.call.LastEvent), zap.Bool("HandedOver", rs.call.HandedOver), zap.Error(r.Err))
+		zap.String("Origin", string(rs.call.Origin)), zap.String("LastEvent", rs.call.LastEvent), zap.Bool("HandedOver", rs.call.HandedOver), evidence, rs.peerField(), zap.Error(r.Err))
 }
 
 // admit determines the route, team and deadline of a request.
@@ -441,7 +450,7 @@
 // impliesNotRun reports whether the status means to the client that the request has not run and never will.
 func (r *Refusal) impliesNotRun() bool {
 	switch r.Status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest:
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest, http.StatusRequestTimeout:
 		return true
 	}
 	return false
--- a/internal/forwarder/handover.go
+++ b/internal/forwarder/handover.go
@@ -200,6 +200,10 @@
 	switch {
 	case errors.Is(err, ErrNotRun):
 		rs.attempts--
+		rs.evidence = max(rs.evidence, NothingSent)
+		if !errors.Is(err, ErrNotSent) {
+			rs.evidence = PeerSaid
+		}
 		return err
 	case err != nil:
 		rs.started, rs.unusedCache = true, nil
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -132,6 +132,7 @@
 // countFailedAttempt updates the counts after a failed attempt: an attempt that was not sent does not count, and one
 // with an unknown outcome counts the request as started.
 func (rs *requestState) countFailedAttempt(err error) {
+	rs.addEvidence(err)
 	switch {
 	case errors.Is(err, ErrNotSent):
 		rs.attempts--
--- a/internal/forwarder/streamed.go
+++ b/internal/forwarder/streamed.go
@@ -130,6 +130,7 @@
 		rs.f.Logger.Info("prompt target failed", zap.String("RequestID", string(rs.call.ID)),
 			zap.String("Target", string(promptChoice.Target.ID)), zap.Duration("Predicted", promptChoice.Predicted), zap.Error(err))
 		rs.prefillFailed = true
+		rs.addEvidence(err)
 		rs.avoid(promptChoice.Target, err)
 		switch {
 		case ctx.Err() != nil:
