Handover: only a peer's word counts as its refusal

Cause: an instance that cannot reach the targets passes a request to a peer. A response of the peer without a seal and with 503 or a 4xx counted as the peer's own refusal. A failure of a target without a seal looks the same: the claim rested on something that is missing.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -243,6 +243,9 @@
 	if rs.headerSent {
 		panic(http.ErrAbortHandler)
 	}
+	if rs.call.OnRefusal != nil {
+		rs.call.OnRefusal(!rs.started && refusal.Status < http.StatusInternalServerError || refusal.impliesNotRun())
+	}
 	refusal.writeTo(rs.w)
 }
 
