Responses without a length need a body to count as successes

It could happen here in one form: after a whole head with neither a length nor chunks, where the end of the connection ends the body. An empty one was relayed with a Content-Length of zero. Cuts within a head, and within a body with a length or chunks, gave no success before either: TestResponsesThatBreakOffAre- Incomplete cuts six forms after each byte.

Change: a success of which nothing but such a head arrived counts as broken off: 502, or another attempt where the request may be repeated. A body of any bytes that ends with its connection counts as whole, as the protocol says that answers may end so; a reset does not. A peer gives what it relays a length or chunks, or breaks off.

TestResponsesWithoutALengthNeedABody failed before in the cases unsafe and safe and passes.

--- a/internal/forwarder/backend.go
+++ b/internal/forwarder/backend.go
@@ -93,7 +93,9 @@
 	Header http.Header
 	// Length is the length of the body, or -1 if unknown.
 	Length int64
-	Body   io.ReadCloser
+	// Unframed is set if only the end of the connection ends the body.
+	Unframed bool
+	Body     io.ReadCloser
 }
 
 // Backend sends calls to targets. It never retries.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -34,6 +34,8 @@
 	err    error
 	// truncated ends the body with an error.
 	truncated bool
+	// unframed marks a response that ends with its connection.
+	unframed bool
 }
 
 var (
@@ -63,7 +65,7 @@
 		body = io.MultiReader(body, errorReader{})
 	}
 	h := http.Header{"X-Test-Seal": {string(a.Target.ID)}}
-	return &forwarder.Response{Status: st.status, Header: h, Body: io.NopCloser(body)}, nil
+	return &forwarder.Response{Status: st.status, Header: h, Unframed: st.unframed, Body: io.NopCloser(body)}, nil
 }
 
 func (b *backend) Prefill(_ context.Context, _ *forwarder.Call, a *forwarder.Attempt) (*forwarder.KVHandle, error) {
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -163,6 +163,9 @@
 	response.Body = &endingBody{response.Body, done}
 	rs.markStarted()
 	buffered, err := io.ReadAll(io.LimitReader(response.Body, bufferedResponseBytes))
+	if err == nil && len(buffered) == 0 && response.Unframed && response.Status < http.StatusMultipleChoices {
+		err = errNoBody
+	}
 	if err == nil {
 		rs.f.Quarantine.Completed(rs.digest(), nil, time.Now())
 		if response.Status < http.StatusBadRequest && len(buffered) < bufferedResponseBytes {
@@ -176,6 +179,9 @@
 	return response, buffered, nil
 }
 
+// errNoBody is the error of a successful response without a length of which nothing but the head arrived: nothing shows that it is whole.
+var errNoBody = errors.New("connection closed after the head of a response without a length")
+
 // endingBody ends the wait for its target when it is closed.
 type endingBody struct {
 	io.ReadCloser
--- a/internal/pooler/exchange.go
+++ b/internal/pooler/exchange.go
@@ -58,7 +58,9 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if unknown.
 	Length int64
-	Body   io.ReadCloser
+	// Unframed is set if only the end of the connection ends the body.
+	Unframed bool
+	Body     io.ReadCloser
 }
 
 // conn is a connection of a Pool. It was last used at idleSince and is not reused after expiresAt.
@@ -272,7 +274,8 @@
 		}
 		x.conn.input.remaining = noLimit
 		return &Response{
-			Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, Body: &responseBody{res: res, x: x},
+			Status: res.StatusCode, Header: res.Header, Length: res.ContentLength,
+			Unframed: res.ContentLength < 0 && len(res.TransferEncoding) == 0, Body: &responseBody{res: res, x: x},
 		}, nil
 	}
 }
