Streams: only events with higher IDs continue a stream

Whatever ended with an empty line and had no ID was relayed as an event, and a response without events ended the stream as whole, also the first one.

Change: what has no ID, or none higher than the last, leaves the stream broken off, unless it is a comment or a reconnection time; so does a first response without events, and a later one that has no length either. A stream that may be resumed goes on elsewhere; another one is cut, or answered 502 if nothing was sent. A framed response without events after the last one the client has is still complete: a target may have nothing left.

TestOnlyEventsContinueAStream failed before in nine of its cases and passes.

--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -51,6 +51,9 @@
 	for {
 		event, err := queue.next()
 		if errors.Is(err, io.EOF) && len(event) == 0 {
+			if events == 0 && (response.Unframed || !s.goesOn()) {
+				return fmt.Errorf("%w: response without events after event %d", ErrOutcomeUnknown, s.lastID)
+			}
 			s.requestState.writeHeader(response)
 			s.requestState.observeAnswer(t, first, last, events)
 			return nil
@@ -63,8 +66,10 @@
 			first = last
 		}
 		s.requestState.markStarted()
-		if err := s.advance(event); err != nil {
-			return err
+		if !isComment(event) {
+			if err := s.advance(event); err != nil {
+				return err
+			}
 		}
 		if t != nil {
 			s.requestState.begin(ctx, t.Build)
@@ -79,12 +84,15 @@
 	}
 }
 
-// advance moves the stream's position to an event; it fails if the event's ID is not higher than the last one. An event
-// without a numeric ID leaves the position unchanged.
+// goesOn reports whether the client has received events of the stream: a target may then have none left.
+func (s *stream) goesOn() bool { return s.lastID > 0 || s.requestState.call.goesOn() }
+
+// advance moves the stream's position to an event; it fails if the event's ID is not higher than the last one. What has no ID is not
+// an event of the stream: it may be the text of an error.
 func (s *stream) advance(event []byte) error {
 	id, ok := eventID(event)
 	if !ok {
-		return nil
+		return fmt.Errorf("%w: received %.40q, which has no event ID, after event %d", ErrOutcomeUnknown, event, s.lastID)
 	}
 	if id <= s.lastID {
 		return fmt.Errorf("%w: received event %d after event %d", ErrOutcomeUnknown, id, s.lastID)
@@ -93,6 +101,16 @@
 	return nil
 }
 
+// isComment reports whether an event consists only of comments and reconnection times, which are no part of the stream's content.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' && !bytes.HasPrefix(line, []byte("retry:")) {
+			return false
+		}
+	}
+	return true
+}
+
 // readEvent reads one event up to and including its empty line. It returns io.EOF only between events, without any bytes.
 func readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
