Stop: what has been read is answered before the process ends

After 2.5 s the servers were shut down, and 0.7 s before the end of the grace period the process ended, whatever was in progress: a request that waited for its prompt, memory or an order as well as one that a target still ran got no answer. Besides, a request that was completed on an open connection after 2.5 s was closed with nothing run and no answer, which promises nothing to its caller.

Change: after 2.5 s the listeners are closed, and requests on open connections are answered 503 'Stopping' with the end of the connection. 0.95 s before the end of the grace period the requests in progress are ended by their context and answered: 503 if they have not run, 502 if they may have; a stream that has begun is cut as before. Then connections without a request are closed, and the servers are shut down, so a silent connection no longer keeps the process.

Evidence: TestStopAnswersWhatItHasRead failed before (two requests closed without an answer, two answered only after the entry had ended; in a process they get none) and passes.

--- a/internal/coordinator/constants.go
+++ b/internal/coordinator/constants.go
@@ -48,6 +48,12 @@
 	leaveTime = 2500 * time.Millisecond
 	// stopMargin is the time at the end of the grace period that is reserved for the exit of the process.
 	stopMargin = 700 * time.Millisecond
+	// answerMargin is the time before stopMargin in which the requests are answered that are ended because their time is over.
+	answerMargin = 250 * time.Millisecond
+	// shutdownTimeout limits the shutdown of the servers once the last request is done.
+	shutdownTimeout = 50 * time.Millisecond
+	// drainPause is the pause between checks whether a request is still in progress.
+	drainPause = 10 * time.Millisecond
 	// endTimeout limits the call to the store at the end of the process; half as long, background tasks may take to end.
 	endTimeout = 300 * time.Millisecond
 	// memoryLimitFraction is the fraction of the instance's memory that becomes the soft memory limit of the runtime.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -32,6 +32,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
 	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
 	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
+	"github.com/coltsfootscale/coltsfootscale/internal/networker"
 	"github.com/coltsfootscale/coltsfootscale/internal/parser"
 	"github.com/coltsfootscale/coltsfootscale/internal/pinner"
 	"github.com/coltsfootscale/coltsfootscale/internal/prober"
@@ -156,12 +157,18 @@
 	closer  func() error
 	// relay serves the requests that peers pass on; nil if there is no address for it.
 	relay *khttp.Server
+	// listeners are those of all servers.
+	listeners []*networker.ClosingListener
 
 	startedAt time.Time
 	// bootAtStart is the time of bootTime at startedAt.
 	bootAtStart time.Duration
 	suspensions Suspensions
 	leaving     atomic.Bool
+	// stopping is set once new requests are refused, and requests ends, by endRequests, with the time for those in progress.
+	stopping    atomic.Bool
+	requests    context.Context
+	endRequests context.CancelCauseFunc
 	inFlight    atomic.Int64
 	workload    workload
 	// receiving is the number of messages of peers that are being processed.
@@ -184,6 +191,7 @@
 func New(settings *parser.EntrySettings, p Platform, handlers Handlers, reload func() (*parser.EntrySettings, error), logger *zap.Logger) *Coordinator {
 	c := &Coordinator{platform: p, handlers: handlers, logger: logger, reload: reload, sendProgress: map[string]*sendProgress{},
 		memberLost: make(chan struct{}, 1), heldClosings: map[string][]int64{}, startedAt: time.Now(), bootAtStart: bootTime()}
+	c.requests, c.endRequests = context.WithCancelCause(context.Background())
 	c.settings.Store(settings)
 	c.bounds = settings.Bounds
 	c.openMetrics()
@@ -266,7 +274,7 @@
 		TargetStates: &c.targetStates, Chooser: &chooser.Chooser{Policy: c.settings.Load().Routing.Policy}, MaximumJitter: c.jitter,
 		Backend: c.platform.Backend, Budget: c.retryBudget, Quarantine: &gossipedQuarantine{&c.quarantine, c.peers},
 		Pins: c.pins, SoleBuild: c.soleBuild, RecordDeadline: c.recordDeadline, Reach: &c.prober, Handover: c.platform.Handover, Peers: c.reachingPeers,
-		CutOff: c.cutOff, OnPeerCutOff: c.cutOffPeers.add, Overloaded: c.workload.overloaded.Load,
+		CutOff: c.cutOff, OnPeerCutOff: c.cutOffPeers.add, Overloaded: c.workload.overloaded.Load, Stopping: c.stopping.Load,
 		CountRequest: c.countRequest, Quotas: c.quotas, RecordDemand: c.demand.Add, Calibrator: &c.calibrator, Logger: c.logger, Metrics: c.metrics,
 	}
 	c.wireAdmission()
@@ -328,6 +336,10 @@
 
 // Serve handles a client's call.
 func (c *Coordinator) Serve(ctx context.Context, w http.ResponseWriter, call *forwarder.Call) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(c.requests, func() { cancel(context.Cause(c.requests)) })
+	defer stop()
 	c.forward.Serve(ctx, w, call)
 }
 
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -24,6 +24,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/asserter"
 	"github.com/coltsfootscale/coltsfootscale/internal/exchanger"
 	"github.com/coltsfootscale/coltsfootscale/internal/follower"
+	"github.com/coltsfootscale/coltsfootscale/internal/forwarder"
 	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
 	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
 	"github.com/coltsfootscale/coltsfootscale/internal/networker"
@@ -264,9 +265,13 @@
 	app := kratos.New(
 		kratos.Server(servers...),
 		kratos.Signal(syscall.SIGTERM, os.Interrupt),
-		kratos.StopTimeout(settings.Bounds.Grace-leaveTime-stopMargin),
+		kratos.StopTimeout(shutdownTimeout),
 		kratos.BeforeStop(func(context.Context) error {
-			once.Do(func() { c.leave(client, stopDuties) })
+			once.Do(func() {
+				ending := time.Now().Add(settings.Bounds.Grace - stopMargin - answerMargin)
+				c.leave(client, stopDuties)
+				c.drain(client, ending)
+			})
 			return nil
 		}),
 	)
@@ -295,14 +300,17 @@
 	if count != nil {
 		lis = networker.CountListener(lis, count)
 	}
+	closing := networker.NewClosingListener(networker.TimeoutListener(networker.LimitListener(lis, connections), c.timeLimits))
 	srv := khttp.NewServer(
-		khttp.Listener(networker.TimeoutListener(networker.LimitListener(lis, connections), c.timeLimits)),
+		khttp.Listener(closing),
 		khttp.Endpoint(&url.URL{Scheme: "http", Host: addr}),
 		khttp.Timeout(0),
 	)
 	srv.ReadHeaderTimeout = networker.HeaderTimeoutSentinel
 	srv.IdleTimeout = networker.IdleTimeoutSentinel
 	srv.ErrorLog = zap.NewStdLog(c.logger)
+	srv.ConnState = closing.ConnState
+	c.listeners = append(c.listeners, closing)
 	// This bypasses the router of kratos, which redirects paths that are not clean.
 	srv.Handler = h
 	return srv, nil
@@ -341,3 +349,35 @@
 	}
 	time.Sleep(leaveTime)
 }
+
+// drain refuses new connections, and requests that come on open ones, until the last request is done. It ends the requests that are in
+// progress at the given time, so that their clients get an answer before the process ends.
+func (c *Coordinator) drain(client *khttp.Server, ending time.Time) {
+	c.stopping.Store(true)
+	for _, l := range c.listeners {
+		if err := l.StopAccepting(); err != nil {
+			c.logger.Warn("listener not closed", zap.Error(err))
+		}
+	}
+	c.logger.Info("draining", zap.Int64("InFlight", c.inFlight.Load()))
+	for c.inFlight.Load() > 0 && time.Now().Before(ending) {
+		time.Sleep(drainPause)
+	}
+	if n := c.inFlight.Load(); n > 0 {
+		c.logger.Warn("requests are ended by the stop", zap.Int64("InFlight", n))
+	}
+	c.endRequests(forwarder.ErrStopping)
+	for _, l := range c.listeners {
+		l.CloseUnused()
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), ending.Add(answerMargin))
+	defer cancel()
+	for _, srv := range []*khttp.Server{client, c.relay} {
+		if srv == nil {
+			continue
+		}
+		if err := srv.Shutdown(ctx); err != nil {
+			c.logger.Warn("connections are cut by the stop", zap.Int64("InFlight", c.inFlight.Load()), zap.Error(err))
+		}
+	}
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -95,6 +95,8 @@
 	OnPeerCutOff func(service identifier.ServiceID, address string)
 	// Overloaded reports whether this instance is too far behind its work to take requests of peers; nil means that it is not.
 	Overloaded func() bool
+	// Stopping reports whether this instance takes no requests any more; nil means that it does.
+	Stopping func() bool
 	// SoleBuild returns the only build of a service at which a stream on a path that a client goes on with can have begun, or false if
 	// there were several, or other services, or it is not known.
 	SoleBuild func(ctx context.Context, service identifier.ServiceID, host, path string) (identifier.Build, bool)
@@ -201,7 +203,10 @@
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, call *Call) {
 	rs := &requestState{f: f, w: w, call: call, start: time.Now(), attempts: call.AttemptsBefore, prefills: call.PrefillsBefore, unusedCache: call.Cache}
 	rs.awaitStart(ctx)
-	refusal := rs.admit()
+	refusal := rs.refuseStopping()
+	if refusal == nil {
+		refusal = rs.admit()
+	}
 	if refusal == nil {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, rs.deadline)
@@ -444,8 +449,11 @@
 // refuseOutcomeUnknown fails a request that may have run.
 func refuseOutcomeUnknown(ctx context.Context, reason string, err error) *Refusal {
 	status := http.StatusBadGateway
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		status, reason = http.StatusGatewayTimeout, "Timeout"
+	case errors.Is(context.Cause(ctx), ErrStopping):
+		reason = "Stopping"
 	}
 	return &Refusal{Status: status, Reason: reason, Err: err}
 }
--- a/internal/forwarder/start.go
+++ b/internal/forwarder/start.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"time"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/sleeper"
@@ -32,3 +34,22 @@
 		}
 	}
 }
+
+// ErrStopping is the cause of the end of a request's context if the instance stops before the request is done.
+var ErrStopping = errors.New("the instance stops")
+
+// refuseStopping refuses a request that comes on an open connection when the instance is about to end, or returns nil.
+func (rs *requestState) refuseStopping() *Refusal {
+	if rs.f.Stopping == nil || !rs.f.Stopping() {
+		return nil
+	}
+	return refuseNotRun("Stopping", defaultRetryAfter, ErrStopping)
+}
+
+// refuseUnprompted refuses a stream whose prompt was not prefilled before ctx ended.
+func (rs *requestState) refuseUnprompted(ctx context.Context, err error) *Refusal {
+	if errors.Is(context.Cause(ctx), ErrStopping) {
+		return rs.adjustRefusal(refuseNotRun("Stopping", defaultRetryAfter, err))
+	}
+	return &Refusal{Status: http.StatusGatewayTimeout, Reason: "PromptTimeout", Err: err}
+}
--- a/internal/forwarder/streamed.go
+++ b/internal/forwarder/streamed.go
@@ -134,7 +134,7 @@
 		rs.avoid(promptChoice.Target, err)
 		switch {
 		case ctx.Err() != nil:
-			return nil, nil, &Refusal{Status: http.StatusGatewayTimeout, Reason: "PromptTimeout", Err: err}
+			return nil, nil, rs.refuseUnprompted(ctx, err)
 		case rs.shouldHandOver():
 			return nil, nil, rs.adjustRefusal(refuseNotRun("PromptTargetsFailed", defaultRetryAfter, err))
 		case errors.Is(err, ErrNotSent):
--- a/internal/tracer/trace.go
+++ b/internal/tracer/trace.go
@@ -129,6 +129,7 @@
 	"AnswerBroken":         "its answer broke off at a target; it may have run",
 	"Interrupted":          "it was interrupted; it may have run",
 	"Timeout":              "its deadline or its route's timeout passed; it may have run",
+	"Stopping":             "the instance was about to end; with 503 it did not run, with 502 it may have run",
 	"PromptTimeout":        "its deadline or its route's timeout passed before its prompt was prefilled",
 }
 
