Bodies: the rest of a long body belongs to the first attempt that reads it

Cause: only the start of a long body is held.

Change: each attempt gets a reader of its own, and the rest belongs to the first that reads. A later attempt fails before its first byte of it, so its request stays incomplete and does not run. No caller's decision changes.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -310,7 +310,7 @@
 
 func TestLongBodiesAreSentOnce(t *testing.T) {
 	long := func() *forwarder.Call {
-		return &forwarder.Call{Body: forwarder.Body{Buffered: []byte("start"), Rest: strings.NewReader("rest"), RestBytes: 4}, Parts: []chooser.Part{{ID: 1, Tokens: 10}}}
+		return &forwarder.Call{Body: forwarder.Body{Buffered: []byte("start"), Rest: forwarder.NewRest(strings.NewReader("rest")), RestBytes: 4}, Parts: []chooser.Part{{ID: 1, Tokens: 10}}}
 	}
 	b := &backend{runs: []step{notRun, {status: 200, body: "ok"}}}
 	res := serve(b, matcher.Route{Kind: matcher.Safe}, long(), 5)
--- a/internal/forwarder/handover_test.go
+++ b/internal/forwarder/handover_test.go
@@ -171,7 +171,7 @@
 		"the first peer breaks":            {[]step{broken, peerDone}, "502 PeerFailed\n", 1},
 	} {
 		p := &peers{results: tc.peers}
-		call := &forwarder.Call{Body: forwarder.Body{Buffered: []byte("start"), Rest: strings.NewReader("rest"), RestBytes: -1}}
+		call := &forwarder.Call{Body: forwarder.Body{Buffered: []byte("start"), Rest: forwarder.NewRest(strings.NewReader("rest")), RestBytes: -1}}
 		w, _, _ := handOver(&backend{runs: []step{unreachable}}, p, matcher.Route{Kind: matcher.Safe, Attempts: 3}, call)
 		quicktest.Check(t, fmt.Sprint(w.Code, " ", w.Body), quicktest.Equals, tc.result, quicktest.Commentf(name))
 		quicktest.Check(t, p.received, quicktest.HasLen, tc.handed, quicktest.Commentf(name))
