Streams: the record of their longest time is written before they begin

Streams that began within a second or so before all instances were killed, under a timeout just raised or a deadline longer than the timeouts, were joined from two builds when they were taken up.

Cause: keeps the longest time of streams in the store, but it was written by a check each second, of one instance, after the streams had begun. Until then it was known to processes alone. An instance also lowered the record as soon as it knew no reason for it, though a peer may have raised it just then.

Change: the first event of a stream that may be taken up waits until the record covers it, 100 ms at most, beside which the pin is announced to peers as before. One write is in progress at a time; while the store is away, streams wait only at its beginning. Streams of up to 6.6 s never wait: a process that starts assumes as much. The record is lowered after a minute, and only in contact with all peers. The format is unchanged.

TestRecordOfStreamsIsLoweredLate, TestStoreThatIsAwayDelaysFewStreams.

What remains: while the store cannot be written, a stream begins without the record; two instances that raise it to different values within one call may leave the lower one until the next check.

--- a/internal/coordinator/builds.go
+++ b/internal/coordinator/builds.go
@@ -148,7 +148,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.begin(now)
-	if until := b.startedAt.Add(max(timeoutMemory, longest+longest/2)); longest > 0 && now.Before(until) {
+	if until := b.startedAt.Add(max(timeoutMemory, streamAge(longest))); longest > 0 && now.Before(until) {
 		b.remember(longest, until, now)
 	}
 }
@@ -171,6 +171,9 @@
 	return longest
 }
 
+// streamAge returns the longest age of a stream that clients wait for as long as given, with half as much again for what comes late.
+func streamAge(longest time.Duration) time.Duration { return longest + longest/2 }
+
 // StreamAge returns the longest time for which clients wait for the end of a stream, with half as much again for what comes
 // late. The longest timeout of the last minute counts, or a longer deadline of a client.
 func (b *Builds) StreamAge(now time.Time) time.Duration {
@@ -182,7 +185,7 @@
 	if now.Sub(b.startedAt) < timeoutMemory {
 		least = unknownStreamAge
 	}
-	return max(least, longest+longest/2)
+	return max(least, streamAge(longest))
 }
 
 // Record records the builds of all listed targets, and up to when a complete list is known.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -138,13 +138,12 @@
 	pins            *pinner.Pinner
 	quotas          *ratelimiter.Limiter
 	// admitter is nil without admission control.
-	admitter  *admitter.Admitter
-	datagrams datagrams
-	builds    Builds
-	moves     Moves
-	// recordedLongest is the time.Duration in the StreamRecord that was read or written last.
-	recordedLongest atomic.Int64
-	prober          prober.Prober
+	admitter       *admitter.Admitter
+	datagrams      datagrams
+	builds         Builds
+	moves          Moves
+	streamRecorder StreamRecorder
+	prober         prober.Prober
 	// unreachable holds the services of which this instance cannot reach some targets.
 	unreachable atomic.Pointer[[]*gossiper.Unreachable]
 	cutOffPeers cutOffPeers
@@ -262,6 +261,7 @@
 	c.wireCalibration()
 	c.quarantine.Logger, c.quarantine.Gone = c.logger, c.targetGone
 	c.wireProber()
+	c.streamRecorder.Put = c.putStreamRecord
 	c.pins = &pinner.Pinner{Self: c.self.ID, Peers: c.pinPeers, Network: &c.datagrams, Logger: c.logger}
 	c.quotas = c.newQuotas()
 	c.retryBudget = &retrier.WindowedBudget{
@@ -273,7 +273,7 @@
 		Targets: c.available, Changing: c.changing, Starting: c.starting, Expected: c.expected, Instances: c.memberCount,
 		TargetStates: &c.targetStates, Chooser: &chooser.Chooser{Policy: c.settings.Load().Routing.Policy}, MaximumJitter: c.jitter,
 		Backend: c.platform.Backend, Budget: c.retryBudget, Quarantine: &gossipedQuarantine{&c.quarantine, c.peers},
-		Pins: c.pins, SoleBuild: c.soleBuild, RecordDeadline: c.recordDeadline, Reach: &c.prober, Handover: c.platform.Handover, Peers: c.reachingPeers,
+		Pins: c.pins, SoleBuild: c.soleBuild, RecordDeadline: c.recordDeadline, CoverStream: c.coverStream, Reach: &c.prober, Handover: c.platform.Handover, Peers: c.reachingPeers,
 		CutOff: c.cutOff, OnPeerCutOff: c.cutOffPeers.add, Overloaded: c.workload.overloaded.Load, Stopping: c.stopping.Load,
 		CountRequest: c.countRequest, Quotas: c.quotas, RecordDemand: c.demand.Add, Calibrator: &c.calibrator, Logger: c.logger, Metrics: c.metrics,
 	}
--- a/internal/coordinator/stream_age_test.go
+++ b/internal/coordinator/stream_age_test.go
@@ -1,6 +1,9 @@
 package coordinator_test
 
 import (
+	"context"
+	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,3 +52,46 @@
 		}
 	}
 }
+
+// TestRecordOfStreamsIsLoweredLate guards against ORDER after a restart of all instances: an instance lowered the record of the longest time of
+// streams that a peer had just raised.
+func TestRecordOfStreamsIsLoweredLate(t *testing.T) {
+	const recorded = 20 * time.Second
+	r := &coordinator.StreamRecorder{}
+	r.Read(recorded)
+	all, some := coordinator.Contact{Alive: 3, Running: 3}, coordinator.Contact{Alive: 2, Running: 3}
+	for name, tc := range map[string]struct {
+		longest, differsFor time.Duration
+		rank                int
+		contact             coordinator.Contact
+		want                bool
+	}{
+		"higher":                      {recorded + time.Second, 0, 0, some, true},
+		"higher, of a later rank":     {recorded + time.Second, time.Second, 3, all, false},
+		"lower":                       {recorded - time.Second, 10 * time.Second, 0, all, false},
+		"lower for a minute":          {recorded - time.Second, time.Minute, 0, all, true},
+		"lower, a peer may know more": {recorded - time.Second, time.Hour, 0, some, false},
+		"the same":                    {recorded, time.Hour, 0, all, false},
+	} {
+		quicktest.Check(t, r.Due(tc.longest, tc.differsFor, tc.rank, tc.contact), quicktest.Equals, tc.want, quicktest.Commentf(name))
+	}
+}
+
+// TestStoreThatIsAwayDelaysFewStreams guards against streams that wait for the record each by itself, and against a call to the store for each,
+// while the store is away.
+func TestStoreThatIsAwayDelaysFewStreams(t *testing.T) {
+	const streams, maximumWait = 100, 150 * time.Millisecond
+	for name, put := range map[string]func(){"silent": func() { time.Sleep(time.Second) }, "refusing": func() {}} {
+		var calls atomic.Int64
+		r := &coordinator.StreamRecorder{Put: func(time.Duration) error { calls.Add(1); put(); return errors.New("store is away") }}
+		start := time.Now()
+		for range streams {
+			r.Cover(context.Background(), 20*time.Second)
+		}
+		quicktest.Check(t, time.Since(start) < maximumWait, quicktest.IsTrue, quicktest.Commentf("%s: %v", name, time.Since(start)))
+		quicktest.Check(t, calls.Load(), quicktest.Equals, int64(1), quicktest.Commentf(name))
+	}
+	// What a process assumes without a record needs none.
+	r := &coordinator.StreamRecorder{Put: func(time.Duration) error { t.Error("written in vain"); return nil }}
+	r.Cover(context.Background(), 6*time.Second)
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -102,6 +102,9 @@
 	SoleBuild func(ctx context.Context, service identifier.ServiceID, host, path string) (identifier.Build, bool)
 	// RecordDeadline records how long a client waits for a stream that it may take up; nil records nothing.
 	RecordDeadline func(deadline time.Duration)
+	// CoverStream returns once a restart of all instances would not make them forget how long a stream that begins now may go on, or after a
+	// short time; nil returns at once.
+	CoverStream func(ctx context.Context)
 	// Instances returns how many instances may share the targets' connections, including this one, or zero if it is not known.
 	Instances func() int
 	// Expected returns the time until a target that is changing to a stage is expected there, or false if there is none.
--- a/internal/forwarder/pin.go
+++ b/internal/forwarder/pin.go
@@ -78,6 +78,9 @@
 	if !rs.route.Resumable {
 		return
 	}
+	if rs.f.CoverStream != nil {
+		rs.f.CoverStream(ctx)
+	}
 	if !rs.f.Pins.Announce(ctx, pinner.KeyOf(rs.teamID(), rs.call.ID), *rs.pin) {
 		rs.f.Metrics.Counter("PinsUnconfirmed").Inc(1)
 		rs.f.Logger.Debug("no other instance has confirmed where a stream began", zap.String("RequestID", string(rs.call.ID)))
