Builds: what bounds long streams is remembered for as long as they last

Under a timeout of more than a minute, a stream that was taken up later than a minute after the targets of its build had left, or after the timeout was shortened or its route moved, was joined from two builds or services.

Cause: builds that were listed, earlier timeouts and moves were dropped after a minute, a constant, while the question reached back one and a half timeouts. What had been dropped counted as not having happened.

Change: each is remembered for a minute, or for as long as a stream may go on if that is longer. Messages do not change; a peer of the build before forgets after a minute, as it did.

Tests: TestStreamsLongerThanAMinute failed before: with a timeout of 90 s, from 60 s on to 90 s all 60 questions at the instance that knew the build, and when the timeout is shortened also all 60 at its peer, were answered with the build that was left. TestMovesOfLongStreams failed before. TestUnknownStreamsThroughRestarts and TestLongTimeoutsShortenedBeforeARestart pass as before: no stream joined, none refused that could go on.

What remains: a deadline of a client beyond 40 s counts as 40 s, so that one client cannot stop all take-ups.

--- a/internal/coordinator/builds.go
+++ b/internal/coordinator/builds.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// timeoutMemory is how long a longer timeout counts after it was in force here. Streams begin under it until the next
-	// configuration is in force everywhere.
+	// timeoutMemory is the least time for which a longer timeout counts after it was in force here. Streams begin under it until the
+	// next configuration is in force everywhere.
 	timeoutMemory = time.Minute
 	// unknownStreamAge is the least stream age while configurations before the start may count.
 	unknownStreamAge = 10 * time.Second
@@ -77,11 +77,14 @@
 	defer b.mu.Unlock()
 	b.begin(now)
 	if timeout < b.timeout {
-		b.remember(b.timeout, now.Add(timeoutMemory), now)
+		b.remember(b.timeout, now.Add(memoryOf(b.timeout)), now)
 	}
 	b.timeout = timeout
 }
 
+// memoryOf returns how long a timeout counts after it was in force.
+func memoryOf(timeout time.Duration) time.Duration { return max(timeoutMemory, streamAge(timeout)) }
+
 // begin takes the first time that this process tells as its start. The caller must hold mu.
 func (b *Builds) begin(now time.Time) {
 	if b.startedAt.IsZero() {
@@ -107,7 +110,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	// A peer's clock error must not make it count for longer than its own.
-	b.remember(timeout, earlierOf(until, now.Add(timeoutMemory)), now)
+	b.remember(timeout, earlierOf(until, now.Add(memoryOf(timeout))), now)
 }
 
 // SawDeadline takes how long a client waits for a stream, with all attempts to go on with it. That may be longer than the timeouts of
@@ -148,12 +151,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.begin(now)
-	if until := b.startedAt.Add(max(timeoutMemory, streamAge(longest))); longest > 0 && now.Before(until) {
+	if until := b.startedAt.Add(memoryOf(longest)); longest > 0 && now.Before(until) {
 		b.remember(longest, until, now)
 	}
 }
 
-// Longest returns the longest timeout of the last minute, or a longer deadline of a client.
+// Longest returns the longest timeout that streams may have begun under, or a longer deadline of a client.
 func (b *Builds) Longest(now time.Time) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -175,7 +178,7 @@
 func streamAge(longest time.Duration) time.Duration { return longest + longest/2 }
 
 // StreamAge returns the longest time for which clients wait for the end of a stream, with half as much again for what comes
-// late. The longest timeout of the last minute counts, or a longer deadline of a client.
+// late. Timeouts that streams may have begun under count, and longer deadlines of clients.
 func (b *Builds) StreamAge(now time.Time) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -239,7 +242,7 @@
 	if e, ok := b.longestEarlier(now); ok {
 		m.EarlierTimeoutMilliseconds, m.EarlierTimeoutRemainingMilliseconds = e.timeout.Milliseconds(), e.until.Sub(now).Milliseconds()
 	}
-	recent := b.sightings.Recent(now)
+	recent := b.sightings.Recent(b.StreamAge(now), now)
 	known := last != nil && last.SightingsSpanMilliseconds >= min(b.StreamAge(now).Milliseconds(), m.SightingsSpanMilliseconds)
 	if known && !severalBuilds(recent) {
 		return
--- a/internal/coordinator/gossip.go
+++ b/internal/coordinator/gossip.go
@@ -73,8 +73,9 @@
 	b.Departures = c.departures(now)
 	c.addQuarantine(b, now)
 	c.addLimits(b, last, now)
-	c.builds.Compose(b, last, c.wakefulNow(now))
-	c.moves.Compose(b, c.wakefulNow(now))
+	wakeful := c.wakefulNow(now)
+	c.builds.Compose(b, last, wakeful)
+	c.moves.Compose(b, c.builds.StreamAge(wakeful), wakeful)
 	if last != nil {
 		c.addChanges(b, last, firstHand)
 		c.addCalibration(b, last, firstHand, now)
--- a/internal/coordinator/moves.go
+++ b/internal/coordinator/moves.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// moveMemory is how long it is remembered that the requests of a path went to other services.
+	// moveMemory is the least time for which it is remembered that the requests of a path went to other services.
 	moveMemory = time.Minute
 	// maximumMoves is the number of paths beyond which all count as moved: each message holds them.
 	maximumMoves = 256
@@ -71,15 +71,16 @@
 	return false
 }
 
-// Compose adds the moves of the last minute, and how long all of them are known, to a message.
-func (m *Moves) Compose(b *gossiper.Beat, now time.Time) {
+// Compose adds the moves of the time for which streams may go on, or of the last minute if that is longer, to a message, and how long all
+// of them are known.
+func (m *Moves) Compose(b *gossiper.Beat, streamAge time.Duration, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.since.IsZero() {
 		return
 	}
 	b.MovesSpanMilliseconds = now.Sub(m.since).Milliseconds()
-	maps.DeleteFunc(m.at, func(_ matcher.PathID, at time.Time) bool { return now.Sub(at) > moveMemory })
+	maps.DeleteFunc(m.at, func(_ matcher.PathID, at time.Time) bool { return now.Sub(at) > max(moveMemory, streamAge) })
 	for id, at := range m.at {
 		b.Moves = append(b.Moves, &gossiper.Move{Path: uint64(id), AgeMilliseconds: now.Sub(at).Milliseconds()})
 	}
--- a/internal/coordinator/moves_test.go
+++ b/internal/coordinator/moves_test.go
@@ -21,7 +21,7 @@
 	moved, other := matcher.PathIDs("h", "/moved/x"), matcher.PathIDs("h", "/other/x")
 	tell := func(from, to *coordinator.Moves, now time.Time) {
 		m := &gossiper.Beat{}
-		from.Compose(m, now)
+		from.Compose(m, within, now)
 		to.Apply(m, now, now)
 	}
 	saw, peer := &coordinator.Moves{}, &coordinator.Moves{}
@@ -51,12 +51,26 @@
 
 	// The build before ignores the fields.
 	m := &gossiper.Beat{}
-	saw.Compose(m, at(41))
+	saw.Compose(m, within, at(41))
 	data, err := proto.Marshal(m)
 	quicktest.Assert(t, err, quicktest.IsNil)
 	quicktest.Check(t, len(data) < 64, quicktest.IsTrue, quicktest.Commentf("%d bytes", len(data)))
 }
 
+// TestMovesOfLongStreams guards against ORDER: an instance forgot after a minute that a route had moved, and a longer stream went on at the
+// other service.
+func TestMovesOfLongStreams(t *testing.T) {
+	const within = 135 * time.Second
+	start := time.Now()
+	moved := matcher.PathIDs("h", "/moved/x")
+	saw := &coordinator.Moves{}
+	saw.Record(nil, start)
+	saw.Record(moved[1:2], start.Add(200*time.Second))
+	saw.Compose(&gossiper.Beat{}, within, start.Add(290*time.Second))
+	quicktest.Check(t, saw.Within(moved, within, start.Add(290*time.Second)), quicktest.IsTrue)
+	quicktest.Check(t, saw.Within(moved, within, start.Add(340*time.Second)), quicktest.IsFalse)
+}
+
 // TestMovesOfAStormAreBounded guards against messages that grow with the versions of a storm of configurations.
 func TestMovesOfAStormAreBounded(t *testing.T) {
 	start := time.Now()
@@ -70,6 +84,6 @@
 	quicktest.Check(t, saw.Within(other, 9*time.Second, at(70)), quicktest.IsTrue)
 	quicktest.Check(t, saw.Within(other, 9*time.Second, at(71.1)), quicktest.IsFalse)
 	m := &gossiper.Beat{}
-	saw.Compose(m, at(62))
+	saw.Compose(m, 9*time.Second, at(62))
 	quicktest.Check(t, len(m.Moves) <= 256, quicktest.IsTrue, quicktest.Commentf("%d moves", len(m.Moves)))
 }
--- a/internal/coordinator/stream_age_test.go
+++ b/internal/coordinator/stream_age_test.go
@@ -95,3 +95,44 @@
 	r := &coordinator.StreamRecorder{Put: func(time.Duration) error { t.Error("written in vain"); return nil }}
 	r.Cover(context.Background(), 6*time.Second)
 }
+
+// TestStreamsLongerThanAMinute guards against ORDER: what is known of streams was forgotten after a minute, and a stream under a
+// longer timeout went on at the build that was left.
+func TestStreamsLongerThanAMinute(t *testing.T) {
+	const leaves = 5 * time.Minute
+	for name, tc := range map[string]struct{ timeout, later time.Duration }{
+		"timeout of 45 s":            {45 * time.Second, 45 * time.Second},
+		"timeout of 90 s":            {90 * time.Second, 90 * time.Second},
+		"timeout of 90 s, shortened": {90 * time.Second, 4 * time.Second},
+	} {
+		start := time.Now()
+		began, peer := &coordinator.Builds{}, &coordinator.Builds{}
+		for at := time.Duration(0); at <= leaves+3*time.Minute; at += 500 * time.Millisecond {
+			now, timeout := start.Add(at), tc.timeout
+			if at >= leaves {
+				timeout = tc.later
+			}
+			list := coordinator.BuildList{AsOf: now, Pins: []pinner.Pin{{Service: "s", Build: "v2"}}}
+			if at < leaves {
+				list.Pins = append(list.Pins, pinner.Pin{Service: "s", Build: "v1"})
+			}
+			contact := coordinator.Contact{Alive: 2, Running: 2}
+			for _, b := range []*coordinator.Builds{began, peer} {
+				b.SetLongestTimeout(timeout, now)
+				b.Record(list, contact, now)
+			}
+			m := &gossiper.Beat{}
+			began.Compose(m, &gossiper.Beat{}, now)
+			peer.Apply(m, now, now)
+			for side, b := range map[string]*coordinator.Builds{"began": began, "peer": peer} {
+				_, err := b.Sole("s", list, contact, now, now)
+				if at >= leaves && at < leaves+tc.timeout {
+					quicktest.Check(t, err, quicktest.ErrorIs, coordinator.ErrSeveralBuilds, quicktest.Commentf("%s, %s, %v after", name, side, at-leaves))
+				}
+				if at > leaves+2*tc.timeout {
+					quicktest.Check(t, err, quicktest.IsNil, quicktest.Commentf("%s, %s, %v after", name, side, at-leaves))
+				}
+			}
+		}
+	}
+}
--- a/internal/pinner/sightings.go
+++ b/internal/pinner/sightings.go
@@ -92,14 +92,14 @@
 	return now.Sub(s.since)
 }
 
-// Recent returns the sightings of the last minute and drops older ones.
-func (s *Sightings) Recent(now time.Time) []Sighting {
+// Recent returns the sightings of the given time, or of the last minute if that is longer, and drops older ones.
+func (s *Sightings) Recent(within time.Duration, now time.Time) []Sighting {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []Sighting
 	for p, at := range s.seen {
 		age := now.Sub(at)
-		if age > pinLifetime {
+		if age > max(pinLifetime, within) {
 			delete(s.seen, p)
 			continue
 		}
