Stop: a request that has been read is answered before its connection is closed

Cause: at the beginning of a planned stop the HTTP server was told to keep no connections alive, upon which it closed the idle ones. It counts a connection as idle until it has parsed a request's header, not until it has read its bytes. A request in between was read, passed on to a target and run, and its connection was gone. On one busy core the goroutine that has read may wait for milliseconds.

Change: the listener closes idle connections itself, by a read deadline that ends the wait for a request only if no byte was read. Responses announce the end of the connection while the instance leaves, as before. Besides, a SIGHUP right after the start or at the end of a process no longer ends it.

TestRequestThatHasBeenReadIsAnswered and TestSlowRequestOutlastsTheClosing fail on with the server's own closing.

What remains: a request that crosses the close unread still gets no answer; it is not passed on, and its client can send it again.

--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/go-kratos/kratos/v2/log"
 	"go.uber.org/zap"
@@ -48,6 +50,8 @@
 	if c.DryRun {
 		return printJSON(env, c.settings)
 	}
+	// The settings are reloaded while the instance runs. Before and after, a SIGHUP must not end the process.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	logger := NewLogger(zapcore.Lock(zapcore.AddSync(env.Stdout)), c.Debug).With(zap.String("Instance", string(c.settings.Instance)))
 	// kratos logs through a process-wide logger.
 	log.SetLogger(kratosLogger{logger})
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/google/uuid"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
@@ -155,7 +154,7 @@
 	metrics tally.Scope
 	closer  func() error
 	// relay serves the requests that peers pass on; nil if there is no address for it.
-	relay *khttp.Server
+	client, relay *server
 	// listeners are those of all servers.
 	listeners []*networker.ClosingListener
 
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -237,6 +237,7 @@
 	if err != nil {
 		return err
 	}
+	c.client = client
 	ready, err := c.listen(settings.ReadyListen, controlConnections, nil, c.handlers.Ready(c))
 	if err != nil {
 		return err
@@ -269,8 +270,8 @@
 		kratos.BeforeStop(func(context.Context) error {
 			once.Do(func() {
 				ending := time.Now().Add(settings.Bounds.Grace - stopMargin - answerMargin)
-				c.leave(client, stopDuties)
-				c.drain(client, ending)
+				c.leave(stopDuties)
+				c.drain(ending)
 			})
 			return nil
 		}),
@@ -291,8 +292,14 @@
 // controlConnections limits the connections to each listener for readiness, directory and metrics.
 const controlConnections = 400
 
+// server is an HTTP server with its listener.
+type server struct {
+	*khttp.Server
+	lis *networker.ClosingListener
+}
+
 // listen opens a listener with a limit of connections, which are counted in count unless that is nil.
-func (c *Coordinator) listen(addr string, connections int, count *networker.ConnectionCount, h http.Handler) (*khttp.Server, error) {
+func (c *Coordinator) listen(addr string, connections int, count *networker.ConnectionCount, h http.Handler) (*server, error) {
 	lis, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
@@ -313,7 +320,7 @@
 	c.listeners = append(c.listeners, closing)
 	// This bypasses the router of kratos, which redirects paths that are not clean.
 	srv.Handler = h
-	return srv, nil
+	return &server{srv, closing}, nil
 }
 
 func (c *Coordinator) timeLimits() (header, idle time.Duration) {
@@ -325,7 +332,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c.inFlight.Add(1)
 		defer c.inFlight.Add(-1)
-		h.ServeHTTP(w, r)
+		h.ServeHTTP(&lastWriter{ResponseWriter: w, last: c.leaving.Load}, r)
 	})
 }
 
@@ -338,21 +345,22 @@
 }
 
 // leave announces that this instance leaves, and keeps serving for leaveTime until clients stop using its address.
-func (c *Coordinator) leave(client *khttp.Server, stopDuties func()) {
+func (c *Coordinator) leave(stopDuties func()) {
 	c.leaving.Store(true)
 	c.logger.Info("leaving", zap.Int64("InFlight", c.inFlight.Load()))
 	stopDuties()
 	c.peers.SendNow()
-	client.SetKeepAlivesEnabled(false)
-	if c.relay != nil {
-		c.relay.SetKeepAlivesEnabled(false)
+	for _, srv := range []*server{c.client, c.relay} {
+		if srv != nil {
+			srv.lis.CloseIdle()
+		}
 	}
 	time.Sleep(leaveTime)
 }
 
 // drain refuses new connections, and requests that come on open ones, until the last request is done. It ends the requests that are in
 // progress at the given time, so that their clients get an answer before the process ends.
-func (c *Coordinator) drain(client *khttp.Server, ending time.Time) {
+func (c *Coordinator) drain(ending time.Time) {
 	c.stopping.Store(true)
 	for _, l := range c.listeners {
 		if err := l.StopAccepting(); err != nil {
@@ -372,7 +380,7 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), ending.Add(answerMargin))
 	defer cancel()
-	for _, srv := range []*khttp.Server{client, c.relay} {
+	for _, srv := range []*server{c.client, c.relay} {
 		if srv == nil {
 			continue
 		}
--- a/internal/networker/closing.go
+++ b/internal/networker/closing.go
@@ -5,17 +5,21 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
-// ClosingListener can stop accepting connections before it is closed: an http.Server takes the end of its listener for a failure. Only
-// Listener must be set.
+// ClosingListener can end its connections one step after the other while an http.Server uses it: new connections, those that wait for a further
+// request, and those that have brought none. The server takes the end of its listener for a failure, and closes connections on which it has
+// read a request but does not know it yet. Only Listener must be set; the server's ConnState must be that of the listener.
 type ClosingListener struct {
 	net.Listener
 
 	stopOnce, closeOnce sync.Once
-	mu                  sync.Mutex
-	closed              chan struct{}
-	unused              map[net.Conn]bool
+
+	mu          sync.Mutex
+	closed      chan struct{}
+	closingIdle bool
+	conns       map[*closingConn]struct{}
 }
 
 // whenClosed returns a channel that ends once the listener is closed.
@@ -34,7 +38,17 @@
 	if errors.Is(err, net.ErrClosed) {
 		<-l.whenClosed()
 	}
-	return conn, err
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := &closingConn{Conn: conn, lis: l, closing: l.closingIdle}
+	if l.conns == nil {
+		l.conns = map[*closingConn]struct{}{}
+	}
+	l.conns[c] = struct{}{}
+	return c, nil
 }
 
 // StopAccepting lets new connections be refused.
@@ -51,25 +65,122 @@
 	return err
 }
 
-// ConnState follows which connections have brought no request yet; it is meant for http.Server.ConnState.
+// ConnState follows the connections; it is meant for http.Server.ConnState.
 func (l *ClosingListener) ConnState(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*closingConn); ok {
+		c.setState(state)
+	}
+}
+
+// CloseIdle closes the connections that wait for a further request, and from now on each that begins to. One of which a part of the next
+// request has been read stays open for its response.
+func (l *ClosingListener) CloseIdle() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if state != http.StateNew {
-		delete(l.unused, conn)
-		return
+	l.closingIdle = true
+	for c := range l.conns {
+		c.closeIdle()
 	}
-	if l.unused == nil {
-		l.unused = map[net.Conn]bool{}
-	}
-	l.unused[conn] = true
 }
 
 // CloseUnused closes the connections that have brought no request.
 func (l *ClosingListener) CloseUnused() {
+	for _, c := range l.unused() {
+		c.Close()
+	}
+}
+
+func (l *ClosingListener) unused() (list []*closingConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for conn := range l.unused {
-		conn.Close()
+	for c := range l.conns {
+		if !c.isUsed() {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+func (l *ClosingListener) remove(c *closingConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// closingConn is a connection of a ClosingListener.
+type closingConn struct {
+	net.Conn
+	lis *ClosingListener
+
+	mu sync.Mutex
+	// used is set once the connection has brought a request, and idle while it waits for the next one and nothing of that has been read.
+	used, idle bool
+	// closing is set once the connection is to be closed as soon as it is idle.
+	closing bool
+	// deadline is the read deadline that the server has set.
+	deadline time.Time
+}
+
+// expired is a deadline that ends a read in progress without a byte.
+var expired = time.Unix(1, 0)
+
+func (c *closingConn) setState(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.used = c.used || state != http.StateNew
+	c.idle = state == http.StateIdle
+	c.applyDeadline()
+}
+
+func (c *closingConn) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	c.applyDeadline()
+}
+
+func (c *closingConn) isUsed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.used
+}
+
+// applyDeadline ends the wait for a request if the connection is to be closed; the server then closes it. The caller must hold mu.
+func (c *closingConn) applyDeadline() {
+	if c.closing && c.idle {
+		// An error means that the connection is closed.
+		_ = c.Conn.SetReadDeadline(expired)
 	}
 }
+
+// Read reads from the connection. Its deadline is the server's again once a part of a request has been read.
+func (c *closingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n == 0 || !c.idle {
+		return n, err
+	}
+	c.idle = false
+	if c.closing {
+		err = errors.Join(err, c.Conn.SetReadDeadline(c.deadline))
+	}
+	return n, err
+}
+
+// SetReadDeadline sets the server's deadline.
+func (c *closingConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.closing && c.idle {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Close closes the connection.
+func (c *closingConn) Close() error {
+	c.lis.remove(c)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/networker/closing_test.go
@@ -0,0 +1,107 @@
+package networker_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/networker"
+)
+
+// heldListener holds back what its connections have read while held is set, as a busy scheduler does with the goroutine that reads.
+type heldListener struct {
+	net.Listener
+	held     atomic.Bool
+	reads    chan struct{}
+	released chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &heldConn{conn, l}, err
+}
+
+type heldConn struct {
+	net.Conn
+	lis *heldListener
+}
+
+func (c *heldConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.lis.held.Load() {
+		c.lis.reads <- struct{}{}
+		<-c.lis.released
+	}
+	return n, err
+}
+
+// serveClosing starts a server on a ClosingListener.
+func serveClosing(t *testing.T) (*networker.ClosingListener, *heldListener) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	held := &heldListener{Listener: lis, reads: make(chan struct{}, 1), released: make(chan struct{})}
+	timeouts := func() (time.Duration, time.Duration) { return time.Second, 30 * time.Second }
+	closing := &networker.ClosingListener{Listener: networker.TimeoutListener(held, timeouts)}
+	srv := &http.Server{
+		ReadHeaderTimeout: networker.HeaderTimeoutSentinel, IdleTimeout: networker.IdleTimeoutSentinel, ConnState: closing.ConnState,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.Copy(w, r.Body) }),
+	}
+	go srv.Serve(closing)
+	t.Cleanup(func() { srv.Close() })
+	return closing, held
+}
+
+// TestRequestThatHasBeenReadIsAnswered guards against LOST: at the beginning of a planned stop the server closed a connection on which it had read
+// a request, but did not know it yet; the request ran, and its client got no answer.
+func TestRequestThatHasBeenReadIsAnswered(t *testing.T) {
+	closing, held := serveClosing(t)
+	conn, idle := dial(t, closing.Addr().String()), dial(t, closing.Addr().String())
+	exchange(t, conn)
+	exchange(t, idle)
+	held.held.Store(true)
+	fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok")
+	<-held.reads
+	held.held.Store(false)
+	closing.CloseIdle()
+	quicktest.Check(t, closedAfter(t, idle) < time.Second, quicktest.IsTrue, quicktest.Commentf("the idle connection is closed"))
+	close(held.released)
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	body, err := io.ReadAll(res.Body)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, string(body), quicktest.Equals, "ok")
+	quicktest.Check(t, closedAfter(t, conn) < time.Second, quicktest.IsTrue, quicktest.Commentf("the connection is closed after the response"))
+}
+
+// TestSlowRequestOutlastsTheClosing guards against a request that began to arrive when the idle connections were closed, and whose rest was no longer
+// read, and against connections that are opened later and stay.
+func TestSlowRequestOutlastsTheClosing(t *testing.T) {
+	closing, _ := serveClosing(t)
+	conn := dial(t, closing.Addr().String())
+	exchange(t, conn)
+	fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h\r\n")
+	time.Sleep(50 * time.Millisecond)
+	closing.CloseIdle()
+	time.Sleep(50 * time.Millisecond)
+	fmt.Fprint(conn, "Content-Length: 2\r\n\r\n")
+	time.Sleep(50 * time.Millisecond)
+	fmt.Fprint(conn, "ok")
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	io.Copy(io.Discard, res.Body)
+	quicktest.Check(t, closedAfter(t, conn) < time.Second, quicktest.IsTrue)
+	later := dial(t, closing.Addr().String())
+	exchange(t, later)
+	quicktest.Check(t, closedAfter(t, later) < time.Second, quicktest.IsTrue)
+	unused := dial(t, closing.Addr().String())
+	time.Sleep(50 * time.Millisecond)
+	closing.CloseUnused()
+	quicktest.Check(t, closedAfter(t, unused) < time.Second, quicktest.IsTrue)
+}
