Stop: kept connections end with a response, not with the signal

What callers saw: in a planned stop requests on kept connections got no answer. All idle connections were closed at the signal, and what was sent at that moment, or before the client noticed, crossed the close.

Change: while an instance leaves, each response announces that its connection ends, and idle connections are closed at the end of that time, when few are left.

TestStopAnswersOnKeptConnections failed before.

--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -350,12 +350,13 @@
 	c.logger.Info("leaving", zap.Int64("InFlight", c.inFlight.Load()))
 	stopDuties()
 	c.peers.SendNow()
+	time.Sleep(leaveTime)
+	// By now most clients have been told with a response that the connection ends, which no request can cross.
 	for _, srv := range []*server{c.client, c.relay} {
 		if srv != nil {
 			srv.lis.CloseIdle()
 		}
 	}
-	time.Sleep(leaveTime)
 }
 
 // drain refuses new connections, and requests that come on open ones, until the last request is done. It ends the requests that are in
