Streams: none begins under a record that is about to be lowered

What callers saw: none has reported it; found by reading. A stream that began while the record was being lowered counted as covered by the higher one, and could be joined after a restart of all.

Change: from the beginning of a write the record counts as covering the lower of both values.

TestStreamThatBeginsWhileTheRecordIsLowered failed before. Besides, TestRecordOfStreamsIsWrittenAgain shows that the record returns after the store came back from an older copy; it passed before.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -153,7 +153,7 @@
 	Metrics http.Handler
 	metrics tally.Scope
 	closer  func() error
-	// relay serves the requests that peers pass on; nil if there is no address for it.
+	// client serves the requests of clients, and relay those that peers pass on; relay is nil if there is no address for it.
 	client, relay *server
 	// listeners are those of all servers.
 	listeners []*networker.ClosingListener
--- a/internal/coordinator/stream_age_test.go
+++ b/internal/coordinator/stream_age_test.go
@@ -77,6 +77,29 @@
 	}
 }
 
+// TestStreamThatBeginsWhileTheRecordIsLowered guards against ORDER after a restart of all instances: a stream began under the record that was about to be
+// replaced by a lower one.
+func TestStreamThatBeginsWhileTheRecordIsLowered(t *testing.T) {
+	const low, high = 4 * time.Second, 20 * time.Second
+	var stored atomic.Int64
+	lowering, lowered := make(chan struct{}), make(chan error, 1)
+	r := &coordinator.StreamRecorder{Put: func(longest time.Duration) error {
+		if longest == low {
+			close(lowering)
+			time.Sleep(20 * time.Millisecond)
+		}
+		stored.Store(int64(longest))
+		return nil
+	}}
+	r.Read(high)
+	go func() { lowered <- r.Write(low) }()
+	<-lowering
+	r.Cover(context.Background(), high)
+	quicktest.Check(t, <-lowered, quicktest.IsNil)
+	quicktest.Check(t, time.Duration(stored.Load()), quicktest.Equals, high)
+	quicktest.Check(t, r.Recorded(), quicktest.Equals, high)
+}
+
 // TestStoreThatIsAwayDelaysFewStreams guards against streams that wait for the record each by itself, and against a call to the store for each,
 // while the store is away.
 func TestStoreThatIsAwayDelaysFewStreams(t *testing.T) {
--- a/internal/coordinator/stream_record.go
+++ b/internal/coordinator/stream_record.go
@@ -124,6 +124,8 @@
 func (r *StreamRecorder) begin(longest time.Duration) *recordWrite {
 	w := &recordWrite{began: time.Now(), done: make(chan struct{})}
 	r.write = w
+	// A lower record covers no more than it will.
+	r.recorded = min(r.recorded, longest)
 	go func() {
 		err := r.Put(longest)
 		r.mu.Lock()
