Stop: a request whose first byte was read ahead is answered

Callers saw: at a planned stop, a connection closed under a request that was on its way, right after the response before it. The request had not been passed on.

Cause: while net/http finishes a response it already reads one byte ahead. A client that sends its next request at once has that byte taken before the connection becomes idle. ClosingListener counted only what was read while idle, set a deadline in the past, and the server closed the connection with a part of the request in hand. It is the class of: a state recorded later than what it describes.

Change: what is read since the last write counts as a part of the next request, and a connection with such a part keeps the server's deadlines. The server's deadline is also restored once the connection is active again.

Evidence: TestRequestReadAheadIsAnswered holds the server back at that point, and fails in both its cases on the code before ("unexpected EOF", "connection reset by peer").

--- a/internal/networker/closing.go
+++ b/internal/networker/closing.go
@@ -113,8 +113,11 @@
 	lis *ClosingListener
 
 	mu sync.Mutex
-	// used is set once the connection has brought a request, and idle while it waits for the next one and nothing of that has been read.
+	// used is set once the connection has brought a request, and idle while the server waits for the next one.
 	used, idle bool
+	// begun is set once something has been read since the last write. The server reads ahead while it finishes a response, so that it can
+	// hold a part of the next request when the connection becomes idle.
+	begun bool
 	// closing is set once the connection is to be closed as soon as it is idle.
 	closing bool
 	// deadline is the read deadline that the server has set.
@@ -129,14 +132,17 @@
 	defer c.mu.Unlock()
 	c.used = c.used || state != http.StateNew
 	c.idle = state == http.StateIdle
-	c.applyDeadline()
+	// An error means that the connection is closed.
+	_ = c.applyDeadline()
 }
 
 func (c *closingConn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = true
-	c.applyDeadline()
+	if c.idle {
+		_ = c.applyDeadline()
+	}
 }
 
 func (c *closingConn) isUsed() bool {
@@ -146,11 +152,14 @@
 }
 
 // applyDeadline ends the wait for a request if the connection is to be closed; the server then closes it. The caller must hold mu.
-func (c *closingConn) applyDeadline() {
-	if c.closing && c.idle {
-		// An error means that the connection is closed.
-		_ = c.Conn.SetReadDeadline(expired)
+func (c *closingConn) applyDeadline() error {
+	if !c.closing {
+		return nil
+	}
+	if c.idle && !c.begun {
+		return c.Conn.SetReadDeadline(expired)
 	}
+	return c.Conn.SetReadDeadline(c.deadline)
 }
 
 // Read reads from the connection. Its deadline is the server's again once a part of a request has been read.
@@ -158,23 +167,31 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n == 0 || !c.idle {
+	if n == 0 || c.begun {
 		return n, err
 	}
-	c.idle = false
-	if c.closing {
-		err = errors.Join(err, c.Conn.SetReadDeadline(c.deadline))
+	c.begun = true
+	if c.idle {
+		err = errors.Join(err, c.applyDeadline())
 	}
 	return n, err
 }
 
+// Write writes to the connection. A client sends its next request once it has the response, so what is read from then on belongs to that request.
+func (c *closingConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.begun = false
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
 // SetReadDeadline sets the server's deadline.
 func (c *closingConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = t
-	if c.closing && c.idle {
-		return nil
+	if c.closing {
+		return c.applyDeadline()
 	}
 	return c.Conn.SetReadDeadline(t)
 }
--- a/internal/networker/closing_test.go
+++ b/internal/networker/closing_test.go
@@ -15,12 +15,12 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/networker"
 )
 
-// heldListener holds back what its connections have read while held is set, as a busy scheduler does with the goroutine that reads.
+// heldListener holds back the goroutines that have read from its connections, or written to them, as a busy scheduler does.
 type heldListener struct {
 	net.Listener
-	held     atomic.Bool
-	reads    chan struct{}
-	released chan struct{}
+	holdReads, holdWrites atomic.Bool
+	reads                 chan struct{}
+	released              chan struct{}
 }
 
 func (l *heldListener) Accept() (net.Conn, error) {
@@ -35,14 +35,22 @@
 
 func (c *heldConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && c.lis.held.Load() {
+	if n > 0 && c.lis.holdReads.Load() {
 		c.lis.reads <- struct{}{}
 		<-c.lis.released
 	}
 	return n, err
 }
 
-// serveClosing starts a server on a ClosingListener.
+func (c *heldConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if c.lis.holdWrites.Load() {
+		<-c.lis.released
+	}
+	return n, err
+}
+
+// serveClosing starts a server on a ClosingListener. A request with the header Hold sets holdReads and holdWrites.
 func serveClosing(t *testing.T) (*networker.ClosingListener, *heldListener) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	quicktest.Assert(t, err, quicktest.IsNil)
@@ -51,7 +59,13 @@
 	closing := &networker.ClosingListener{Listener: networker.TimeoutListener(held, timeouts)}
 	srv := &http.Server{
 		ReadHeaderTimeout: networker.HeaderTimeoutSentinel, IdleTimeout: networker.IdleTimeoutSentinel, ConnState: closing.ConnState,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.Copy(w, r.Body) }),
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Hold") != "" {
+				held.holdReads.Store(true)
+				held.holdWrites.Store(true)
+			}
+			io.Copy(w, r.Body)
+		}),
 	}
 	go srv.Serve(closing)
 	t.Cleanup(func() { srv.Close() })
@@ -65,19 +79,52 @@
 	conn, idle := dial(t, closing.Addr().String()), dial(t, closing.Addr().String())
 	exchange(t, conn)
 	exchange(t, idle)
-	held.held.Store(true)
+	held.holdReads.Store(true)
 	fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok")
 	<-held.reads
-	held.held.Store(false)
+	held.holdReads.Store(false)
 	closing.CloseIdle()
 	quicktest.Check(t, closedAfter(t, idle) < time.Second, quicktest.IsTrue, quicktest.Commentf("the idle connection is closed"))
 	close(held.released)
+	checkResponse(t, conn)
+	quicktest.Check(t, closedAfter(t, conn) < time.Second, quicktest.IsTrue, quicktest.Commentf("the connection is closed after the response"))
+}
+
+// TestRequestReadAheadIsAnswered guards against LOST: at a planned stop a connection was closed as idle though the server had read the first byte of
+// the next request while it finished the response before.
+func TestRequestReadAheadIsAnswered(t *testing.T) {
+	for name, idleFirst := range map[string]bool{"closing before the connection is idle": false, "closing once the connection is idle": true} {
+		t.Run(name, func(t *testing.T) {
+			closing, held := serveClosing(t)
+			conn := dial(t, closing.Addr().String())
+			fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h\r\nHold: 1\r\nContent-Length: 2\r\n\r\nok")
+			checkResponse(t, conn)
+			fmt.Fprint(conn, "P")
+			<-held.reads
+			held.holdReads.Store(false)
+			held.holdWrites.Store(false)
+			if idleFirst {
+				close(held.released)
+				time.Sleep(50 * time.Millisecond)
+				closing.CloseIdle()
+			} else {
+				closing.CloseIdle()
+				close(held.released)
+				time.Sleep(50 * time.Millisecond)
+			}
+			fmt.Fprint(conn, "OST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok")
+			checkResponse(t, conn)
+			quicktest.Check(t, closedAfter(t, conn) < time.Second, quicktest.IsTrue)
+		})
+	}
+}
+
+func checkResponse(t *testing.T, conn net.Conn) {
 	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	quicktest.Assert(t, err, quicktest.IsNil)
 	body, err := io.ReadAll(res.Body)
 	quicktest.Assert(t, err, quicktest.IsNil)
 	quicktest.Check(t, string(body), quicktest.Equals, "ok")
-	quicktest.Check(t, closedAfter(t, conn) < time.Second, quicktest.IsTrue, quicktest.Commentf("the connection is closed after the response"))
 }
 
 // TestSlowRequestOutlastsTheClosing guards against a request that began to arrive when the idle connections were closed, and whose rest was no longer
