Networker: a test waits for what the server has read, not for 50 ms

TestSlowRequestOutlastsTheClosing let 50 ms pass until the server had read the beginning of a request, and accepted a connection; on a busy machine that may be too short. It now waits for the bytes themselves, and for a connection that is accepted later. What it checks is unchanged, and it reads the body too.

The test has not been seen failing; it was found while tracing the test beside it.

--- a/internal/networker/closing_test.go
+++ b/internal/networker/closing_test.go
@@ -21,6 +21,7 @@
 	holdReads, holdWrites atomic.Bool
 	reads                 chan struct{}
 	released              chan struct{}
+	received              atomic.Int64
 }
 
 func (l *heldListener) Accept() (net.Conn, error) {
@@ -35,6 +36,7 @@
 
 func (c *heldConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.lis.received.Add(int64(n))
 	if n > 0 && c.lis.holdReads.Load() {
 		c.lis.reads <- struct{}{}
 		<-c.lis.released
@@ -50,6 +52,19 @@
 	return n, err
 }
 
+// send writes s to a connection and waits until the server has read it.
+func (l *heldListener) send(t *testing.T, conn net.Conn, s string) {
+	want := l.received.Load() + int64(len(s))
+	fmt.Fprint(conn, s)
+	for range 500 {
+		if l.received.Load() >= want {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("the server has not read %q", s)
+}
+
 // serveClosing starts a server on a ClosingListener. A request with the header Hold sets holdReads and holdWrites.
 func serveClosing(t *testing.T) (*networker.ClosingListener, *heldListener) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
@@ -130,25 +145,21 @@
 // TestSlowRequestOutlastsTheClosing guards against a request that began to arrive when the idle connections were closed, and whose rest was no longer
 // read, and against connections that are opened later and stay.
 func TestSlowRequestOutlastsTheClosing(t *testing.T) {
-	closing, _ := serveClosing(t)
+	closing, held := serveClosing(t)
 	conn := dial(t, closing.Addr().String())
 	exchange(t, conn)
-	fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h\r\n")
-	time.Sleep(50 * time.Millisecond)
+	held.send(t, conn, "POST / HTTP/1.1\r\nHost: h\r\n")
 	closing.CloseIdle()
 	time.Sleep(50 * time.Millisecond)
-	fmt.Fprint(conn, "Content-Length: 2\r\n\r\n")
+	held.send(t, conn, "Content-Length: 2\r\n\r\n")
 	time.Sleep(50 * time.Millisecond)
 	fmt.Fprint(conn, "ok")
-	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	quicktest.Assert(t, err, quicktest.IsNil)
-	io.Copy(io.Discard, res.Body)
+	checkResponse(t, conn)
 	quicktest.Check(t, closedAfter(t, conn) < time.Second, quicktest.IsTrue)
-	later := dial(t, closing.Addr().String())
+	// The server accepts connections in their order, so that it knows the unused one once the later one is served.
+	unused, later := dial(t, closing.Addr().String()), dial(t, closing.Addr().String())
 	exchange(t, later)
 	quicktest.Check(t, closedAfter(t, later) < time.Second, quicktest.IsTrue)
-	unused := dial(t, closing.Addr().String())
-	time.Sleep(50 * time.Millisecond)
 	closing.CloseUnused()
 	quicktest.Check(t, closedAfter(t, unused) < time.Second, quicktest.IsTrue)
 }
