Peers: a server goes on after it could not accept a connection

What callers saw: nothing at once. An instance that had run out of descriptors for a moment took no connections of peers any more until it was restarted; it stayed out of gossip, and nothing logged it.

Cause: exchanger.Server.Serve returned at the first error of Accept, which is EMFILE when descriptors run short.

Change: it returns when its context ends or the listener is closed. After any other error it logs a line, counts PeerRefusals with Reason AcceptFailed and tries again after a pause that doubles from 5 ms to 1 s, as http.Server does at the other listeners.

--- a/internal/coordinator/delay.go
+++ b/internal/coordinator/delay.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/coltsfootscale/coltsfootscale/internal/exchanger"
 	"github.com/coltsfootscale/coltsfootscale/internal/networker"
 )
 
@@ -29,6 +30,13 @@
 	overloaded atomic.Bool
 }
 
+// refusalNames are the names of the refusals of peers in the metrics.
+var refusalNames = map[exchanger.Refusal]string{exchanger.AcceptFailed: "AcceptFailed"}
+
+func (c *Coordinator) countPeerRefusal(r exchanger.Refusal) {
+	c.metrics.Tagged(map[string]string{"Reason": refusalNames[r]}).Counter("PeerRefusals").Inc(1)
+}
+
 // updateWorkload sets the gauges of the workload and logs it while the instance is behind; delay is how late the timer of this update
 // fired.
 func (c *Coordinator) updateWorkload(delay time.Duration) {
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -86,7 +86,7 @@
 	peerServer := &exchanger.Server{
 		NewRequest: func() proto.Message { return &gossiper.Beat{} },
 		Answer:     func(req proto.Message) proto.Message { return c.gossipMeter.answer(c.peers, req.(*gossiper.Beat)) },
-		Logger:     c.logger,
+		Logger:     c.logger, OnRefusal: c.countPeerRefusal,
 	}
 	targets := c.newFollower(streamTargets, c.platform.Targets, &c.targets, c.copyAge)
 	c.targets.FailingFor = targets.FailingFor
--- a/internal/exchanger/server.go
+++ b/internal/exchanger/server.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -14,14 +15,25 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/messenger"
 )
 
-// streamTimeout bounds reading a request and writing its reply, including the time to handle it.
-const streamTimeout = 5 * time.Second
+const (
+	// streamTimeout bounds reading a request and writing its reply, including the time to handle it.
+	streamTimeout = 5 * time.Second
+	// minimumAcceptPause and maximumAcceptPause bound the pause after a failed Accept, which doubles with each failure in a row.
+	minimumAcceptPause = 5 * time.Millisecond
+	maximumAcceptPause = time.Second
+)
 
 // Handler handles a peer's request and returns the reply.
 type Handler interface {
 	Handle(req *messenger.Request) *messenger.Reply
 }
 
+// Refusal says what a server has refused.
+type Refusal int
+
+// AcceptFailed means that a connection could not be accepted.
+const AcceptFailed Refusal = iota
+
 // Server accepts yamux sessions from peers; NewRequest and Answer must be set.
 type Server struct {
 	// NewRequest returns an empty message to decode a request into.
@@ -29,6 +41,8 @@
 	// Answer returns the reply to a request.
 	Answer func(req proto.Message) proto.Message
 	Logger *zap.Logger
+	// OnRefusal is called for each refusal; it may be nil.
+	OnRefusal func(r Refusal)
 }
 
 // ForHandler returns a server of messenger requests, which h handles.
@@ -40,19 +54,44 @@
 	}
 }
 
-// Serve accepts sessions until ctx ends.
+// Serve accepts sessions until ctx ends or the listener is closed.
 func (s *Server) Serve(ctx context.Context, lis net.Listener) {
 	stop := context.AfterFunc(ctx, func() { lis.Close() })
 	defer stop()
+	pause := minimumAcceptPause
 	for {
 		conn, err := lis.Accept()
-		if err != nil {
+		switch {
+		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
 			return
+		case err != nil:
+			s.refused(AcceptFailed)
+			s.logger().Warn("cannot accept connection of a peer", zap.Error(err))
+			select {
+			case <-ctx.Done():
+			case <-time.After(pause):
+			}
+			pause = min(2*pause, maximumAcceptPause)
+			continue
 		}
+		pause = minimumAcceptPause
 		go s.serveConn(ctx, conn)
 	}
 }
 
+func (s *Server) logger() *zap.Logger {
+	if s.Logger == nil {
+		return zap.NewNop()
+	}
+	return s.Logger
+}
+
+func (s *Server) refused(r Refusal) {
+	if s.OnRefusal != nil {
+		s.OnRefusal(r)
+	}
+}
+
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
 	session, err := yamux.Server(conn, sessionConfig(s.Logger))
 	if err != nil {
