Connections: each listener has its part, and silent ones give way

What callers saw: with clients that connect and say nothing, or begin a request and do not end it, every new connection waited until the idle timeout (15 s) of another one was over. At 1,024 descriptors the listeners together could take more than the process has: 424 for clients, four times 400, and any number of peers.

Cause: a connection held its place whatever it brought, and the places were fixed numbers beside the descriptors, not parts of them.

Change: clients, requests of peers, peers, the directory, readiness and metrics get 40, 10, 10, 5, 2.5 and 2.5 % of Descriptors, or what the settings say; 30 % are left for files, targets and the store. ConnectionsEnded counts them, by listener; one log line a second names them.

Silent connections still take all descriptors, as those of peers are not limited yet.

--- a/internal/coordinator/constants.go
+++ b/internal/coordinator/constants.go
@@ -60,8 +60,6 @@
 	memoryLimitFraction = 0.7
 	// bodyMemoryDivisor sets the memory for request bodies: the instance's memory divided by this number.
 	bodyMemoryDivisor = 8
-	// reservedDescriptors is the number of file descriptors that client connections may not use.
-	reservedDescriptors = 600
 	// incarnationDigits is the length of the random ID that distinguishes the incarnations of an instance. It is short
 	// because gossip messages carry many.
 	incarnationDigits = 8
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -31,7 +31,6 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
 	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
 	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
-	"github.com/coltsfootscale/coltsfootscale/internal/networker"
 	"github.com/coltsfootscale/coltsfootscale/internal/parser"
 	"github.com/coltsfootscale/coltsfootscale/internal/pinner"
 	"github.com/coltsfootscale/coltsfootscale/internal/prober"
@@ -155,8 +154,9 @@
 	closer  func() error
 	// client serves the requests of clients, and relay those that peers pass on; relay is nil if there is no address for it.
 	client, relay *server
-	// listeners are those of all servers.
-	listeners []*networker.ClosingListener
+	// servers are all servers; serversMu guards the list.
+	serversMu sync.Mutex
+	servers   []*server
 
 	startedAt time.Time
 	// bootAtStart is the time of bootTime at startedAt.
--- a/internal/coordinator/delay.go
+++ b/internal/coordinator/delay.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/coltsfootscale/coltsfootscale/internal/exchanger"
 	"github.com/coltsfootscale/coltsfootscale/internal/networker"
 )
 
@@ -23,6 +22,8 @@
 	peers   networker.ConnectionCount
 	// ofPeers is the number of requests in progress that peers have passed on.
 	ofPeers atomic.Int64
+	// peersRefused counts the refusals of peers since the last update.
+	peersRefused atomic.Int64
 	// probes and accepted are the counts at the last update; behind is set while the instance is behind.
 	probes, accepted int64
 	behind           bool
@@ -30,13 +31,6 @@
 	overloaded atomic.Bool
 }
 
-// refusalNames are the names of the refusals of peers in the metrics.
-var refusalNames = map[exchanger.Refusal]string{exchanger.AcceptFailed: "AcceptFailed"}
-
-func (c *Coordinator) countPeerRefusal(r exchanger.Refusal) {
-	c.metrics.Tagged(map[string]string{"Reason": refusalNames[r]}).Counter("PeerRefusals").Inc(1)
-}
-
 // updateWorkload sets the gauges of the workload and logs it while the instance is behind; delay is how late the timer of this update
 // fired.
 func (c *Coordinator) updateWorkload(delay time.Duration) {
--- /dev/null
+++ b/internal/coordinator/listen.go
@@ -0,0 +1,125 @@
+package coordinator
+
+import (
+	"cmp"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"go.uber.org/zap"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/exchanger"
+	"github.com/coltsfootscale/coltsfootscale/internal/networker"
+	"github.com/coltsfootscale/coltsfootscale/internal/parser"
+)
+
+// Listeners of an instance, as its metrics and logs name them.
+const (
+	listenerClients   = "Listen"
+	listenerReadiness = "ReadyListen"
+	listenerDirectory = "DirectoryListen"
+	listenerMetrics   = "MetricsListen"
+	listenerRelay     = "RelayListen"
+	listenerPeers     = "PeerListen"
+)
+
+// Defaults for limits that the settings leave open, as a part of the process's descriptors and memory. What the connections leave of the
+// descriptors is for files and for connections to targets, peers and the store.
+const (
+	clientDescriptorPercent    = 40
+	relayDescriptorPercent     = 10
+	peerDescriptorPercent      = 10
+	directoryDescriptorPercent = 5
+	controlDescriptorPercent   = 2.5
+)
+
+// connectionLimits returns the limit of connections of each listener.
+func connectionLimits(b parser.EntryBounds) map[string]int {
+	limit := func(setting int, percent float64) int {
+		return cmp.Or(setting, max(1, int(float64(b.Descriptors)*percent/100)))
+	}
+	return map[string]int{
+		listenerClients:   limit(b.ClientConnections, clientDescriptorPercent),
+		listenerRelay:     limit(b.RelayConnections, relayDescriptorPercent),
+		listenerPeers:     limit(b.PeerConnections, peerDescriptorPercent),
+		listenerDirectory: limit(b.DirectoryConnections, directoryDescriptorPercent),
+		listenerReadiness: limit(b.ControlConnections, controlDescriptorPercent),
+		listenerMetrics:   limit(b.ControlConnections, controlDescriptorPercent),
+	}
+}
+
+// server is an HTTP server with its listener.
+type server struct {
+	*khttp.Server
+	name string
+	lis  *networker.ClosingListener
+	// ended is the number of connections ended for new ones at the last update of the metrics.
+	ended int64
+}
+
+// listen opens a listener, whose connections are counted in count unless that is nil.
+func (c *Coordinator) listen(name, addr string, count *networker.ConnectionCount, h http.Handler) (*server, error) {
+	lis, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	if count != nil {
+		lis = networker.CountListener(lis, count)
+	}
+	closing := &networker.ClosingListener{}
+	limited := networker.LimitListener(lis, connectionLimits(c.bounds)[name], closing.MakeRoom)
+	closing.Listener = networker.TimeoutListener(limited, c.timeLimits)
+	srv := khttp.NewServer(
+		khttp.Listener(closing),
+		khttp.Endpoint(&url.URL{Scheme: "http", Host: addr}),
+		khttp.Timeout(0),
+	)
+	srv.ReadHeaderTimeout = networker.HeaderTimeoutSentinel
+	srv.IdleTimeout = networker.IdleTimeoutSentinel
+	srv.ErrorLog = zap.NewStdLog(c.logger)
+	srv.ConnState, srv.ConnContext = closing.ConnState, closing.ConnContext
+	// This bypasses the router of kratos, which redirects paths that are not clean.
+	srv.Handler = h
+	s := &server{Server: srv, name: name, lis: closing}
+	c.serversMu.Lock()
+	defer c.serversMu.Unlock()
+	c.servers = append(c.servers, s)
+	return s, nil
+}
+
+func (c *Coordinator) allServers() []*server {
+	c.serversMu.Lock()
+	defer c.serversMu.Unlock()
+	return slices.Clone(c.servers)
+}
+
+// refusalNames are the names of the refusals of peers in the metrics.
+var refusalNames = map[exchanger.Refusal]string{
+	exchanger.AcceptFailed: "AcceptFailed",
+}
+
+func (c *Coordinator) countPeerRefusal(r exchanger.Refusal) {
+	c.workload.peersRefused.Add(1)
+	c.metrics.Tagged(map[string]string{"Reason": refusalNames[r]}).Counter("PeerRefusals").Inc(1)
+}
+
+// updateConnections updates the metrics of what the listeners refuse, and logs a line if there was anything since the last update.
+func (c *Coordinator) updateConnections() {
+	w := &c.workload
+	sum := int64(0)
+	for _, s := range c.allServers() {
+		ended := s.lis.Ended()
+		if n := ended - s.ended; n > 0 {
+			c.metrics.Tagged(map[string]string{"Listener": s.name}).Counter("ConnectionsEnded").Inc(n)
+			sum += n
+		}
+		s.ended = ended
+	}
+	peers := w.peersRefused.Swap(0)
+	if sum > 0 || peers > 0 {
+		c.logger.Warn("connections refused", zap.Int64("ConnectionsEnded", sum), zap.Int64("PeersRefused", peers),
+			zap.Int64("ClientConnections", w.clients.Open()))
+	}
+}
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/url"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -17,7 +16,6 @@
 
 	"github.com/go-kratos/kratos/v2"
 	"github.com/go-kratos/kratos/v2/transport"
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
@@ -27,7 +25,6 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/forwarder"
 	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
 	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
-	"github.com/coltsfootscale/coltsfootscale/internal/networker"
 	"github.com/coltsfootscale/coltsfootscale/internal/sleeper"
 )
 
@@ -187,6 +184,7 @@
 func (c *Coordinator) cleanUp(ctx context.Context) {
 	for started := time.Now(); sleeper.Sleep(ctx, cleanupInterval) == nil; started = time.Now() {
 		c.updateWorkload(time.Since(started) - cleanupInterval)
+		c.updateConnections()
 		c.registry.Expire(time.Now())
 		c.recordBuilds(time.Now())
 		c.prober.Retain(c.targetAddresses())
@@ -233,30 +231,30 @@
 // serve runs the HTTP servers until a signal or the end of stop, and then until the last request is done.
 func (c *Coordinator) serve(stop context.Context, stopDuties func()) error {
 	settings := c.settings.Load()
-	client, err := c.listen(settings.Listen, max(1, settings.Bounds.Descriptors-reservedDescriptors), &c.workload.clients, c.countInFlight(c.handlers.Client(c)))
+	client, err := c.listen(listenerClients, settings.Listen, &c.workload.clients, c.countInFlight(c.handlers.Client(c)))
 	if err != nil {
 		return err
 	}
 	c.client = client
-	ready, err := c.listen(settings.ReadyListen, controlConnections, nil, c.handlers.Ready(c))
+	ready, err := c.listen(listenerReadiness, settings.ReadyListen, nil, c.handlers.Ready(c))
 	if err != nil {
 		return err
 	}
-	directory, err := c.listen(settings.DirectoryListen, controlConnections, nil, c.handlers.Directory(c))
+	directory, err := c.listen(listenerDirectory, settings.DirectoryListen, nil, c.handlers.Directory(c))
 	if err != nil {
 		return err
 	}
 	var once sync.Once
 	servers := []transport.Server{client, ready, directory}
 	if settings.RelayListen != "" {
-		relay, err := c.listen(settings.RelayListen, controlConnections, &c.workload.peers, c.countInFlight(c.countOfPeers(c.handlers.Relay(c))))
+		relay, err := c.listen(listenerRelay, settings.RelayListen, &c.workload.peers, c.countInFlight(c.countOfPeers(c.handlers.Relay(c))))
 		if err != nil {
 			return err
 		}
 		c.relay = relay
 		servers = append(servers, relay)
 	}
-	if metrics, err := c.listen(settings.MetricsListen, controlConnections, nil, c.Metrics); err != nil {
+	if metrics, err := c.listen(listenerMetrics, settings.MetricsListen, nil, c.Metrics); err != nil {
 		// The metrics port is fixed, while the other ports change daily: it may be in use, which must not stop the
 		// service.
 		c.logger.Error("cannot serve metrics", zap.Error(err))
@@ -289,40 +287,6 @@
 	return err
 }
 
-// controlConnections limits the connections to each listener for readiness, directory and metrics.
-const controlConnections = 400
-
-// server is an HTTP server with its listener.
-type server struct {
-	*khttp.Server
-	lis *networker.ClosingListener
-}
-
-// listen opens a listener with a limit of connections, which are counted in count unless that is nil.
-func (c *Coordinator) listen(addr string, connections int, count *networker.ConnectionCount, h http.Handler) (*server, error) {
-	lis, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	if count != nil {
-		lis = networker.CountListener(lis, count)
-	}
-	closing := &networker.ClosingListener{Listener: networker.TimeoutListener(networker.LimitListener(lis, connections), c.timeLimits)}
-	srv := khttp.NewServer(
-		khttp.Listener(closing),
-		khttp.Endpoint(&url.URL{Scheme: "http", Host: addr}),
-		khttp.Timeout(0),
-	)
-	srv.ReadHeaderTimeout = networker.HeaderTimeoutSentinel
-	srv.IdleTimeout = networker.IdleTimeoutSentinel
-	srv.ErrorLog = zap.NewStdLog(c.logger)
-	srv.ConnState = closing.ConnState
-	c.listeners = append(c.listeners, closing)
-	// This bypasses the router of kratos, which redirects paths that are not clean.
-	srv.Handler = h
-	return &server{srv, closing}, nil
-}
-
 func (c *Coordinator) timeLimits() (header, idle time.Duration) {
 	l := c.Limits()
 	return l.HeaderTimeout, l.IdleTimeout
@@ -363,8 +327,8 @@
 // progress at the given time, so that their clients get an answer before the process ends.
 func (c *Coordinator) drain(ending time.Time) {
 	c.stopping.Store(true)
-	for _, l := range c.listeners {
-		if err := l.StopAccepting(); err != nil {
+	for _, s := range c.allServers() {
+		if err := s.lis.StopAccepting(); err != nil {
 			c.logger.Warn("listener not closed", zap.Error(err))
 		}
 	}
@@ -376,8 +340,8 @@
 		c.logger.Warn("requests are ended by the stop", zap.Int64("InFlight", n))
 	}
 	c.endRequests(forwarder.ErrStopping)
-	for _, l := range c.listeners {
-		l.CloseUnused()
+	for _, s := range c.allServers() {
+		s.lis.CloseUnused()
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), ending.Add(answerMargin))
 	defer cancel()
--- a/internal/networker/limit.go
+++ b/internal/networker/limit.go
@@ -3,29 +3,78 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
+// roomPause is the pause between attempts to make room for a connection.
+const roomPause = 20 * time.Millisecond
+
+// LimitListener returns a listener that limits the number of connections open at once. While none is free, it calls makeRoom, which may
+// close another connection, whenever a new one has arrived; nil lets new ones wait.
+func LimitListener(lis net.Listener, limit int, makeRoom func()) net.Listener {
+	return &limitListener{Listener: lis, slots: make(chan struct{}, limit), closed: make(chan struct{}), makeRoom: makeRoom}
+}
+
 // limitListener accepts a connection only while a slot is free.
 type limitListener struct {
 	net.Listener
-	slots  chan struct{}
-	closed chan struct{}
-	once   sync.Once
+	slots    chan struct{}
+	closed   chan struct{}
+	once     sync.Once
+	makeRoom func()
 }
 
-// Accept waits for a free slot, then for a connection.
+// Accept waits for a connection and a free slot.
 func (l *limitListener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
+	if l.makeRoom == nil {
+		if !l.waitForSlot(nil) {
+			return nil, net.ErrClosed
+		}
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			<-l.slots
+			return nil, err
+		}
+		return l.withSlot(conn), nil
 	}
 	conn, err := l.Listener.Accept()
 	if err != nil {
-		<-l.slots
 		return nil, err
 	}
-	return &slotConn{Conn: conn, release: func() { <-l.slots }}, nil
+	for {
+		select {
+		case l.slots <- struct{}{}:
+			return l.withSlot(conn), nil
+		default:
+		}
+		l.makeRoom()
+		timer := time.NewTimer(roomPause)
+		if l.waitForSlot(timer.C) {
+			timer.Stop()
+			return l.withSlot(conn), nil
+		}
+		select {
+		case <-l.closed:
+			conn.Close()
+			return nil, net.ErrClosed
+		default:
+		}
+	}
+}
+
+// waitForSlot takes a slot. It reports false if the listener is closed or the time is over first.
+func (l *limitListener) waitForSlot(timeout <-chan time.Time) bool {
+	select {
+	case l.slots <- struct{}{}:
+		return true
+	case <-timeout:
+	case <-l.closed:
+	}
+	return false
+}
+
+func (l *limitListener) withSlot(conn net.Conn) net.Conn {
+	return &slotConn{Conn: conn, release: func() { <-l.slots }}
 }
 
 // Close closes the listener.
@@ -43,6 +92,7 @@
 
 // Close closes the connection and frees its slot.
 func (c *slotConn) Close() error {
+	err := c.Conn.Close()
 	c.once.Do(c.release)
-	return c.Conn.Close()
+	return err
 }
--- a/internal/networker/network.go
+++ b/internal/networker/network.go
@@ -49,8 +49,3 @@
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
-
-// LimitListener returns a listener that limits the number of connections open at once.
-func LimitListener(lis net.Listener, limit int) net.Listener {
-	return &limitListener{Listener: lis, slots: make(chan struct{}, limit), closed: make(chan struct{})}
-}
--- a/internal/parser/entry.go
+++ b/internal/parser/entry.go
@@ -64,6 +64,8 @@
 	AddressLifetime time.Duration
 	Descriptors     int
 	MemoryMegabytes int64
+	// Limits of the connections to each listener; zero means a part of Descriptors. ControlConnections is for readiness and for metrics each.
+	ClientConnections, RelayConnections, PeerConnections, DirectoryConnections, ControlConnections int
 	// Cores is the number of processor cores that the process may use; it can be a fraction.
 	Cores float64
 	// LinkMegabits is the bandwidth of the machine's network link.
@@ -201,6 +203,12 @@
 		LinkMegabits:       s.numberOrDefault("LinkMegabits", defaultEntryLinkMegabits, 0.1, maximumBytes),
 		FencingChecked:     s.raw("FencingChecked", "") == "" || s.boolean("FencingChecked", true),
 		MemoryMegabytes:    int64(s.numberOrDefault("MemoryMegabytes", defaultEntryMemoryMegabytes, 16, maximumBytes)),
+
+		ClientConnections:    int(s.numberOrDefault("ClientConnections", 0, 1, maximumConnections)),
+		RelayConnections:     int(s.numberOrDefault("RelayConnections", 0, 1, maximumConnections)),
+		PeerConnections:      int(s.numberOrDefault("PeerConnections", 0, 1, maximumConnections)),
+		DirectoryConnections: int(s.numberOrDefault("DirectoryConnections", 0, 1, maximumConnections)),
+		ControlConnections:   int(s.numberOrDefault("ControlConnections", 0, 1, maximumConnections)),
 	}
 }
 
--- a/internal/runner/core.go
+++ b/internal/runner/core.go
@@ -267,7 +267,7 @@
 func (e *Entry) serve(stop, kill context.Context, lis net.Listener, stopDuties func()) error {
 	limits := e.settings.Limits
 	srv := khttp.NewServer(
-		khttp.Listener(networker.LimitListener(lis, limits.Connections)),
+		khttp.Listener(networker.LimitListener(lis, limits.Connections, nil)),
 		khttp.Endpoint(&url.URL{Scheme: "http", Host: e.settings.Listen}),
 		khttp.Timeout(0),
 		khttp.StrictSlash(false),
