Peers: sessions, requests of a session and what messages hold are bounded

What callers saw: connections to PeerListen without a limit took descriptors from clients and targets; a message of 4 MiB that was announced and did not come took its 4 MiB at once, on any number of streams.

Cause: sessions and streams had no limit, and memory was allocated by the announced lengths: 4 MiB for a message, up to 256 KiB for a frame.

Change: a server has at most as many sessions as PeerConnections; a new one replaces the oldest that has brought no message, or else the one that was used least recently, after 250 ms at the earliest, so that peers that exchange messages stay. A session has at most 16 requests at a time and 16 that wait. A message is read into memory as it arrives. The lengths of frames count, before their content, in memory that all sessions share (PeerMegabytes); the session that exceeds it ends. PeerRefusals counts each.

The messages, their lengths and the client are unchanged: a peer of the build before sends and gets the same bytes.

--- a/internal/coordinator/listen.go
+++ b/internal/coordinator/listen.go
@@ -33,6 +33,9 @@
 	peerDescriptorPercent      = 10
 	directoryDescriptorPercent = 5
 	controlDescriptorPercent   = 2.5
+	peerMemoryDivisor          = 16
+	// peerStreams is the number of messages of one peer that are handled at once; a peer sends one at a time, and contacts at its start.
+	peerStreams = 16
 )
 
 // connectionLimits returns the limit of connections of each listener.
@@ -50,6 +53,14 @@
 	}
 }
 
+// memoryShare returns a setting in megabytes, or its default, in bytes.
+func memoryShare(megabytes, memoryMegabytes, divisor int64) int64 {
+	if megabytes > 0 {
+		return megabytes << 20
+	}
+	return memoryMegabytes << 20 / divisor
+}
+
 // server is an HTTP server with its listener.
 type server struct {
 	*khttp.Server
@@ -97,7 +108,8 @@
 
 // refusalNames are the names of the refusals of peers in the metrics.
 var refusalNames = map[exchanger.Refusal]string{
-	exchanger.AcceptFailed: "AcceptFailed",
+	exchanger.AcceptFailed: "AcceptFailed", exchanger.SessionReplaced: "SessionReplaced",
+	exchanger.MemoryFull: "MemoryFull", exchanger.MessageRefused: "MessageRefused",
 }
 
 func (c *Coordinator) countPeerRefusal(r exchanger.Refusal) {
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -84,6 +84,8 @@
 		NewRequest: func() proto.Message { return &gossiper.Beat{} },
 		Answer:     func(req proto.Message) proto.Message { return c.gossipMeter.answer(c.peers, req.(*gossiper.Beat)) },
 		Logger:     c.logger, OnRefusal: c.countPeerRefusal,
+		MaximumSessions: connectionLimits(c.bounds)[listenerPeers], MaximumStreams: peerStreams,
+		MaximumBytes: memoryShare(c.bounds.PeerMegabytes, c.bounds.MemoryMegabytes, peerMemoryDivisor),
 	}
 	targets := c.newFollower(streamTargets, c.platform.Targets, &c.targets, c.copyAge)
 	c.targets.FailingFor = targets.FailingFor
