Heads: a limit for each at every listener, and memory for all together

What callers saw: in a trial of the users, clients that sent heads without end ended a process; it ran out of memory.

Cause: the servers of all five listeners read up to the library's default of 1 MiB of each head, and parsed it, before the operator's header_bytes was compared with it; at DirectoryListen, ReadyListen, MetricsListen and RelayListen nothing was compared. A head of short lines takes some sixty times its bytes once it is parsed, and nothing bounded what all heads take together.

Change: networker.HeadListener counts the bytes and lines of a head as the server reads them, and ends it at the limit in force: 431 for one that is too large, 503 with Retry-After for one for which the memory that all heads share (HeadMegabytes) has no room. The limit follows the operator's record while the server runs; the server's own limit, which cannot change, is out of the way. At the listeners that serve no clients the limit is not below the default, and at RelayListen it leaves room for what a peer adds. Each connection has 8 KiB of its own, which ordinary heads fit into: they are served while others fill the shared memory. HeadsRefused counts, by listener and reason.

503 is kept: what is refused here has not been read whole, and has run nowhere.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -31,6 +31,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
 	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
 	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
+	"github.com/coltsfootscale/coltsfootscale/internal/networker"
 	"github.com/coltsfootscale/coltsfootscale/internal/parser"
 	"github.com/coltsfootscale/coltsfootscale/internal/pinner"
 	"github.com/coltsfootscale/coltsfootscale/internal/prober"
@@ -154,6 +155,8 @@
 	closer  func() error
 	// client serves the requests of clients, and relay those that peers pass on; relay is nil if there is no address for it.
 	client, relay *server
+	// headMemory bounds the memory of the heads at all listeners.
+	headMemory networker.HeadMemory
 	// servers are all servers; serversMu guards the list.
 	serversMu sync.Mutex
 	servers   []*server
@@ -198,6 +201,7 @@
 		ClientAddress: settings.Listen, PeerAddress: settings.PeerListen, RelayAddress: settings.RelayListen, Capacity: capacity(settings.Bounds),
 	}
 	c.BodyBuffers.MaximumBytes = settings.Bounds.MemoryMegabytes << 20 / bodyMemoryDivisor
+	c.headMemory.MaximumBytes = memoryShare(settings.Bounds.HeadMegabytes, settings.Bounds.MemoryMegabytes, headMemoryDivisor)
 	c.wireMirrors()
 	c.wirePeers()
 	c.wireDuties()
--- a/internal/coordinator/delay.go
+++ b/internal/coordinator/delay.go
@@ -22,8 +22,8 @@
 	peers   networker.ConnectionCount
 	// ofPeers is the number of requests in progress that peers have passed on.
 	ofPeers atomic.Int64
-	// peersRefused counts the refusals of peers since the last update.
-	peersRefused atomic.Int64
+	// headsRefused and peersRefused count what the listeners have refused since the last update.
+	headsRefused, peersRefused atomic.Int64
 	// probes and accepted are the counts at the last update; behind is set while the instance is behind.
 	probes, accepted int64
 	behind           bool
--- a/internal/coordinator/listen.go
+++ b/internal/coordinator/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"net"
 	"net/http"
 	"net/url"
@@ -33,9 +34,16 @@
 	peerDescriptorPercent      = 10
 	directoryDescriptorPercent = 5
 	controlDescriptorPercent   = 2.5
+	headMemoryDivisor          = 8
 	peerMemoryDivisor          = 16
 	// peerStreams is the number of messages of one peer that are handled at once; a peer sends one at a time, and contacts at its start.
 	peerStreams = 16
+	// unlimitedHeadBytes replaces the server's own limit on heads, which cannot change while it serves.
+	unlimitedHeadBytes = 1 << 30
+	// relayHeadFactor and relayHeadBytes are how much larger the head of a request is that a peer passes on: it writes each line in its
+	// longest form, and adds lines of its own.
+	relayHeadFactor = 2
+	relayHeadBytes  = 4 << 10
 )
 
 // connectionLimits returns the limit of connections of each listener.
@@ -81,7 +89,10 @@
 	}
 	closing := &networker.ClosingListener{}
 	limited := networker.LimitListener(lis, connectionLimits(c.bounds)[name], closing.MakeRoom)
-	closing.Listener = networker.TimeoutListener(limited, c.timeLimits)
+	closing.Listener = networker.HeadListener(networker.TimeoutListener(limited, c.timeLimits), &networker.HeadLimits{
+		Bytes: func() int { return c.headBytes(name) }, Memory: &c.headMemory,
+		OnRefusal: func(err error) { c.countHeadRefusal(name, err) },
+	})
 	srv := khttp.NewServer(
 		khttp.Listener(closing),
 		khttp.Endpoint(&url.URL{Scheme: "http", Host: addr}),
@@ -89,6 +100,7 @@
 	)
 	srv.ReadHeaderTimeout = networker.HeaderTimeoutSentinel
 	srv.IdleTimeout = networker.IdleTimeoutSentinel
+	srv.MaxHeaderBytes = unlimitedHeadBytes
 	srv.ErrorLog = zap.NewStdLog(c.logger)
 	srv.ConnState, srv.ConnContext = closing.ConnState, closing.ConnContext
 	// This bypasses the router of kratos, which redirects paths that are not clean.
@@ -106,6 +118,28 @@
 	return slices.Clone(c.servers)
 }
 
+// headBytes returns the limit on the bytes of a head at a listener. The operator's limit is for clients: a lower one than the default does
+// not bind the platform and peers.
+func (c *Coordinator) headBytes(listener string) int {
+	limit := c.Limits().HeaderBytes
+	switch listener {
+	case listenerClients:
+		return limit
+	case listenerRelay:
+		return relayHeadFactor*max(limit, defaultHeaderBytes) + relayHeadBytes
+	}
+	return max(limit, defaultHeaderBytes)
+}
+
+func (c *Coordinator) countHeadRefusal(listener string, err error) {
+	reason := "TooLarge"
+	if errors.Is(err, networker.ErrHeadMemory) {
+		reason = "MemoryFull"
+	}
+	c.workload.headsRefused.Add(1)
+	c.metrics.Tagged(map[string]string{"Listener": listener, "Reason": reason}).Counter("HeadsRefused").Inc(1)
+}
+
 // refusalNames are the names of the refusals of peers in the metrics.
 var refusalNames = map[exchanger.Refusal]string{
 	exchanger.AcceptFailed: "AcceptFailed", exchanger.SessionReplaced: "SessionReplaced",
@@ -129,9 +163,10 @@
 		}
 		s.ended = ended
 	}
-	peers := w.peersRefused.Swap(0)
-	if sum > 0 || peers > 0 {
-		c.logger.Warn("connections refused", zap.Int64("ConnectionsEnded", sum), zap.Int64("PeersRefused", peers),
-			zap.Int64("ClientConnections", w.clients.Open()))
+	c.metrics.Gauge("HeadMemory").Update(float64(c.headMemory.Used()))
+	heads, peers := w.headsRefused.Swap(0), w.peersRefused.Swap(0)
+	if sum > 0 || heads > 0 || peers > 0 {
+		c.logger.Warn("connections refused", zap.Int64("HeadsRefused", heads), zap.Int64("ConnectionsEnded", sum), zap.Int64("PeersRefused", peers),
+			zap.Int64("HeadMemory", c.headMemory.Used()), zap.Int64("ClientConnections", w.clients.Open()))
 	}
 }
--- a/internal/parser/entry.go
+++ b/internal/parser/entry.go
@@ -66,8 +66,9 @@
 	MemoryMegabytes int64
 	// Limits of the connections to each listener; zero means a part of Descriptors. ControlConnections is for readiness and for metrics each.
 	ClientConnections, RelayConnections, PeerConnections, DirectoryConnections, ControlConnections int
-	// PeerMegabytes limits the memory for all messages of peers that are not handled yet; zero means a part of MemoryMegabytes.
-	PeerMegabytes int64
+	// HeadMegabytes and PeerMegabytes limit the memory for the heads of all requests, and for all messages of peers that are not handled yet;
+	// zero means a part of MemoryMegabytes.
+	HeadMegabytes, PeerMegabytes int64
 	// Cores is the number of processor cores that the process may use; it can be a fraction.
 	Cores float64
 	// LinkMegabits is the bandwidth of the machine's network link.
@@ -210,8 +211,9 @@
 		RelayConnections:     int(s.numberOrDefault("RelayConnections", 0, 1, maximumConnections)),
 		PeerConnections:      int(s.numberOrDefault("PeerConnections", 0, 1, maximumConnections)),
 		DirectoryConnections: int(s.numberOrDefault("DirectoryConnections", 0, 1, maximumConnections)),
-		PeerMegabytes:        int64(s.numberOrDefault("PeerMegabytes", 0, 1, maximumBytes)),
 		ControlConnections:   int(s.numberOrDefault("ControlConnections", 0, 1, maximumConnections)),
+		HeadMegabytes:        int64(s.numberOrDefault("HeadMegabytes", 0, 1, maximumBytes)),
+		PeerMegabytes:        int64(s.numberOrDefault("PeerMegabytes", 0, 1, maximumBytes)),
 	}
 }
 
