Answers: writing one ends with its request

What callers saw: a client that did not read its answer kept its connection, and what was held for it, without an end; other clients waited for a place.

Cause: writes had no deadline. The end of a request's time ended the reading of its target, not a write that waited for the client.

Change: the forwarder sets a write deadline of one second after the request's own. Other answers, as refusals, the directory and metrics, fail if a client reads nothing of a write for the idle timeout. Up to its deadline a request goes on as before: a slow but sound stream is not cut.

Evidence: TestAnswersThatAreNotReadEnd (new) fails on: the answer is still being written after ten seconds.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -49,6 +49,8 @@
 	minimumConnections = 1
 	// minimumRemaining is the least time before the deadline at which a retry is still worthwhile.
 	minimumRemaining = 5 * time.Millisecond
+	// writeMargin is how long after the deadline of a request the end of its answer may be written.
+	writeMargin = time.Second
 )
 
 // Budget limits attempts beyond the first of a request.
@@ -214,6 +216,7 @@
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, rs.deadline)
 		defer cancel()
+		rs.limitWriting()
 		if refusal = rs.refusePassedOn(); refusal == nil {
 			refusal = rs.takeQuota(ctx)
 		}
@@ -228,6 +231,13 @@
 	rs.finish(ctx, refusal)
 }
 
+// limitWriting ends writes that wait for a client which has stopped reading its answer.
+func (rs *requestState) limitWriting() {
+	if err := http.NewResponseController(rs.w).SetWriteDeadline(rs.deadline.Add(writeMargin)); err != nil {
+		rs.f.Logger.Debug("cannot set write deadline of response", zap.Error(err))
+	}
+}
+
 // finish writes the refusal, if any, and logs the outcome.
 func (rs *requestState) finish(ctx context.Context, refusal *Refusal) {
 	rs.f.Metrics.Counter("Requests").Inc(1)
--- a/internal/networker/timed.go
+++ b/internal/networker/timed.go
@@ -1,6 +1,7 @@
 package networker
 
 import (
+	"errors"
 	"net"
 	"sync/atomic"
 	"time"
@@ -20,7 +21,8 @@
 type Timeouts func() (header, idle time.Duration)
 
 // TimeoutListener returns a listener for an http.Server whose timeouts may change while it serves. The server's
-// ReadHeaderTimeout must be HeaderTimeoutSentinel and its IdleTimeout IdleTimeoutSentinel.
+// ReadHeaderTimeout must be HeaderTimeoutSentinel and its IdleTimeout IdleTimeoutSentinel. A write for which the handler has set no deadline
+// fails if the client reads nothing for the idle timeout.
 func TimeoutListener(lis net.Listener, timeouts Timeouts) net.Listener {
 	return &timeoutListener{lis, timeouts}
 }
@@ -46,6 +48,30 @@
 	net.Conn
 	timeouts    Timeouts
 	noBytesRead atomic.Bool
+	// writeDeadline is set while the handler's write deadline is in force.
+	writeDeadline atomic.Bool
+}
+
+// Write writes to the connection.
+func (c *timeoutConn) Write(p []byte) (int, error) {
+	if !c.writeDeadline.Load() {
+		_, idle := c.timeouts()
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(idle)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(p)
+}
+
+// SetWriteDeadline sets the deadline of the handler; zero removes it.
+func (c *timeoutConn) SetWriteDeadline(t time.Time) error {
+	c.writeDeadline.Store(!t.IsZero())
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// SetDeadline sets both deadlines.
+func (c *timeoutConn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
 // Read starts the header timeout at the first byte of a new connection.
--- a/internal/networker/timed_test.go
+++ b/internal/networker/timed_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -84,3 +85,30 @@
 	after = closedAfter(t, conn)
 	quicktest.Check(t, after < 350*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("after a change: %v", after))
 }
+
+// TestAnswersThatAreNotReadEnd guards against clients that keep a connection, and what is held for them, by not reading an answer.
+func TestAnswersThatAreNotReadEnd(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	ended := make(chan error, 1)
+	srv := &http.Server{
+		ReadHeaderTimeout: networker.HeaderTimeoutSentinel, IdleTimeout: networker.IdleTimeoutSentinel,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			for {
+				if _, err := w.Write(make([]byte, 1<<20)); err != nil {
+					ended <- err
+					return
+				}
+			}
+		}),
+	}
+	go srv.Serve(networker.TimeoutListener(lis, func() (time.Duration, time.Duration) { return time.Second, 100 * time.Millisecond }))
+	defer srv.Close()
+	fmt.Fprint(dial(t, lis.Addr().String()), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	select {
+	case err := <-ended:
+		quicktest.Check(t, err, quicktest.ErrorIs, os.ErrDeadlineExceeded)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the answer is still being written")
+	}
+}
