Sockets: what they receive unread is bounded

What callers saw: a process that did not answer ordinary requests for 45 s after a crowd had left, and memory that grows with what clients send behind a request, as empty lines without end. On the users' machines received bytes that were not read count as the process's memory.

Cause: the kernel's default receive buffer, 128 KiB and more for each connection, whatever the memory of the machine. A client could send its request and all that follows at once, leave and come back; the server, which reads one byte ahead, did not notice that it had left, and ran the requests of clients long gone, one group after the other.

Change: the listeners set the receive buffer of their connections: an eighth of the memory over all of them, from 16 to 128 KiB each.

Left: a client that sends its request and one byte more, and leaves, is still not noticed until the request's deadline (docs/CLIENTS.md).

--- a/internal/coordinator/listen.go
+++ b/internal/coordinator/listen.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"errors"
-	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -36,6 +35,11 @@
 	controlDescriptorPercent   = 2.5
 	headMemoryDivisor          = 8
 	peerMemoryDivisor          = 16
+	// receiveMemoryDivisor gives the share of the memory for what all connections have received and the process has not read.
+	receiveMemoryDivisor = 8
+	// minimumReceiveBytes is the least receive buffer of a connection: with less, bodies arrive slowly.
+	minimumReceiveBytes = 16 << 10
+	maximumReceiveBytes = 128 << 10
 	// peerStreams is the number of messages of one peer that are handled at once; a peer sends one at a time, and contacts at its start.
 	peerStreams = 16
 	// unlimitedHeadBytes replaces the server's own limit on heads, which cannot change while it serves.
@@ -69,6 +73,16 @@
 	return memoryMegabytes << 20 / divisor
 }
 
+// receiveBytes returns the size of the receive buffer of each connection.
+func receiveBytes(b parser.EntryBounds) int {
+	connections := 0
+	for _, n := range connectionLimits(b) {
+		connections += n
+	}
+	share := b.MemoryMegabytes << 20 / receiveMemoryDivisor / int64(connections)
+	return int(min(maximumReceiveBytes, max(minimumReceiveBytes, share)))
+}
+
 // server is an HTTP server with its listener.
 type server struct {
 	*khttp.Server
@@ -80,7 +94,7 @@
 
 // listen opens a listener, whose connections are counted in count unless that is nil.
 func (c *Coordinator) listen(name, addr string, count *networker.ConnectionCount, h http.Handler) (*server, error) {
-	lis, err := net.Listen("tcp", addr)
+	lis, err := networker.ListenWithBuffer(addr, receiveBytes(c.bounds))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -25,6 +25,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/forwarder"
 	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
 	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
+	"github.com/coltsfootscale/coltsfootscale/internal/networker"
 	"github.com/coltsfootscale/coltsfootscale/internal/sleeper"
 )
 
@@ -35,7 +36,7 @@
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.Bounds.MemoryMegabytes<<20)))
 	c.logger.Info("entry instance starts", zap.String("Incarnation", c.self.Incarnation), zap.String("Zone", c.self.Zone),
 		zap.Strings("Seeds", settings.Seeds))
-	peerLis, err := net.Listen("tcp", settings.PeerListen)
+	peerLis, err := networker.ListenWithBuffer(settings.PeerListen, receiveBytes(c.bounds))
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
--- a/internal/networker/network.go
+++ b/internal/networker/network.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 )
 
@@ -20,6 +22,19 @@
 	Dial(ctx context.Context, addr string) (net.Conn, error)
 }
 
+// ListenWithBuffer opens a TCP listener whose connections hold at most some number of received bytes, or about twice as many, that have not
+// been read. The receive buffers of the kernel count as the process's memory on some machines.
+func ListenWithBuffer(addr string, receiveBytes int) (net.Listener, error) {
+	cfg := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
+		var failed error
+		err := conn.Control(func(fd uintptr) {
+			failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes)
+		})
+		return errors.Join(err, failed)
+	}}
+	return cfg.Listen(context.Background(), "tcp", addr)
+}
+
 // TCP is the Network of the host.
 type TCP struct{}
 
