Directory: a body that does not come holds no connection

What callers saw: no answer of the directory while clients kept its 400 connections by announcing a body that they did not send. It also goes for readiness and metrics.

Cause: the server reads what is left of a body after the handler, or before the response is written, without a deadline.

Change: at these listeners it does not wait for one.

--- a/internal/coordinator/listen.go
+++ b/internal/coordinator/listen.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"go.uber.org/zap"
@@ -132,6 +133,19 @@
 	return slices.Clone(c.servers)
 }
 
+// withoutBody lets the server not wait for a body of which the handler has no use: a client could keep the connection by one that it does not
+// send.
+func (c *Coordinator) withoutBody(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			if err := http.NewResponseController(w).SetReadDeadline(time.Now()); err != nil {
+				c.logger.Debug("cannot set read deadline of request body", zap.Error(err))
+			}
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // headBytes returns the limit on the bytes of a head at a listener. The operator's limit is for clients: a lower one than the default does
 // not bind the platform and peers.
 func (c *Coordinator) headBytes(listener string) int {
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -239,11 +239,11 @@
 		return err
 	}
 	c.client = client
-	ready, err := c.listen(listenerReadiness, settings.ReadyListen, nil, c.handlers.Ready(c))
+	ready, err := c.listen(listenerReadiness, settings.ReadyListen, nil, c.withoutBody(c.handlers.Ready(c)))
 	if err != nil {
 		return err
 	}
-	directory, err := c.listen(listenerDirectory, settings.DirectoryListen, nil, c.handlers.Directory(c))
+	directory, err := c.listen(listenerDirectory, settings.DirectoryListen, nil, c.withoutBody(c.handlers.Directory(c)))
 	if err != nil {
 		return err
 	}
@@ -257,7 +257,7 @@
 		c.relay = relay
 		servers = append(servers, relay)
 	}
-	if metrics, err := c.listen(listenerMetrics, settings.MetricsListen, nil, c.Metrics); err != nil {
+	if metrics, err := c.listen(listenerMetrics, settings.MetricsListen, nil, c.withoutBody(c.Metrics)); err != nil {
 		// The metrics port is fixed, while the other ports change daily: it may be in use, which must not stop the
 		// service.
 		c.logger.Error("cannot serve metrics", zap.Error(err))
