Datagrams: the names in a pin are bounded

What callers saw: nothing yet. 32,768 announcements of streams with names of 1,300 bytes made an instance hold over 40 MB.

Cause: the number of remembered streams is bounded, the length of their names was not.

Change: an announcement whose names of service and build together exceed 512 bytes is ignored, as one without a service is. A stream of which nothing is remembered is refused when it is taken up, and never joined wrongly.

--- a/internal/pinner/memory.go
+++ b/internal/pinner/memory.go
@@ -24,6 +24,8 @@
 	pinLifetime = time.Minute
 	// maximumPins limits the remembered streams, the oldest of which are dropped. They take some 200 bytes each.
 	maximumPins = 1 << 15
+	// maximumNameBytes limits the names of a service and a build that a datagram announces, and with it the memory of the pins.
+	maximumNameBytes = 512
 )
 
 // Key identifies a stream: the request that began it, and its team.
--- a/internal/pinner/pinner.go
+++ b/internal/pinner/pinner.go
@@ -199,7 +199,7 @@
 	}
 	switch d.Kind {
 	case Kind_Announcement:
-		if d.Service == "" {
+		if d.Service == "" || len(d.Service)+len(d.Build) > maximumNameBytes {
 			return
 		}
 		p.memory.store(Key(d.Stream), Pin{identifier.ServiceID(d.Service), identifier.Build(d.Build)}, d.Ambiguous, time.Now())
