Settings: the derived limits are printed as they are in force

Change: EntryBounds.WithDefaults fills them in when the settings are read, and for settings that were not read from a file.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -194,14 +194,14 @@
 		memberLost: make(chan struct{}, 1), heldClosings: map[string][]int64{}, startedAt: time.Now(), bootAtStart: bootTime()}
 	c.requests, c.endRequests = context.WithCancelCause(context.Background())
 	c.settings.Store(settings)
-	c.bounds = settings.Bounds
+	c.bounds = settings.Bounds.WithDefaults()
 	c.openMetrics()
 	c.self = &gossiper.Member{
 		ID: string(settings.Instance), Incarnation: uuid.NewString()[:incarnationDigits], Zone: string(settings.Zone),
 		ClientAddress: settings.Listen, PeerAddress: settings.PeerListen, RelayAddress: settings.RelayListen, Capacity: capacity(settings.Bounds),
 	}
 	c.BodyBuffers.MaximumBytes = settings.Bounds.MemoryMegabytes << 20 / bodyMemoryDivisor
-	c.headMemory.MaximumBytes = memoryShare(settings.Bounds.HeadMegabytes, settings.Bounds.MemoryMegabytes, headMemoryDivisor)
+	c.headMemory.MaximumBytes = c.bounds.HeadMegabytes << 20
 	c.wireMirrors()
 	c.wirePeers()
 	c.wireDuties()
--- a/internal/coordinator/listen.go
+++ b/internal/coordinator/listen.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"cmp"
 	"errors"
 	"net/http"
 	"net/url"
@@ -26,16 +25,7 @@
 	listenerPeers     = "PeerListen"
 )
 
-// Defaults for limits that the settings leave open, as a part of the process's descriptors and memory. What the connections leave of the
-// descriptors is for files and for connections to targets, peers and the store.
 const (
-	clientDescriptorPercent    = 40
-	relayDescriptorPercent     = 10
-	peerDescriptorPercent      = 10
-	directoryDescriptorPercent = 5
-	controlDescriptorPercent   = 2.5
-	headMemoryDivisor          = 8
-	peerMemoryDivisor          = 16
 	// receiveMemoryDivisor gives the share of the memory for what all connections have received and the process has not read.
 	receiveMemoryDivisor = 8
 	// minimumReceiveBytes is the least receive buffer of a connection: with less, bodies arrive slowly.
@@ -53,25 +43,10 @@
 
 // connectionLimits returns the limit of connections of each listener.
 func connectionLimits(b parser.EntryBounds) map[string]int {
-	limit := func(setting int, percent float64) int {
-		return cmp.Or(setting, max(1, int(float64(b.Descriptors)*percent/100)))
-	}
 	return map[string]int{
-		listenerClients:   limit(b.ClientConnections, clientDescriptorPercent),
-		listenerRelay:     limit(b.RelayConnections, relayDescriptorPercent),
-		listenerPeers:     limit(b.PeerConnections, peerDescriptorPercent),
-		listenerDirectory: limit(b.DirectoryConnections, directoryDescriptorPercent),
-		listenerReadiness: limit(b.ControlConnections, controlDescriptorPercent),
-		listenerMetrics:   limit(b.ControlConnections, controlDescriptorPercent),
-	}
-}
-
-// memoryShare returns a setting in megabytes, or its default, in bytes.
-func memoryShare(megabytes, memoryMegabytes, divisor int64) int64 {
-	if megabytes > 0 {
-		return megabytes << 20
+		listenerClients: b.ClientConnections, listenerRelay: b.RelayConnections, listenerPeers: b.PeerConnections,
+		listenerDirectory: b.DirectoryConnections, listenerReadiness: b.ControlConnections, listenerMetrics: b.ControlConnections,
 	}
-	return memoryMegabytes << 20 / divisor
 }
 
 // receiveBytes returns the size of the receive buffer of each connection.
--- a/internal/coordinator/run.go
+++ b/internal/coordinator/run.go
@@ -86,7 +86,7 @@
 		Answer:     func(req proto.Message) proto.Message { return c.gossipMeter.answer(c.peers, req.(*gossiper.Beat)) },
 		Logger:     c.logger, OnRefusal: c.countPeerRefusal,
 		MaximumSessions: connectionLimits(c.bounds)[listenerPeers], MaximumStreams: peerStreams,
-		MaximumBytes: memoryShare(c.bounds.PeerMegabytes, c.bounds.MemoryMegabytes, peerMemoryDivisor),
+		MaximumBytes: c.bounds.PeerMegabytes << 20,
 	}
 	targets := c.newFollower(streamTargets, c.platform.Targets, &c.targets, c.copyAge)
 	c.targets.FailingFor = targets.FailingFor
@@ -225,7 +225,7 @@
 		case err == nil && (signaled || !equalSettings(s, c.settings.Load())):
 			c.settings.Store(s)
 			c.logger.Info("settings reloaded", zap.Bool("Signal", signaled), zap.Strings("Seeds", s.Seeds),
-				zap.Bool("BoundsAtNextStart", s.Bounds != c.bounds))
+				zap.Bool("BoundsAtNextStart", s.Bounds.WithDefaults() != c.bounds))
 		}
 		invalid = err != nil
 	}
--- a/internal/parser/entry.go
+++ b/internal/parser/entry.go
@@ -1,6 +1,7 @@
 package parser
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"slices"
@@ -64,10 +65,10 @@
 	AddressLifetime time.Duration
 	Descriptors     int
 	MemoryMegabytes int64
-	// Limits of the connections to each listener; zero means a part of Descriptors. ControlConnections is for readiness and for metrics each.
+	// Limits of the connections to each listener; zero means the default, a part of Descriptors. ControlConnections is for readiness and for metrics each.
 	ClientConnections, RelayConnections, PeerConnections, DirectoryConnections, ControlConnections int
 	// HeadMegabytes and PeerMegabytes limit the memory for the heads of all requests, and for all messages of peers that are not handled yet;
-	// zero means a part of MemoryMegabytes.
+	// zero means the default, a part of MemoryMegabytes.
 	HeadMegabytes, PeerMegabytes int64
 	// Cores is the number of processor cores that the process may use; it can be a fraction.
 	Cores float64
@@ -97,6 +98,32 @@
 	maximumQuotaSlack                     = 1e12
 )
 
+// Defaults of the limits that depend on others, as percentages of the descriptors and fractions of the memory. What connections leave of the
+// descriptors is for files and for connections to targets, peers and the store.
+const (
+	clientDescriptorPercent    = 40
+	relayDescriptorPercent     = 10
+	peerDescriptorPercent      = 10
+	directoryDescriptorPercent = 5
+	controlDescriptorPercent   = 2.5
+	headMemoryDivisor          = 8
+	peerMemoryDivisor          = 16
+	minimumPeerMegabytes       = 8
+)
+
+// WithDefaults returns the bounds with the defaults of the limits that depend on others.
+func (b EntryBounds) WithDefaults() EntryBounds {
+	part := func(percent float64) int { return max(1, int(float64(b.Descriptors)*percent/100)) }
+	b.ClientConnections = cmp.Or(b.ClientConnections, part(clientDescriptorPercent))
+	b.RelayConnections = cmp.Or(b.RelayConnections, part(relayDescriptorPercent))
+	b.PeerConnections = cmp.Or(b.PeerConnections, part(peerDescriptorPercent))
+	b.DirectoryConnections = cmp.Or(b.DirectoryConnections, part(directoryDescriptorPercent))
+	b.ControlConnections = cmp.Or(b.ControlConnections, part(controlDescriptorPercent))
+	b.HeadMegabytes = cmp.Or(b.HeadMegabytes, max(1, b.MemoryMegabytes/headMemoryDivisor))
+	b.PeerMegabytes = cmp.Or(b.PeerMegabytes, max(minimumPeerMegabytes, b.MemoryMegabytes/peerMemoryDivisor))
+	return b
+}
+
 // ParseEntrySettings reads the settings of an entry instance on the users' machines; the error holds Faults.
 func ParseEntrySettings(file string, data []byte) (*EntrySettings, error) {
 	d, err := openDocument(file, data)
@@ -188,7 +215,7 @@
 }
 
 func parseEntryBounds(s *section) EntryBounds {
-	return EntryBounds{
+	b := EntryBounds{
 		Lease:              s.millisecondsOrDefault("LeaseMilliseconds", defaultEntryLeaseMilliseconds),
 		ConfigurationApply: s.millisecondsOrDefault("ConfigurationMilliseconds", defaultEntryConfigurationMilliseconds),
 		Grace:              s.secondsOrDefault("GraceSeconds", defaultEntryGraceSeconds),
@@ -215,6 +242,7 @@
 		HeadMegabytes:        int64(s.numberOrDefault("HeadMegabytes", 0, 1, maximumBytes)),
 		PeerMegabytes:        int64(s.numberOrDefault("PeerMegabytes", 0, 1, maximumBytes)),
 	}
+	return b.WithDefaults()
 }
 
 // numberOrDefault reads a number. An empty value gives the fallback, because a template leaves a value empty if the site
