--- a/internal/networker/closing.go
+++ b/internal/networker/closing.go
@@ -206,9 +206,9 @@
 	l.endWait(c)
 }
 
-// minimumWait is how long a connection may wait for its client before MakeRoom ends it. A request may wait as long on a busy machine until the
-// server reads it.
 const (
+	// minimumWait is how long a connection may wait for its first request before MakeRoom ends it. On a busy machine a request may wait as long
+	// until the server reads it.
 	minimumWait = 250 * time.Millisecond
 	// minimumIdleWait is the same for a further request. Clients and peers that sent a request just before are likely to send another one.
 	minimumIdleWait = time.Second
