Review: one usage window reported with two figures

An instance that reads on in the duties log after the claim of the present holder has expired keeps the earlier generation number and ignores all closed windows in the log. If it is cut off from those that know a window, and they are lost, it closes and reports the window again with its own counts.

--- /dev/null
+++ b/review/standin-2/usage.go
@@ -0,0 +1,254 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	instances = 4
+	// history is how long the store keeps records: the sheet of both deployments says 20 s.
+	history      = 20 * time.Second
+	usageWindow  = 5 * time.Second
+	usageLate    = 10 * time.Second
+	cutBefore    = 2500 * time.Millisecond
+	longestCut   = 7500 * time.Millisecond
+	requestPause = 50 * time.Millisecond
+	// holderTimeout is how long the duties may change hands.
+	holderTimeout = 45 * time.Second
+)
+
+var errCannotRun = errors.New("the case cannot run")
+
+// usageCase shows whether one usage window is reported with two figures.
+type usageCase struct {
+	trouble bool
+	record  func(format string, args ...any)
+	store   store
+	cloud   cloud
+	links   links
+	entries []*entry
+}
+
+// run returns true if the rule held.
+func (u *usageCase) run(program, dir string) (bool, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	defer func() {
+		for _, e := range u.entries {
+			e.kill()
+		}
+	}()
+	if err := u.start(program, dir); err != nil {
+		return false, err
+	}
+	for _, e := range u.entries {
+		for range 2 {
+			go load(ctx, e.listen, e.id+"-"+strconv.FormatInt(time.Now().UnixNano(), 36), requestPause)
+		}
+	}
+	if err := u.restartAll(); err != nil {
+		return false, err
+	}
+	holder, err := u.awaitHolder(history + 2*time.Second)
+	if err != nil {
+		return false, err
+	}
+	u.record("%s holds the duties; its claim has expired from the store", holder)
+	if u.trouble {
+		if err := u.disturb(holder); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(usageLate)
+	return u.judge(), nil
+}
+
+// start starts the stand-ins and the instances.
+func (u *usageCase) start(program, dir string) error {
+	u.store.keep = history
+	u.store.put("keyed.op", "config", configText)
+	for n := range 3 {
+		w, err := startWorker(fmt.Sprintf("i-%d", n))
+		if err != nil {
+			return err
+		}
+		u.store.put(topicTargets, w.id, w.entry(time.Now()))
+	}
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	go http.Serve(lis, &u.cloud)
+	if err := u.openLinks(); err != nil {
+		return err
+	}
+	for n := 1; n <= instances; n++ {
+		storeLis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		go http.Serve(storeLis, u.store.serveFor(u.links.viewOf(n)))
+		var seeds []string
+		for m := 1; m <= 3; m++ {
+			seeds = append(seeds, string(u.links.viewOf(n)(fmt.Appendf(nil, "127.0.0.%d:%s", m, u.links.port))))
+		}
+		e, err := newEntry(n, dir, program, u.links.port, strings.Join(seeds, ","), storeLis.Addr().String(), lis.Addr().String())
+		if err != nil {
+			return err
+		}
+		u.entries = append(u.entries, e)
+		if err := e.start(); err != nil {
+			return err
+		}
+	}
+	for _, e := range u.entries {
+		if err := e.awaitReady(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// openLinks opens the links on a port that is free at the addresses of all instances.
+func (u *usageCase) openLinks() error {
+	for range 20 {
+		addr, err := freeAddress("127.0.0.1")
+		if err != nil {
+			return err
+		}
+		_, u.links.port, _ = net.SplitHostPort(addr)
+		free := true
+		for n := 1; n <= instances && free; n++ {
+			lis, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:%s", n, u.links.port))
+			if free = err == nil; free {
+				lis.Close()
+			}
+		}
+		if !free {
+			continue
+		}
+		for from := 1; from <= instances; from++ {
+			for to := 1; to <= instances; to++ {
+				if from == to {
+					continue
+				}
+				if err := u.links.open(from, to); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	}
+	return errCannotRun
+}
+
+// restartAll stops and starts the instances in turn, the holder of the duties last.
+func (u *usageCase) restartAll() error {
+	holder, err := u.awaitHolder(0)
+	if err != nil {
+		return err
+	}
+	order := slices.Clone(u.entries)
+	slices.SortStableFunc(order, func(a, b *entry) int { return strings.Compare(fmt.Sprint(a.id == holder), fmt.Sprint(b.id == holder)) })
+	for _, e := range order {
+		u.record("%s is stopped and started", e.id)
+		if err := e.restart(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitHolder waits until one instance has reported usage under one generation number for the given time, and returns it.
+func (u *usageCase) awaitHolder(settled time.Duration) (string, error) {
+	for end := time.Now().Add(holderTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		all := u.cloud.all()
+		if len(all) == 0 {
+			continue
+		}
+		last := all[len(all)-1]
+		since := slices.IndexFunc(all, func(r report) bool { return r.Fence == last.Fence })
+		if time.Since(all[since].At) >= settled {
+			return last.Holder, nil
+		}
+	}
+	return "", fmt.Errorf("%w: nobody holds the duties for long", errCannotRun)
+}
+
+// disturb cuts the holder and one other instance off from the rest, and lets both lose power once a window that ended in the cut was
+// reported.
+func (u *usageCase) disturb(holder string) error {
+	lost := map[int]bool{}
+	for _, e := range u.entries {
+		if e.id == holder {
+			lost[e.number] = true
+		}
+	}
+	for _, e := range u.entries {
+		if len(lost) == 1 && !lost[e.number] {
+			lost[e.number] = true
+		}
+	}
+	now := time.Now()
+	end := now.Truncate(usageWindow).Add(usageWindow)
+	if end.Sub(now) < cutBefore+100*time.Millisecond {
+		end = end.Add(usageWindow)
+	}
+	window := end.UnixMilli()/usageWindow.Milliseconds() - 1
+	time.Sleep(time.Until(end.Add(-cutBefore)))
+	began := time.Now()
+	u.links.setCut(func(from, to int) bool { return lost[from] != lost[to] })
+	u.record("cut between %v and the others; window %d ends at %s", lost, window, end.Format(time.StampMilli))
+	reported := false
+	for !reported && time.Since(began) < longestCut {
+		time.Sleep(10 * time.Millisecond)
+		for _, r := range u.cloud.all() {
+			reported = reported || r.Window == window
+		}
+	}
+	if !reported {
+		return fmt.Errorf("%w: window %d was not reported in the cut", errCannotRun, window)
+	}
+	time.Sleep(50 * time.Millisecond)
+	for _, e := range u.entries {
+		if lost[e.number] {
+			u.record("%s loses power for good", e.id)
+			e.kill()
+		}
+	}
+	u.record("the cut lasted %s", time.Since(began))
+	return nil
+}
+
+// judge records all accepted reports, and returns false if two of one window have different counts.
+func (u *usageCase) judge() bool {
+	held, first := true, map[int64]report{}
+	for _, r := range u.cloud.all() {
+		u.record("%s window %d counts %v holder %s generation number %s", r.At.Format(time.StampMilli), r.Window, r.Counts, r.Holder, r.Fence)
+		if earlier, known := first[r.Window]; !known {
+			first[r.Window] = r
+		} else if !maps.Equal(earlier.Counts, r.Counts) {
+			held = false
+			u.record("ONE is broken: window %d was accepted with %v and with %v", r.Window, earlier.Counts, r.Counts)
+		}
+	}
+	return held
+}
+
+func recordTo(f *os.File) func(format string, args ...any) {
+	return func(format string, args ...any) {
+		line := time.Now().Format(time.StampMilli) + " " + fmt.Sprintf(format, args...) + "\n"
+		fmt.Print(line)
+		f.WriteString(line)
+	}
+}
