Review: workers that have left get requests

An instance that has just started offers its copy of the workers to its peers as complete, although the newest records of the store hold no trace of those that were removed before. Peers that have not read a removal yet never read it.

--- a/review/standin-2/entry.go
+++ b/review/standin-2/entry.go
@@ -145,16 +145,24 @@
 	return res.StatusCode == http.StatusOK
 }
 
-// restart stops the process with SIGTERM, and starts it again once it has ended.
-func (e *entry) restart() error {
+// terminate stops the process with SIGTERM and waits for its end.
+func (e *entry) terminate() error {
 	if err := e.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
 	select {
 	case <-e.ended:
+		return nil
 	case <-time.After(stopTimeout):
 		return fmt.Errorf("%s does not end", e.id)
 	}
+}
+
+// restart stops the process, and starts it again once it has ended.
+func (e *entry) restart() error {
+	if err := e.terminate(); err != nil {
+		return err
+	}
 	if err := e.start(); err != nil {
 		return err
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -16,25 +16,32 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	if len(os.Args) != 4 {
-		fmt.Fprintln(os.Stderr, "usage: standin-2 PROGRAM RECORD FOLDER")
+	if len(os.Args) != 5 {
+		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE PROGRAM RECORD FOLDER")
 		return exitCannot
 	}
-	f, err := os.Create(os.Args[2])
+	f, err := os.Create(os.Args[3])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitCannot
 	}
 	defer f.Close()
-	u := &usageCase{trouble: os.Getenv("TROUBLE") != "0", record: recordTo(f)}
-	held, err := u.run(os.Args[1], os.Args[3])
+	s := &site{trouble: os.Getenv("TROUBLE") != "0", record: recordTo(f)}
+	cases := map[string]interface {
+		run(program, dir string) (bool, error)
+	}{"usage": &usageCase{s}, "left": &leftCase{site: s}}
+	c, ok := cases[os.Args[1]]
+	if !ok {
+		return exitCannot
+	}
+	held, err := c.run(os.Args[2], os.Args[4])
 	switch {
 	case err != nil:
-		u.record("cannot run: %s", err)
+		s.record("cannot run: %s", err)
 		return exitCannot
 	case !held:
 		return exitBroken
 	}
-	u.record("the rule held")
+	s.record("the rule held")
 	return exitHeld
 }
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -64,6 +64,13 @@
 	return t
 }
 
+// compact deletes the records of a topic, but for the newest of each key.
+func (s *store) compact(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topic(name).records = nil
+}
+
 // put appends a record under a key.
 func (s *store) put(name, key, value string) {
 	s.mu.Lock()
--- a/review/standin-2/traffic.go
+++ b/review/standin-2/traffic.go
@@ -9,17 +9,28 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
 
+// headerFrom names the instance to which a consumer sent a request; instances forward it like any other header.
+const headerFrom = "X-Sent-To"
+
+// arrival is a request that reached a worker.
+type arrival struct {
+	at       time.Time
+	id, from string
+}
+
 // worker is a worker of a plain service. It answers each request with its receipt.
 type worker struct {
 	id  string
 	lis net.Listener
+	srv http.Server
 
-	mu   sync.Mutex
-	runs int
+	mu       sync.Mutex
+	arrivals []arrival
 }
 
 func startWorker(id string) (*worker, error) {
@@ -28,7 +39,8 @@
 		return nil, err
 	}
 	w := &worker{id: id, lis: lis}
-	go http.Serve(lis, w)
+	w.srv.Handler = w
+	go w.srv.Serve(lis)
 	return w, nil
 }
 
@@ -46,16 +58,19 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	id := r.Header.Get("X-Request-Id")
 	w.mu.Lock()
-	w.runs++
+	w.arrivals = append(w.arrivals, arrival{time.Now(), id, r.Header.Get(headerFrom)})
 	w.mu.Unlock()
-	time.Sleep(5 * time.Millisecond)
-	id := r.Header.Get("X-Request-Id")
+	time.Sleep(runTime)
 	h.Set("X-Request-Id", id)
 	h.Set("X-Server-Seal", w.id+"."+id)
 	io.WriteString(rw, "done\n")
 }
 
+// runTime is how long a worker takes for a request.
+const runTime = 5 * time.Millisecond
+
 // report is a usage report that the platform accepted.
 type report struct {
 	At     time.Time      `json:"at"`
@@ -105,15 +120,17 @@
 }
 
 // load sends requests of two tenants to one instance until ctx ends.
-func load(ctx context.Context, addr, prefix string, pause time.Duration) {
+func load(ctx context.Context, e *entry, pause time.Duration) {
+	prefix := e.id + "-" + strconv.FormatUint(rand.Uint64(), 36)
 	client := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{}}
 	for n := 0; ctx.Err() == nil; n++ {
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/apply/step", bytes.NewReader([]byte("step")))
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.listen+"/apply/step", bytes.NewReader([]byte("step")))
 		if err != nil {
 			return
 		}
 		req.Host = "h.example"
 		req.Header.Set("X-Request-Id", fmt.Sprintf("%s-%d", prefix, n))
+		req.Header.Set(headerFrom, e.id)
 		req.Header.Set("X-Deadline-Ms", "1500")
 		req.Header.Set("Authorization", fmt.Sprintf("Bearer key-%d", rand.IntN(2)))
 		if res, err := client.Do(req); err == nil {
--- a/review/standin-2/usage.go
+++ b/review/standin-2/usage.go
@@ -5,21 +5,17 @@
 	"errors"
 	"fmt"
 	"maps"
-	"net"
-	"net/http"
-	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 )
 
 const (
-	instances = 4
 	// history is how long the store keeps records: the sheet of both deployments says 20 s.
 	history      = 20 * time.Second
 	usageWindow  = 5 * time.Second
 	usageLate    = 10 * time.Second
+	usageWorkers = 3
 	cutBefore    = 2500 * time.Millisecond
 	longestCut   = 7500 * time.Millisecond
 	requestPause = 50 * time.Millisecond
@@ -30,30 +26,20 @@
 var errCannotRun = errors.New("the case cannot run")
 
 // usageCase shows whether one usage window is reported with two figures.
-type usageCase struct {
-	trouble bool
-	record  func(format string, args ...any)
-	store   store
-	cloud   cloud
-	links   links
-	entries []*entry
-}
+type usageCase struct{ *site }
 
 // run returns true if the rule held.
 func (u *usageCase) run(program, dir string) (bool, error) {
+	u.store.keep = history
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	defer func() {
-		for _, e := range u.entries {
-			e.kill()
-		}
-	}()
-	if err := u.start(program, dir); err != nil {
+	defer u.stop()
+	if err := u.start(program, dir, usageWorkers); err != nil {
 		return false, err
 	}
 	for _, e := range u.entries {
 		for range 2 {
-			go load(ctx, e.listen, e.id+"-"+strconv.FormatInt(time.Now().UnixNano(), 36), requestPause)
+			go load(ctx, e, requestPause)
 		}
 	}
 	if err := u.restartAll(); err != nil {
@@ -73,85 +59,6 @@
 	return u.judge(), nil
 }
 
-// start starts the stand-ins and the instances.
-func (u *usageCase) start(program, dir string) error {
-	u.store.keep = history
-	u.store.put("keyed.op", "config", configText)
-	for n := range 3 {
-		w, err := startWorker(fmt.Sprintf("i-%d", n))
-		if err != nil {
-			return err
-		}
-		u.store.put(topicTargets, w.id, w.entry(time.Now()))
-	}
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	go http.Serve(lis, &u.cloud)
-	if err := u.openLinks(); err != nil {
-		return err
-	}
-	for n := 1; n <= instances; n++ {
-		storeLis, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		go http.Serve(storeLis, u.store.serveFor(u.links.viewOf(n)))
-		var seeds []string
-		for m := 1; m <= 3; m++ {
-			seeds = append(seeds, string(u.links.viewOf(n)(fmt.Appendf(nil, "127.0.0.%d:%s", m, u.links.port))))
-		}
-		e, err := newEntry(n, dir, program, u.links.port, strings.Join(seeds, ","), storeLis.Addr().String(), lis.Addr().String())
-		if err != nil {
-			return err
-		}
-		u.entries = append(u.entries, e)
-		if err := e.start(); err != nil {
-			return err
-		}
-	}
-	for _, e := range u.entries {
-		if err := e.awaitReady(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// openLinks opens the links on a port that is free at the addresses of all instances.
-func (u *usageCase) openLinks() error {
-	for range 20 {
-		addr, err := freeAddress("127.0.0.1")
-		if err != nil {
-			return err
-		}
-		_, u.links.port, _ = net.SplitHostPort(addr)
-		free := true
-		for n := 1; n <= instances && free; n++ {
-			lis, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:%s", n, u.links.port))
-			if free = err == nil; free {
-				lis.Close()
-			}
-		}
-		if !free {
-			continue
-		}
-		for from := 1; from <= instances; from++ {
-			for to := 1; to <= instances; to++ {
-				if from == to {
-					continue
-				}
-				if err := u.links.open(from, to); err != nil {
-					return err
-				}
-			}
-		}
-		return nil
-	}
-	return errCannotRun
-}
-
 // restartAll stops and starts the instances in turn, the holder of the duties last.
 func (u *usageCase) restartAll() error {
 	holder, err := u.awaitHolder(0)
@@ -244,11 +151,3 @@
 	}
 	return held
 }
-
-func recordTo(f *os.File) func(format string, args ...any) {
-	return func(format string, args ...any) {
-		line := time.Now().Format(time.StampMilli) + " " + fmt.Sprintf(format, args...) + "\n"
-		fmt.Print(line)
-		f.WriteString(line)
-	}
-}
