--- a/review/standin-2/left.go
+++ b/review/standin-2/left.go
@@ -8,8 +8,9 @@
 
 const (
 	// leftWorkers is the number of workers, leftRounds how often all instances are restarted; a worker leaves at each restart.
-	leftWorkers = 40
-	leftRounds  = 2
+	leftWorkers   = 40
+	leftInstances = 4
+	leftRounds    = 2
 	// drainTimeout is the bound of the rule; a worker that has left serves for linger.
 	drainTimeout = 2 * time.Second
 	linger       = 8 * time.Second
@@ -30,26 +31,27 @@
 
 // run returns true if the rule held.
 func (l *leftCase) run(program, dir string) (bool, error) {
+	l.instances = leftInstances
 	l.removed, l.disturbed = map[string]time.Time{}, map[string][]time.Time{}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer l.stop()
 	// The machines that the settings name as seeds are down.
-	l.firstSeed = instances + 1
+	l.firstSeed = leftInstances + 1
 	if err := l.start(program, dir, leftWorkers); err != nil {
 		return false, err
 	}
 	for _, e := range l.entries {
 		for range 4 {
-			go load(ctx, e, leftPause)
+			go load(ctx, e, leftPause, l.record)
 		}
 	}
 	time.Sleep(2 * contact)
 	l.store.compact(topicTargets)
 	l.record("the store has deleted the old records of the workers, but the newest of each")
 	time.Sleep(2 * contact)
-	for n := range leftRounds * instances {
-		if err := l.restartBeside(l.entries[n%instances], l.workers[n]); err != nil {
+	for n := range leftRounds * leftInstances {
+		if err := l.restartBeside(l.entries[n%leftInstances], l.workers[n]); err != nil {
 			return false, err
 		}
 	}
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -9,11 +9,8 @@
 	"time"
 )
 
-const (
-	// instances is the number of entry instances, and seeds that of the seeds in their settings.
-	instances = 4
-	seeds     = 3
-)
+// seeds is the number of the seeds in the settings.
+const seeds = 3
 
 // site is a small deployment: entry instances and stand-ins for all else.
 type site struct {
@@ -24,6 +21,8 @@
 	links   links
 	workers []*worker
 	entries []*entry
+	// instances is the number of entry instances.
+	instances int
 	// firstSeed is the number of the first machine that the settings name as a seed; zero means 1.
 	firstSeed int
 }
@@ -42,7 +41,7 @@
 	}
 	s.store.put("keyed.op", "config", configText)
 	for n := range workers {
-		w, err := startWorker(fmt.Sprintf("i-%d", n))
+		w, err := startWorker(fmt.Sprintf("i-%d", n), s.record)
 		if err != nil {
 			return err
 		}
@@ -57,7 +56,7 @@
 	if err := s.openLinks(); err != nil {
 		return err
 	}
-	for n := 1; n <= instances; n++ {
+	for n := 1; n <= s.instances; n++ {
 		storeLis, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return err
@@ -93,7 +92,7 @@
 		}
 		_, s.links.port, _ = net.SplitHostPort(addr)
 		free := true
-		for n := 1; n <= instances && free; n++ {
+		for n := 1; n <= s.instances && free; n++ {
 			lis, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:%s", n, s.links.port))
 			if free = err == nil; free {
 				lis.Close()
@@ -102,8 +101,8 @@
 		if !free {
 			continue
 		}
-		for from := 1; from <= instances; from++ {
-			for to := 1; to <= instances; to++ {
+		for from := 1; from <= s.instances; from++ {
+			for to := 1; to <= s.instances; to++ {
 				if from == to {
 					continue
 				}
@@ -117,10 +116,13 @@
 	return errCannotRun
 }
 
+// recordTo returns a function that records a line, which is also printed unless it begins with a space.
 func recordTo(f *os.File) func(format string, args ...any) {
 	return func(format string, args ...any) {
 		line := time.Now().Format(time.StampMilli) + " " + fmt.Sprintf(format, args...) + "\n"
-		fmt.Print(line)
+		if !strings.HasPrefix(format, " ") {
+			fmt.Print(line)
+		}
 		f.WriteString(line)
 	}
 }
--- a/review/standin-2/traffic.go
+++ b/review/standin-2/traffic.go
@@ -29,16 +29,18 @@
 	lis net.Listener
 	srv http.Server
 
+	record func(format string, args ...any)
+
 	mu       sync.Mutex
 	arrivals []arrival
 }
 
-func startWorker(id string) (*worker, error) {
+func startWorker(id string, record func(format string, args ...any)) (*worker, error) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{id: id, lis: lis}
+	w := &worker{id: id, lis: lis, record: record}
 	w.srv.Handler = w
 	go w.srv.Serve(lis)
 	return w, nil
@@ -62,6 +64,7 @@
 	w.mu.Lock()
 	w.arrivals = append(w.arrivals, arrival{time.Now(), id, r.Header.Get(headerFrom)})
 	w.mu.Unlock()
+	w.record(" %s runs %s", w.id, id)
 	time.Sleep(runTime)
 	h.Set("X-Request-Id", id)
 	h.Set("X-Server-Seal", w.id+"."+id)
@@ -120,7 +123,7 @@
 }
 
 // load sends requests of two tenants to one instance until ctx ends.
-func load(ctx context.Context, e *entry, pause time.Duration) {
+func load(ctx context.Context, e *entry, pause time.Duration, record func(format string, args ...any)) {
 	prefix := e.id + "-" + strconv.FormatUint(rand.Uint64(), 36)
 	client := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{}}
 	for n := 0; ctx.Err() == nil; n++ {
@@ -129,13 +132,19 @@
 			return
 		}
 		req.Host = "h.example"
-		req.Header.Set("X-Request-Id", fmt.Sprintf("%s-%d", prefix, n))
+		id := fmt.Sprintf("%s-%d", prefix, n)
+		req.Header.Set("X-Request-Id", id)
 		req.Header.Set(headerFrom, e.id)
 		req.Header.Set("X-Deadline-Ms", "1500")
 		req.Header.Set("Authorization", fmt.Sprintf("Bearer key-%d", rand.IntN(2)))
-		if res, err := client.Do(req); err == nil {
+		record(" %s is sent to %s", id, e.id)
+		res, err := client.Do(req)
+		if err != nil {
+			record(" %s is not answered", id)
+		} else {
 			io.Copy(io.Discard, res.Body)
 			res.Body.Close()
+			record(" %s is answered %d", id, res.StatusCode)
 		}
 		time.Sleep(pause/2 + rand.N(pause))
 	}
--- a/review/standin-2/usage.go
+++ b/review/standin-2/usage.go
@@ -16,9 +16,12 @@
 	usageWindow  = 5 * time.Second
 	usageLate    = 10 * time.Second
 	usageWorkers = 3
-	cutBefore    = 2500 * time.Millisecond
-	longestCut   = 7500 * time.Millisecond
-	requestPause = 50 * time.Millisecond
+	// Of the instances, isolated ones are cut off: a share of 0.35, rounded down.
+	usageInstances = 6
+	isolated       = 2
+	cutBefore      = 2500 * time.Millisecond
+	longestCut     = 12 * time.Second
+	requestPause   = 50 * time.Millisecond
 	// holderTimeout is how long the duties may change hands.
 	holderTimeout = 45 * time.Second
 )
@@ -30,7 +33,7 @@
 
 // run returns true if the rule held.
 func (u *usageCase) run(program, dir string) (bool, error) {
-	u.store.keep = history
+	u.store.keep, u.instances = history, usageInstances
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer u.stop()
@@ -39,7 +42,7 @@
 	}
 	for _, e := range u.entries {
 		for range 2 {
-			go load(ctx, e, requestPause)
+			go load(ctx, e, requestPause, u.record)
 		}
 	}
 	if err := u.restartAll(); err != nil {
@@ -92,18 +95,13 @@
 	return "", fmt.Errorf("%w: nobody holds the duties for long", errCannotRun)
 }
 
-// disturb cuts the holder and one other instance off from the rest, and lets both lose power once a window that ended in the cut was
-// reported.
+// disturb cuts two instances off from all others, and lets all others lose power once a window that ended in the cut was reported. The
+// two are connected to each other again then.
 func (u *usageCase) disturb(holder string) error {
-	lost := map[int]bool{}
-	for _, e := range u.entries {
-		if e.id == holder {
-			lost[e.number] = true
-		}
-	}
-	for _, e := range u.entries {
-		if len(lost) == 1 && !lost[e.number] {
-			lost[e.number] = true
+	cutOff := map[int]bool{}
+	for _, e := range slices.Backward(u.entries) {
+		if len(cutOff) < isolated && e.id != holder {
+			cutOff[e.number] = true
 		}
 	}
 	now := time.Now()
@@ -114,8 +112,8 @@
 	window := end.UnixMilli()/usageWindow.Milliseconds() - 1
 	time.Sleep(time.Until(end.Add(-cutBefore)))
 	began := time.Now()
-	u.links.setCut(func(from, to int) bool { return lost[from] != lost[to] })
-	u.record("cut between %v and the others; window %d ends at %s", lost, window, end.Format(time.StampMilli))
+	u.links.setCut(func(from, to int) bool { return cutOff[from] || cutOff[to] })
+	u.record("instances %v are cut off from all others; window %d ends at %s", cutOff, window, end.Format(time.StampMilli))
 	reported := false
 	for !reported && time.Since(began) < longestCut {
 		time.Sleep(10 * time.Millisecond)
@@ -128,11 +126,12 @@
 	}
 	time.Sleep(50 * time.Millisecond)
 	for _, e := range u.entries {
-		if lost[e.number] {
+		if !cutOff[e.number] {
 			u.record("%s loses power for good", e.id)
 			e.kill()
 		}
 	}
+	u.links.setCut(func(from, to int) bool { return !cutOff[from] || !cutOff[to] })
 	u.record("the cut lasted %s", time.Since(began))
 	return nil
 }
