Pool: a response without a length is not whole if its connection was reset

What callers saw: a worker answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was being written. The client got that part as a complete answer.

Cause: the kernel reports a reset once, to whichever of read and write comes first. If a write gets it, a read returns the end of the stream, which ended the body, and nothing asked how the write had ended.

Change: at the end of a response that only the end of the connection ends, the result of the write in progress is awaited; an error other than EPIPE breaks the response. EPIPE means that the end of the stream came before the reset (tried on sockets: the end and then a reset give a write EPIPE, a reset alone gives it ECONNRESET). A connection in the state CLOSE_WAIT has ended in order, and its write may wait for long, so nothing is awaited there.

Responses with a length or chunks, and those whose upload goes on, held before and do now.

--- a/internal/pooler/exchange.go
+++ b/internal/pooler/exchange.go
@@ -75,6 +75,7 @@
 	expiresAt time.Time
 	reused    bool
 	separate  bool
+	writes    writeResults
 }
 
 func newConn(p *Pool, addr string, nc net.Conn) *conn {
@@ -84,6 +85,14 @@
 	}
 }
 
+// Write writes a part of a request.
+func (c *conn) Write(p []byte) (int, error) {
+	c.writes.begin()
+	n, err := c.Conn.Write(p)
+	c.writes.end(err)
+	return n, err
+}
+
 // noLimit is the number of remaining bytes of an input without a limit.
 const noLimit = -1
 
@@ -275,11 +284,16 @@
 		x.conn.input.remaining = noLimit
 		return &Response{
 			Status: res.StatusCode, Header: res.Header, Length: res.ContentLength,
-			Unframed: res.ContentLength < 0 && len(res.TransferEncoding) == 0, Body: &responseBody{res: res, x: x},
+			Unframed: isUnframed(res), Body: &responseBody{res: res, x: x},
 		}, nil
 	}
 }
 
+// isUnframed reports whether only the end of the connection ends the body of a response.
+func isUnframed(res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0
+}
+
 // classify wraps a read error: in ErrBroken if the connection failed, and in ErrUnexpectedResponse if the received bytes
 // are not HTTP.
 func classify(err error) error {
@@ -299,6 +313,11 @@
 // Read returns io.EOF only after the whole body.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.res.Body.Read(p)
+	if err == io.EOF && isUnframed(b.res) {
+		if resetErr := b.x.conn.resetError(); resetErr != nil {
+			err = fmt.Errorf("%w: %w", ErrBroken, resetErr)
+		}
+	}
 	switch {
 	case err == io.EOF:
 		keep := time.Duration(0)
