Pool: an early response that has arrived is read although the upload failed

What callers saw: 502 for an answer in order, which a worker had sent before it had read a long upload and after which it closed the connection.

Cause: if a write of the upload failed, the connection was closed at once, so that a target would not wait for the rest of a body whose client had left. It was closed too if the target had ended the connection, with what it had answered unread.

Change: the connection is closed only if the target has not ended it.

Evidence: TestEarlyResponsesAreWhole failed before on "ends in order, then resets", in 48 of 48 responses, with and without a length. The targets that read on, or nothing for a while, held before. All pass now.

--- a/internal/pooler/exchange.go
+++ b/internal/pooler/exchange.go
@@ -145,7 +145,7 @@
 	}
 	go func() {
 		err := r.write(c, head)
-		if err != nil && r.Rest != nil {
+		if err != nil && r.Rest != nil && !endedByTarget(err) {
 			c.close() // Otherwise the target would wait for the remainder of the body.
 		}
 		x.written <- err
--- a/internal/pooler/reset.go
+++ b/internal/pooler/reset.go
@@ -58,6 +58,11 @@
 	return err
 }
 
+// endedByTarget reports whether a write failed because the target has ended the connection. What has arrived before can still be read.
+func endedByTarget(err error) bool {
+	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // closedByTarget reports whether the target has ended its direction of the connection, which is still open otherwise. A write may then wait for
 // long.
 func (c *conn) closedByTarget() bool {
