Answers: one with an invalid status is none

What callers saw: a worker in trouble answered with status 000. The connection of the client ended without an answer, and the log had a stack trace; the same with 001, 099, -00 and +20. 101 reached the client as 101, and 600, 777 and 999 as they were.

Cause: net/http accepts any three bytes that are a number that is not negative, and WriteHeader panics below 100. What runs after it was skipped: a safe request was not tried elsewhere, and the target counted as one that succeeded.

Change: a response whose status is not three digits from 100 to 599 breaks its exchange, and so does 101, as no request asks for another protocol. Statuses from 600 on are invalid by RFC 9110, section 15. Safe requests go elsewhere; others get 502.

Evidence: TestInvalidStatusesReachNoClient failed before in all nine statuses and passes; 200, 299, 404, 418, 500 and 599 reached and reach the client.

--- a/internal/pooler/exchange.go
+++ b/internal/pooler/exchange.go
@@ -15,6 +15,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/inspector"
 )
 
 // maximumStrayResponses is how many responses to earlier requests are skipped before the connection is closed.
@@ -266,7 +268,10 @@
 		if err != nil {
 			return nil, classify(err)
 		}
-		if res.StatusCode >= 100 && res.StatusCode < 200 && res.StatusCode != http.StatusSwitchingProtocols {
+		if err := inspector.CheckHead(res); err != nil {
+			return nil, classify(err)
+		}
+		if res.StatusCode < http.StatusOK {
 			continue
 		}
 		if r.Matches != nil && !r.Matches(res.StatusCode, res.Header) {
@@ -313,23 +318,34 @@
 // Read returns io.EOF only after the whole body.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.res.Body.Read(p)
-	if err == io.EOF && isUnframed(b.res) {
-		if resetErr := b.x.conn.resetError(); resetErr != nil {
-			err = fmt.Errorf("%w: %w", ErrBroken, resetErr)
-		}
+	if err == nil {
+		return n, nil
 	}
-	switch {
-	case err == io.EOF:
-		keep := time.Duration(0)
-		if !b.res.Close {
-			keep = keepAlive(b.res.Header)
-		}
-		b.x.finish(keep)
-	case err != nil:
-		b.x.abort()
+	if err == io.EOF {
+		err = b.checkEnd()
+	} else {
 		err = classify(err)
 	}
-	return n, err
+	if err != nil {
+		b.x.abort()
+		return n, err
+	}
+	keep := time.Duration(0)
+	if !b.res.Close {
+		keep = keepAlive(b.res.Header)
+	}
+	b.x.finish(keep)
+	return n, io.EOF
+}
+
+// checkEnd returns an error if the body that was read to its end is not whole.
+func (b *responseBody) checkEnd() error {
+	if isUnframed(b.res) {
+		if err := b.x.conn.resetError(); err != nil {
+			return fmt.Errorf("%w: %w", ErrBroken, err)
+		}
+	}
+	return nil
 }
 
 // Close closes the connection unless the whole body was read.
