Answers: one with an invalid field name is none

What callers saw: a worker in trouble sent a head in which the name of a field held a blank. "X Bad: 1" and "X-Bad : 1" reached the client as a 200 without that line; with "Content-Length : 4" it got all eight bytes behind the head as the body, and with "Transfer-Encoding : chunked" the frames of the chunks.

Cause: net/http keeps such lines under their odd names and leaves them out when it writes, so the line that frames the body had no effect.

--- a/internal/pooler/exchange.go
+++ b/internal/pooler/exchange.go
@@ -345,6 +345,9 @@
 			return fmt.Errorf("%w: %w", ErrBroken, err)
 		}
 	}
+	if err := inspector.CheckFields(b.res.Trailer); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnexpectedResponse, err)
+	}
 	return nil
 }
 
