Clients: responses of the store, the cloud and all others are checked as those of targets

What callers see: nothing that was reported; the same causes wherever responses are read by net/http's client. On a list of records under "Content-Length : N" or with "Store-Era : 0" counted, the latter without its era, a list over 8 MiB was cut there, a report of usage counted as received by a head with an invalid name, and statuses such as 000 counted as success in the product's own interface (anything below 300). Under "Transfer-Encoding : chunked" a read of records went on for ever and took 6 GB.

Cause: net/http's client accepts the same heads as its server-side functions, and nothing asked how the write of a request had ended.

Evidence: networker TestClientReportsResets and TestClientChecksResponses (nine of thirteen responses), and platform TestBrokenAnswersOfTheStoreAreErrors (five of nineteen answers) failed before and pass. What held: lists and records that are cut, in one or between two, with a length or without, appends and reports that are cut; TestListCutBetweenRecordsGoesOn.

--- a/internal/networker/network.go
+++ b/internal/networker/network.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"syscall"
 	"time"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/inspector"
 )
 
 const (
@@ -47,11 +49,30 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
+// maximumHeadBytes limits the head of a response to a client of this package.
+const maximumHeadBytes = 256 << 10
+
+// CheckedTransport completes t, whose DialContext must be set, so that it fails requests whose responses are reset or not in order.
+func CheckedTransport(t *http.Transport) http.RoundTripper {
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return ReportResets(conn), nil
+	}
+	if t.MaxResponseHeaderBytes == 0 {
+		t.MaxResponseHeaderBytes = maximumHeadBytes
+	}
+	return &inspector.Transport{RoundTripper: t}
+}
+
 // Client returns an HTTP client that connects through n and follows no redirects. Without reuse, each request uses a
 // new connection, because http.Transport may resend a request that failed on a reused one.
 func Client(n Network, reuse bool) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: CheckedTransport(&http.Transport{
 			DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 				return n.Dial(ctx, addr)
 			},
@@ -60,7 +81,7 @@
 			MaxIdleConns:        maximumIdleConnections,
 			MaxIdleConnsPerHost: maximumIdlePerHost,
 			IdleConnTimeout:     idleTimeout,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/pooler/exchange.go
+++ b/internal/pooler/exchange.go
@@ -14,9 +14,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/inspector"
+	"github.com/coltsfootscale/coltsfootscale/internal/networker"
 )
 
 // maximumStrayResponses is how many responses to earlier requests are skipped before the connection is closed.
@@ -68,6 +70,8 @@
 // conn is a connection of a Pool. It was last used at idleSince and is not reused after expiresAt.
 type conn struct {
 	net.Conn
+	// socket is the connection as it was dialed.
+	socket    net.Conn
 	pool      *Pool
 	addr      string
 	r         *bufio.Reader
@@ -77,24 +81,16 @@
 	expiresAt time.Time
 	reused    bool
 	separate  bool
-	writes    writeResults
 }
 
 func newConn(p *Pool, addr string, nc net.Conn) *conn {
-	input := &limitedInput{r: nc, remaining: noLimit}
+	reporting := networker.ReportResets(nc)
+	input := &limitedInput{r: reporting, remaining: noLimit}
 	return &conn{
-		Conn: nc, pool: p, addr: addr, r: bufio.NewReaderSize(input, readBufferBytes), input: input, expiresAt: time.Now().Add(defaultIdle),
+		Conn: reporting, socket: nc, pool: p, addr: addr, r: bufio.NewReaderSize(input, readBufferBytes), input: input, expiresAt: time.Now().Add(defaultIdle),
 	}
 }
 
-// Write writes a part of a request.
-func (c *conn) Write(p []byte) (int, error) {
-	c.writes.begin()
-	n, err := c.Conn.Write(p)
-	c.writes.end(err)
-	return n, err
-}
-
 // noLimit is the number of remaining bytes of an input without a limit.
 const noLimit = -1
 
@@ -289,14 +285,14 @@
 		x.conn.input.remaining = noLimit
 		return &Response{
 			Status: res.StatusCode, Header: res.Header, Length: res.ContentLength,
-			Unframed: isUnframed(res), Body: &responseBody{res: res, x: x},
+			Unframed: res.ContentLength < 0 && len(res.TransferEncoding) == 0, Body: &responseBody{res: res, x: x},
 		}, nil
 	}
 }
 
-// isUnframed reports whether only the end of the connection ends the body of a response.
-func isUnframed(res *http.Response) bool {
-	return res.ContentLength < 0 && len(res.TransferEncoding) == 0
+// endedByTarget reports whether a write failed because the target has ended the connection. What has arrived before can still be read.
+func endedByTarget(err error) bool {
+	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
 }
 
 // classify wraps a read error: in ErrBroken if the connection failed, and in ErrUnexpectedResponse if the received bytes
@@ -322,13 +318,11 @@
 		return n, nil
 	}
 	if err == io.EOF {
-		err = b.checkEnd()
-	} else {
-		err = classify(err)
+		err = inspector.CheckFields(b.res.Trailer)
 	}
 	if err != nil {
 		b.x.abort()
-		return n, err
+		return n, classify(err)
 	}
 	keep := time.Duration(0)
 	if !b.res.Close {
@@ -338,19 +332,6 @@
 	return n, io.EOF
 }
 
-// checkEnd returns an error if the body that was read to its end is not whole.
-func (b *responseBody) checkEnd() error {
-	if isUnframed(b.res) {
-		if err := b.x.conn.resetError(); err != nil {
-			return fmt.Errorf("%w: %w", ErrBroken, err)
-		}
-	}
-	if err := inspector.CheckFields(b.res.Trailer); err != nil {
-		return fmt.Errorf("%w: %w", ErrUnexpectedResponse, err)
-	}
-	return nil
-}
-
 // Close closes the connection unless the whole body was read.
 func (b *responseBody) Close() error {
 	b.x.abort()
--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -206,7 +206,7 @@
 // healthy reports whether an idle connection is open and has received no unsolicited data. A connection that is not a
 // socket is assumed to be open.
 func (c *conn) healthy() bool {
-	sc, ok := c.Conn.(syscall.Conn)
+	sc, ok := c.socket.(syscall.Conn)
 	if !ok || c.r.Buffered() > 0 {
 		return c.r.Buffered() == 0
 	}
