Memory that many share is a type of its own

The memory of request bodies moves from the forwarder to the package reserver, for the answers of targets to use it next; a read also returns what it got before the memory was full. No change of behavior; the tests of bodies pass as they were, but for the literal of the limit.

--- a/internal/forwarder/body.go
+++ b/internal/forwarder/body.go
@@ -3,9 +3,9 @@
 import (
 	"errors"
 	"io"
-	"slices"
-	"sync"
 	"sync/atomic"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/reserver"
 )
 
 // Errors of request bodies.
@@ -20,12 +20,6 @@
 	// bufferedBodyBytes is the most that is buffered of one body for retries and for a second target. It is large enough
 	// for the prompts in the users' specifications, which have 17,000 tokens of a few bytes each.
 	bufferedBodyBytes = 512 << 10
-	// bodyAllowance is the memory that each body has for itself. Ordinary calls fit into it and are served while others fill the shared memory.
-	bodyAllowance = 8 << 10
-	// bodyGrowth is the factor by which the memory of a longer body grows whenever it is full.
-	bodyGrowth = 2
-	// defaultMaximumBytes is the default of BodyBuffers.MaximumBytes.
-	defaultMaximumBytes = 32 << 20
 	// bufferedResponseBytes is the most that is buffered of a plain response or an error response, so that a broken one
 	// can be retried before the client has received any of it.
 	bufferedResponseBytes = 256 << 10
@@ -76,11 +70,7 @@
 
 // BodyBuffers bounds the memory of all buffered bodies; the zero value is ready to use.
 type BodyBuffers struct {
-	// MaximumBytes is the limit; zero means 32 MiB.
-	MaximumBytes int64
-
-	mu   sync.Mutex
-	used int64
+	reserver.Memory
 }
 
 // Read buffers the start of a body; length is -1 if unknown. The caller must call release at the end of the request.
@@ -89,12 +79,15 @@
 	if length >= 0 {
 		size = min(size, length)
 	}
-	start, reserved, err := b.readStart(r, size)
-	if err != nil {
-		b.reserve(-reserved)
+	start, reserved, err := b.ReadStart(r, size)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.Release(reserved)
+		if errors.Is(err, reserver.ErrFull) {
+			err = ErrBodyMemory
+		}
 		return Body{}, nil, err
 	}
-	release = func() { b.reserve(-reserved) }
+	release = func() { b.Release(reserved) }
 	body.Buffered = start
 	switch {
 	case length > size:
@@ -104,43 +97,3 @@
 	}
 	return body, release, nil
 }
-
-// readStart reads up to size bytes and returns them with the shared memory reserved for them. It reserves memory as the bytes arrive: a client that
-// announces a long body and sends it slowly, or not at all, must not keep the memory from others.
-func (b *BodyBuffers) readStart(r io.Reader, size int64) (start []byte, reserved int64, err error) {
-	for step := int64(bodyAllowance); int64(len(start)) < size; step *= bodyGrowth {
-		capacity := min(size, step)
-		needed := max(0, capacity-bodyAllowance)
-		if !b.reserve(needed - reserved) {
-			return nil, reserved, ErrBodyMemory
-		}
-		reserved = needed
-		start = slices.Grow(start, int(capacity)-len(start))
-		for int64(len(start)) < capacity {
-			n, err := r.Read(start[len(start):capacity])
-			start = start[:len(start)+n]
-			if errors.Is(err, io.EOF) {
-				return start, reserved, nil
-			}
-			if err != nil {
-				return nil, reserved, err
-			}
-		}
-	}
-	return start, reserved, nil
-}
-
-// reserve adds size to the memory in use, unless that would exceed the limit; a negative size releases memory.
-func (b *BodyBuffers) reserve(size int64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	maximum := b.MaximumBytes
-	if maximum <= 0 {
-		maximum = defaultMaximumBytes
-	}
-	if size > 0 && b.used+size > maximum {
-		return false
-	}
-	b.used += size
-	return true
-}
--- a/internal/forwarder/body_test.go
+++ b/internal/forwarder/body_test.go
@@ -10,6 +10,7 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/forwarder"
+	"github.com/coltsfootscale/coltsfootscale/internal/reserver"
 )
 
 // TestRestBelongsToOneAttempt guards against UNASKED: what one attempt has read of a long body is missing for the next one, which sent what was
@@ -35,7 +36,7 @@
 // TestAnnouncedBodiesHoldNoMemory guards against clients that announce long bodies and send little of them, for which the memory was full.
 func TestAnnouncedBodiesHoldNoMemory(t *testing.T) {
 	const long = 256 << 10
-	b := &forwarder.BodyBuffers{MaximumBytes: 2 * long}
+	b := &forwarder.BodyBuffers{Memory: reserver.Memory{MaximumBytes: 2 * long}}
 	var pipes []*io.PipeWriter
 	var group sync.WaitGroup
 	defer func() {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -24,6 +24,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/pinner"
 	"github.com/coltsfootscale/coltsfootscale/internal/prober"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/internal/reserver"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
@@ -338,7 +339,7 @@
 }
 
 func TestBodyBuffersAreBounded(t *testing.T) {
-	bodies := &forwarder.BodyBuffers{MaximumBytes: 1 << 20}
+	bodies := &forwarder.BodyBuffers{Memory: reserver.Memory{MaximumBytes: 1 << 20}}
 	short, release, err := bodies.Read(strings.NewReader("text"), 4)
 	quicktest.Assert(t, err, quicktest.IsNil)
 	quicktest.Check(t, short.Whole() && string(short.Buffered) == "text", quicktest.IsTrue)
--- /dev/null
+++ b/internal/reserver/doc.go
@@ -0,0 +1,2 @@
+// Package reserver bounds the memory that many holders share.
+package reserver
