Heads of responses: memory for all together

What callers saw: nothing that was reported here; on a similar system a faulty target sent a head without end, the process that had called it kept all of it and ran out of memory, and the requests of other clients ended with it.

Cause: what is read before a body is limited to 1 MiB for each connection, nothing limits all of them, and a head of short lines takes many times its bytes.

Change: before a head is parsed it is read line by line, and memory for its bytes and lines is reserved as for clients' heads, from an eighth of MemoryMegabytes that all responses share. One head may use an eighth of that: 1 MiB in some 2,000 lines with 256 MB. 16 ordinary lines need none. A head without memory breaks its exchange. The memory is released when the body is closed.

Evidence: TestMisbehavingTargets, a process with 256 MB and 300 requests at once at a target that sends such bytes, half of the clients reading nothing; resident memory with what its sockets have received.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -40,6 +40,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
 	"github.com/coltsfootscale/coltsfootscale/internal/replicator"
 	"github.com/coltsfootscale/coltsfootscale/internal/reporter"
+	"github.com/coltsfootscale/coltsfootscale/internal/reserver"
 	"github.com/coltsfootscale/coltsfootscale/internal/retrier"
 	"github.com/coltsfootscale/coltsfootscale/internal/scaler"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
@@ -71,6 +72,8 @@
 	Duties        elector.Log
 	Backend       forwarder.Backend
 	Handover      forwarder.Handover
+	// ResponseMemory bounds what the responses of all targets and peers use; nil does not.
+	ResponseMemory *reserver.Memory
 	// ProbeTarget reports whether the target at an address accepts a connection, and whether one could be tried: no more may be
 	// open than the given number, where zero means no limit.
 	ProbeTarget func(ctx context.Context, address string, limit int) (reached, tried bool)
--- a/internal/networker/head.go
+++ b/internal/networker/head.go
@@ -134,6 +134,11 @@
 	return n, err
 }
 
+// HeadCost estimates the memory in bytes that a head of some bytes and lines takes beyond what each connection has for itself.
+func HeadCost(bytes, lines int64) int64 {
+	return max(0, bytes*headByteCost+lines*headLineCost-headAllowance)
+}
+
 func (c *headConn) count(p []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -145,7 +150,7 @@
 	if c.bytes > int64(c.limits.Bytes())+readBufferBytes {
 		return ErrHeadTooLarge
 	}
-	needed := c.bytes*headByteCost + c.lines*headLineCost - headAllowance
+	needed := HeadCost(c.bytes, c.lines)
 	if needed <= c.reserved {
 		return nil
 	}
--- a/internal/pooler/exchange.go
+++ b/internal/pooler/exchange.go
@@ -101,10 +101,17 @@
 type limitedInput struct {
 	r         io.Reader
 	remaining int
+	// unread is read first. It has counted before.
+	unread []byte
 }
 
 // Read reads from the connection.
 func (l *limitedInput) Read(p []byte) (int, error) {
+	if len(l.unread) > 0 {
+		n := copy(p, l.unread)
+		l.unread = l.unread[n:]
+		return n, nil
+	}
 	if l.remaining == noLimit {
 		return l.r.Read(p)
 	}
@@ -132,7 +139,7 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, c.close)
-	x := &exchange{conn: c, stop: stop, written: make(chan error, 1)}
+	x := &exchange{conn: c, stop: stop, written: make(chan error, 1), head: reservation{memory: p.Memory}}
 	head, err := r.head()
 	if err == nil && r.Admit != nil {
 		err = r.Admit()
@@ -151,6 +158,7 @@
 	response, err := x.receive(r)
 	if err != nil {
 		x.abort()
+		x.head.resize(0)
 		return nil, err
 	}
 	return response, nil
@@ -221,6 +229,8 @@
 	// written receives the result of writing the request.
 	written chan error
 	once    sync.Once
+	// head is the memory of the head of the response, until its body is closed.
+	head reservation
 }
 
 // abort closes the connection unless the exchange has ended.
@@ -235,7 +245,7 @@
 // data is left to read; otherwise, or if keep is not positive, it closes the connection.
 func (x *exchange) finish(keep time.Duration) {
 	x.once.Do(func() {
-		if !x.stop() || keep <= 0 || x.conn.separate || x.conn.r.Buffered() > 0 || !x.requestWritten() {
+		if !x.stop() || keep <= 0 || x.conn.separate || x.conn.r.Buffered() > 0 || len(x.conn.input.unread) > 0 || !x.requestWritten() {
 			x.conn.close()
 			return
 		}
@@ -260,6 +270,9 @@
 	req := &http.Request{Method: r.Method}
 	x.conn.input.remaining = maximumBytesBeforeBody
 	for stray := 0; ; {
+		if err := x.conn.awaitHead(&x.head); err != nil {
+			return nil, classify(err)
+		}
 		res, err := http.ReadResponse(x.conn.r, req)
 		if err != nil {
 			return nil, classify(err)
@@ -299,6 +312,9 @@
 // are not HTTP.
 func classify(err error) error {
 	var netErr net.Error
+	if errors.Is(err, ErrUnexpectedResponse) {
+		return err
+	}
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) || errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("%w: %w", ErrBroken, err)
 	}
@@ -307,8 +323,9 @@
 
 // responseBody reads the body of a response and returns the connection to the pool at its end.
 type responseBody struct {
-	res *http.Response
-	x   *exchange
+	res     *http.Response
+	x       *exchange
+	release sync.Once
 }
 
 // Read returns io.EOF only after the whole body.
@@ -335,6 +352,7 @@
 // Close closes the connection unless the whole body was read.
 func (b *responseBody) Close() error {
 	b.x.abort()
+	b.release.Do(func() { b.x.head.resize(0) })
 	return nil
 }
 
--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/reserver"
 )
 
 // Errors of an exchange.
@@ -44,6 +46,8 @@
 type Pool struct {
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Memory bounds what the heads of all responses use; nil does not.
+	Memory *reserver.Memory
 
 	mu   sync.Mutex
 	idle map[string][]*conn
