--- a/internal/reserver/memory.go
+++ b/internal/reserver/memory.go
@@ -88,15 +88,15 @@
 	return start, reserved, nil
 }
 
-// ReadAll reads a whole body of up to size bytes, which use does not keep. The error is ErrTooLong if the body is longer.
-func (m *Memory) ReadAll(r io.Reader, size int64, use func(body []byte) error) error {
+// ReadAll reads a whole body of up to size bytes, for a caller that does not keep it. The error is ErrTooLong if the body is longer.
+func (m *Memory) ReadAll(r io.Reader, size int64) ([]byte, error) {
 	body, reserved, err := m.ReadStart(r, size+1)
 	defer m.Release(reserved)
 	switch {
 	case errors.Is(err, io.EOF):
-		return use(body)
+		return body, nil
 	case err == nil:
-		return ErrTooLong
+		return nil, ErrTooLong
 	}
-	return err
+	return nil, err
 }
