Sockets to targets and peers: what they receive unread is bounded

Cause: while a client does not read, its answer is not read either, and the kernel lets the receive buffer of the connection grow with what the target sends, to 32 MiB on this machine. On the users' machines that counts as memory of the process. The listeners had a bound, connections to targets had none.

Change: the receive buffers of all connections to targets and peers share an eighth of MemoryMegabytes; each has 32 to 128 KiB.

A slow link from a target now carries at most one receive buffer per round trip.

--- a/internal/coordinator/listen.go
+++ b/internal/coordinator/listen.go
@@ -31,6 +31,8 @@
 	// minimumReceiveBytes is the least receive buffer of a connection: with less, bodies arrive slowly.
 	minimumReceiveBytes = 16 << 10
 	maximumReceiveBytes = 128 << 10
+	// minimumResponseReceiveBytes is the same for responses, of which more are long.
+	minimumResponseReceiveBytes = 32 << 10
 	// peerStreams is the number of messages of one peer that are handled at once; a peer sends one at a time, and contacts at its start.
 	peerStreams = 16
 	// unlimitedHeadBytes replaces the server's own limit on heads, which cannot change while it serves.
@@ -55,8 +57,17 @@
 	for _, n := range connectionLimits(b) {
 		connections += n
 	}
+	return receiveShare(b, connections, minimumReceiveBytes)
+}
+
+// ResponseReceiveBytes returns the size of the receive buffer of each connection to a target or a peer: each request has one at most.
+func ResponseReceiveBytes(b parser.EntryBounds) int {
+	return receiveShare(b, b.ClientConnections+b.RelayConnections, minimumResponseReceiveBytes)
+}
+
+func receiveShare(b parser.EntryBounds, connections, minimum int) int {
 	share := b.MemoryMegabytes << 20 / receiveMemoryDivisor / int64(connections)
-	return int(min(maximumReceiveBytes, max(minimumReceiveBytes, share)))
+	return int(min(maximumReceiveBytes, max(int64(minimum), share)))
 }
 
 // server is an HTTP server with its listener.
--- a/internal/networker/network.go
+++ b/internal/networker/network.go
@@ -27,14 +27,20 @@
 // ListenWithBuffer opens a TCP listener whose connections hold at most some number of received bytes, or about twice as many, that have not
 // been read. The receive buffers of the kernel count as the process's memory on some machines.
 func ListenWithBuffer(addr string, receiveBytes int) (net.Listener, error) {
-	cfg := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
+	cfg := net.ListenConfig{Control: ReceiveBuffer(receiveBytes)}
+	return cfg.Listen(context.Background(), "tcp", addr)
+}
+
+// ReceiveBuffer returns a function for net.ListenConfig.Control and net.Dialer.Control that sets the receive buffer of a socket to some bytes. The kernel
+// lets it hold about twice as many.
+func ReceiveBuffer(bytes int) func(network, addr string, conn syscall.RawConn) error {
+	return func(_, _ string, conn syscall.RawConn) error {
 		var failed error
 		err := conn.Control(func(fd uintptr) {
-			failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes)
+			failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
 		})
 		return errors.Join(err, failed)
-	}}
-	return cfg.Listen(context.Background(), "tcp", addr)
+	}
 }
 
 // TCP is the Network of the host.
--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/coltsfootscale/coltsfootscale/internal/networker"
 	"github.com/coltsfootscale/coltsfootscale/internal/reserver"
 )
 
@@ -46,6 +47,8 @@
 type Pool struct {
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// ReceiveBytes is the size of the receive buffer of each TCP connection; zero leaves it to the kernel, which lets it grow with what a target sends.
+	ReceiveBytes int
 	// Memory bounds what the heads of all responses use; nil does not.
 	Memory *reserver.Memory
 
@@ -92,7 +95,7 @@
 	if p.Dial != nil {
 		return p.Dial(ctx, addr)
 	}
-	return dialTCP(ctx, addr)
+	return p.dialTCP(ctx, addr)
 }
 
 // Reachable reports whether addr accepts connections. The connection that it opens is closed again.
@@ -115,9 +118,12 @@
 	return p.Reachable(ctx, addr), true
 }
 
-func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+func (p *Pool) dialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	// Keep-alive probes every second detect a peer that went silent while the connection was idle.
 	d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}}
+	if p.ReceiveBytes > 0 {
+		d.Control = networker.ReceiveBuffer(p.ReceiveBytes)
+	}
 	return d.DialContext(ctx, "tcp", addr)
 }
 
