Bodies of responses: what is buffered shares memory

Cause: up to 256 KiB of each plain response, failure or peer's response are buffered, and nothing bounded all of them.

If it is full, the start that has been read is sent and the rest is relayed as it arrives, as that of a longer response: it cannot be tried elsewhere any more if it breaks, and then the client's connection is closed.

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -15,6 +15,7 @@
 
 // wireAdmission bounds what is held for slow clients, and refuses requests under overload where the contract calls for it.
 func (c *Coordinator) wireAdmission() {
+	c.forward.Memory = c.platform.ResponseMemory
 	c.forward.ReadAhead.MaximumBytes = c.bounds.MemoryMegabytes << 20 / readAheadDivisor
 	if c.platform.RankedAdmission {
 		c.admitter = &admitter.Admitter{}
@@ -34,6 +35,9 @@
 // updateAdmissionGauges sets the gauges of admission, memory and read-ahead.
 func (c *Coordinator) updateAdmissionGauges(now time.Time) {
 	c.metrics.Gauge("ReadAhead").Update(float64(c.forward.ReadAhead.Used()))
+	if c.platform.ResponseMemory != nil {
+		c.metrics.Gauge("ResponseMemory").Update(float64(c.platform.ResponseMemory.Used()))
+	}
 	c.metrics.Gauge("ReservedTokens").Update(c.forward.ReservedShare(now))
 	if c.admitter == nil {
 		return
--- a/internal/forwarder/body.go
+++ b/internal/forwarder/body.go
@@ -21,7 +21,7 @@
 	// for the prompts in the users' specifications, which have 17,000 tokens of a few bytes each.
 	bufferedBodyBytes = 512 << 10
 	// bufferedResponseBytes is the most that is buffered of a plain response or an error response, so that a broken one
-	// can be retried before the client has received any of it.
+	// can be retried before the client has received any of it. All together are bounded by Forwarder.Memory.
 	bufferedResponseBytes = 256 << 10
 )
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/quarantiner"
 	"github.com/coltsfootscale/coltsfootscale/internal/ratelimiter"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/internal/reserver"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
@@ -130,6 +131,8 @@
 	LiveInstances func() int
 	// ReadAhead bounds what all streams hold for slow clients.
 	ReadAhead ReadAhead
+	// Memory bounds what is buffered of the bodies of all responses; nil does not.
+	Memory *reserver.Memory
 
 	// reachability lets the requests that break at a target share one check of it.
 	reachability singleflight.Group
--- a/internal/forwarder/handover.go
+++ b/internal/forwarder/handover.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -210,21 +209,21 @@
 		return err
 	}
 	rs.unusedCache = nil
-	defer response.Body.Close()
+	defer func() { response.Body.Close() }()
 	rs.f.Metrics.Counter("HandedOver").Inc(1)
 	// The peer counts the request, and announces where its stream begins.
 	rs.started = true
 	if s != nil && response.Status == http.StatusOK {
 		return s.relay(ctx, response, nil)
 	}
-	buffered, err := io.ReadAll(io.LimitReader(response.Body, bufferedResponseBytes))
+	start, err := rs.f.readStart(response)
 	if err != nil {
 		return fmt.Errorf("%w: reading the response body: %w", ErrOutcomeUnknown, err)
 	}
 	if rs.headerSent {
 		return fmt.Errorf("%w: error response with status %d", ErrOutcomeUnknown, response.Status)
 	}
-	if refusal := rs.writeResponse(ctx, response, buffered); refusal != nil {
+	if refusal := rs.writeResponse(ctx, response, start); refusal != nil {
 		return fmt.Errorf("%w: relaying the response body: %w", ErrOutcomeUnknown, refusal.Err)
 	}
 	return nil
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,6 +19,7 @@
 	"github.com/coltsfootscale/coltsfootscale/internal/gatekeeper"
 	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/internal/reserver"
 )
 
 // servePlain tries targets of a plain service until one gives a final response.
@@ -47,7 +49,7 @@
 		if refusal := rs.judgePlain(choice); refusal != nil {
 			return refusal
 		}
-		response, buffered, err := rs.attemptPlain(ctx, choice)
+		response, start, err := rs.attemptPlain(ctx, choice)
 		if err != nil || response.Status >= http.StatusInternalServerError {
 			rs.logFailedAttempt(choice.Target, response, err)
 		}
@@ -63,9 +65,9 @@
 			} else {
 				rs.f.TargetStates.Succeeded(choice.Target.ID, time.Now())
 			}
-			return rs.writeResponse(ctx, response, buffered)
+			return rs.writeResponse(ctx, response, start)
 		case err == nil && !rs.takeRetry():
-			return rs.writeResponse(ctx, response, buffered)
+			return rs.writeResponse(ctx, response, start)
 		case err == nil:
 			response.Body.Close()
 		case errors.Is(err, ErrNotSent) && ctx.Err() == nil:
@@ -143,11 +145,11 @@
 
 // attemptPlain makes one attempt and buffers the start of the response, which is all of it in most cases. If the response
 // breaks off there, the client receives none of it.
-func (rs *requestState) attemptPlain(ctx context.Context, choice chooser.Choice) (*Response, []byte, error) {
+func (rs *requestState) attemptPlain(ctx context.Context, choice chooser.Choice) (*Response, bodyStart, error) {
 	t, started := choice.Target, time.Now()
 	end, ok := rs.f.TargetStates.BeginWithin(t.ID, rs.answerLoad(), rs.memoryLimit(), time.Now())
 	if !ok {
-		return nil, nil, fmt.Errorf("%w: %w", ErrNotSent, errMemory)
+		return nil, bodyStart{}, fmt.Errorf("%w: %w", ErrNotSent, errMemory)
 	}
 	defer end()
 	sendCtx, done := rs.await(ctx, t, rs.route.Kind == matcher.Safe)
@@ -158,25 +160,45 @@
 	if err != nil {
 		done()
 		rs.countFailedAttempt(err)
-		return nil, nil, err
+		return nil, bodyStart{}, err
 	}
 	response.Body = &endingBody{response.Body, done}
 	rs.markStarted()
-	buffered, err := io.ReadAll(io.LimitReader(response.Body, bufferedResponseBytes))
-	if err == nil && len(buffered) == 0 && response.Unframed && response.Status < http.StatusMultipleChoices {
+	start, err := rs.f.readStart(response)
+	if err == nil && len(start.data) == 0 && response.Unframed && response.Status < http.StatusMultipleChoices {
 		err = errNoBody
 	}
 	if err == nil {
 		rs.f.Quarantine.Completed(rs.digest(), nil, time.Now())
-		if response.Status < http.StatusBadRequest && len(buffered) < bufferedResponseBytes {
+		if response.Status < http.StatusBadRequest && start.whole {
 			rs.observePlain(choice, time.Since(started))
 		}
 	}
 	if err != nil {
 		response.Body.Close()
-		return nil, nil, fmt.Errorf("%w: reading the response body: %w", ErrOutcomeUnknown, err)
+		return nil, bodyStart{}, fmt.Errorf("%w: reading the response body: %w", ErrOutcomeUnknown, err)
 	}
-	return response, buffered, nil
+	return response, start, nil
+}
+
+// bodyStart is the buffered start of a response's body.
+type bodyStart struct {
+	data  []byte
+	whole bool
+}
+
+// readStart buffers the start of a response's body: up to bufferedResponseBytes, or less if the memory is full. The memory is released when the body is
+// closed.
+func (f *Forwarder) readStart(response *Response) (bodyStart, error) {
+	data, reserved, err := f.Memory.ReadStart(response.Body, bufferedResponseBytes)
+	response.Body = &endingBody{response.Body, sync.OnceFunc(func() { f.Memory.Release(reserved) })}
+	switch {
+	case errors.Is(err, io.EOF):
+		return bodyStart{data, true}, nil
+	case errors.Is(err, reserver.ErrFull):
+		err = nil
+	}
+	return bodyStart{data: data}, err
 }
 
 // errNoBody is the error of a successful response without a length of which nothing but the head arrived: nothing shows that it is whole.
@@ -195,10 +217,10 @@
 }
 
 // writeResponse relays a target's response unchanged; the client's connection is closed if the response breaks off.
-func (rs *requestState) writeResponse(ctx context.Context, r *Response, buffered []byte) *Refusal {
+func (rs *requestState) writeResponse(ctx context.Context, r *Response, start bodyStart) *Refusal {
 	defer r.Body.Close()
-	if len(buffered) < bufferedResponseBytes {
-		rs.writeBuffered(r, buffered)
+	if start.whole {
+		rs.writeBuffered(r, start.data)
 		return nil
 	}
 	rs.headerSent, rs.status = true, r.Status
@@ -207,7 +229,7 @@
 		rs.w.Header().Set("Content-Length", strconv.FormatInt(r.Length, 10))
 	}
 	rs.w.WriteHeader(r.Status)
-	body := io.MultiReader(bytes.NewReader(buffered), r.Body)
+	body := io.MultiReader(bytes.NewReader(start.data), r.Body)
 	if r.Length < 0 {
 		body = &boundedReader{body, maximumUnframedBytes}
 	}
--- a/internal/forwarder/streamed.go
+++ b/internal/forwarder/streamed.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -260,7 +259,7 @@
 		rs.countFailedAttempt(err)
 		return err
 	}
-	defer response.Body.Close()
+	defer func() { response.Body.Close() }()
 	if response.Status != http.StatusOK {
 		rs.markStarted()
 		return rs.relayErrorResponse(ctx, response)
@@ -280,14 +279,14 @@
 // relayErrorResponse relays a target's error response, unless the client has already received a header or the request
 // can be retried.
 func (rs *requestState) relayErrorResponse(ctx context.Context, response *Response) error {
-	body, err := io.ReadAll(io.LimitReader(response.Body, bufferedResponseBytes))
+	start, err := rs.f.readStart(response)
 	if err != nil {
 		return fmt.Errorf("%w: reading the response body: %w", ErrOutcomeUnknown, err)
 	}
 	if rs.headerSent || rs.route.Resumable && rs.attempts < rs.route.Attempts {
 		return fmt.Errorf("%w: error response with status %d", ErrOutcomeUnknown, response.Status)
 	}
-	if refusal := rs.writeResponse(ctx, response, body); refusal != nil {
+	if refusal := rs.writeResponse(ctx, response, start); refusal != nil {
 		return fmt.Errorf("%w: relaying the response body: %w", ErrOutcomeUnknown, refusal.Err)
 	}
 	return nil
