Events: long ones share memory

What callers saw: nothing here; see the memory of heads.

Cause: an event may have 1 MiB, one event of each stream is always held, and nothing bounded all of them. Events of a few bytes took many times their bytes: the limit for slow clients counted the bytes only, and the search for the ID copied each event.

Change: beyond 16 KiB an event takes the memory of all responses until it has been written to the client; a stream without memory for an event breaks off. An event counts with what it takes beside its bytes.

--- a/internal/forwarder/readahead.go
+++ b/internal/forwarder/readahead.go
@@ -5,10 +5,12 @@
 	"io"
 	"sync"
 	"time"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/reserver"
 )
 
 const (
-	// streamReadAhead is how many bytes of complete events are held for one slow client.
+	// streamReadAhead is the memory of the complete events that are held for one slow client.
 	streamReadAhead = 64 << 10
 	// defaultReadAhead is the default of ReadAhead.MaximumBytes.
 	defaultReadAhead = 32 << 20
@@ -52,22 +54,26 @@
 // read from the target.
 type eventQueue struct {
 	limit *ReadAhead
+	// memory bounds the long events of all streams.
+	memory *reserver.Memory
 
 	mu      sync.Mutex
 	changed *sync.Cond
-	events  [][]byte
-	// held is the size of the events; reserved is the part of it that counts in limit.
+	events  []event
+	// current is what the event that next has returned holds of memory.
+	current int64
+	// held is the memory of the events; reserved is the part of it that counts in limit.
 	held     int64
 	reserved []int64
-	// partial is the start of an event at which reading failed, with the error.
-	partial []byte
+	// partial is set if reading failed, with err, inside an event.
+	partial bool
 	err     error
 	closed  bool
 }
 
 // readEvents starts to read the events of a response. onEvent is called for each event as it arrives.
-func readEvents(body io.Reader, limit *ReadAhead, onEvent func()) *eventQueue {
-	q := &eventQueue{limit: limit}
+func readEvents(body io.Reader, limit *ReadAhead, memory *reserver.Memory, onEvent func()) *eventQueue {
+	q := &eventQueue{limit: limit, memory: memory}
 	q.changed = sync.NewCond(&q.mu)
 	go q.fill(bufio.NewReaderSize(body, eventBufferBytes), onEvent)
 	return q
@@ -75,26 +81,33 @@
 
 func (q *eventQueue) fill(r *bufio.Reader, onEvent func()) {
 	for {
-		event, err := readEvent(r)
-		if err == nil {
-			onEvent()
+		e, err := readEvent(r, q.memory)
+		if err != nil {
+			q.memory.Release(e.reserved)
+			q.fail(len(e.data) > 0, err)
+			return
 		}
-		if !q.put(event, err) || err != nil {
+		onEvent()
+		if !q.put(e) {
+			q.memory.Release(e.reserved)
 			return
 		}
 	}
 }
 
+// fail ends the queue with the error at which reading has failed.
+func (q *eventQueue) fail(partial bool, err error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.partial, q.err = partial, err
+	q.changed.Broadcast()
+}
+
 // put adds an event once there is room for it. One event is always taken if none is held, however long it is.
-func (q *eventQueue) put(event []byte, err error) bool {
+func (q *eventQueue) put(e event) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if err != nil {
-		q.partial, q.err = event, err
-		q.changed.Broadcast()
-		return false
-	}
-	size := int64(len(event))
+	size := e.size()
 	for !q.closed && len(q.events) > 0 {
 		if q.held+size > streamReadAhead {
 			q.changed.Wait()
@@ -115,7 +128,7 @@
 	if len(q.events) == 0 {
 		reserved = 0
 	}
-	q.events, q.reserved, q.held = append(q.events, event), append(q.reserved, reserved), q.held+size
+	q.events, q.reserved, q.held = append(q.events, e), append(q.reserved, reserved), q.held+size
 	q.changed.Broadcast()
 	return true
 }
@@ -127,22 +140,26 @@
 	q.changed.Broadcast()
 }
 
-// next returns the next event, or what readEvent returned at the end.
-func (q *eventQueue) next() ([]byte, error) {
+// next returns the next event, which the caller has done with at the next call, or the error at which reading has failed, with whether that was inside
+// an event.
+func (q *eventQueue) next() (data []byte, partial bool, err error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.memory.Release(q.current)
+	q.current = 0
 	for len(q.events) == 0 && q.err == nil && !q.closed {
 		q.changed.Wait()
 	}
 	if len(q.events) == 0 {
-		return q.partial, q.err
+		return nil, q.partial, q.err
 	}
-	event := q.events[0]
-	q.held -= int64(len(event))
+	e := q.events[0]
+	q.current = e.reserved
+	q.held -= e.size()
 	q.limit.add(-q.reserved[0])
 	q.events, q.reserved = q.events[1:], q.reserved[1:]
 	q.changed.Broadcast()
-	return event, nil
+	return e.data, false, nil
 }
 
 // close releases what is held and ends the reading once the response is closed.
@@ -152,6 +169,10 @@
 	for _, n := range q.reserved {
 		q.limit.add(-n)
 	}
-	q.events, q.reserved, q.held, q.closed = nil, nil, 0, true
+	for _, e := range q.events {
+		q.memory.Release(e.reserved)
+	}
+	q.memory.Release(q.current)
+	q.events, q.reserved, q.held, q.current, q.closed = nil, nil, 0, 0, true
 	q.changed.Broadcast()
 }
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -9,10 +9,10 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
+	"github.com/coltsfootscale/coltsfootscale/internal/reserver"
 )
 
 const (
@@ -39,7 +39,7 @@
 
 // relay forwards the events of a target, or of a peer if t is nil, until the target's response ends; it returns ErrOutcomeUnknown if the response breaks off.
 func (s *stream) relay(ctx context.Context, response *Response, t *registrar.Target) error {
-	queue := readEvents(response.Body, &s.requestState.f.ReadAhead, func() {
+	queue := readEvents(response.Body, &s.requestState.f.ReadAhead, s.requestState.f.Memory, func() {
 		if t != nil {
 			s.requestState.f.Reach.Answered(t.Address)
 		}
@@ -49,8 +49,8 @@
 	var first, last time.Time
 	events := 0
 	for {
-		event, err := queue.next()
-		if errors.Is(err, io.EOF) && len(event) == 0 {
+		event, partial, err := queue.next()
+		if errors.Is(err, io.EOF) && !partial {
 			if events == 0 && (response.Unframed || !s.goesOn()) {
 				return fmt.Errorf("%w: response without events after event %d", ErrOutcomeUnknown, s.lastID)
 			}
@@ -111,34 +111,71 @@
 	return true
 }
 
-// readEvent reads one event up to and including its empty line. It returns io.EOF only between events, without any bytes.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var event []byte
+// errEventMemory is the error of an event for which there is no memory.
+var errEventMemory = errors.New("no memory for an event")
+
+// event is an event of a stream, and how much of the memory of responses it holds.
+type event struct {
+	data     []byte
+	reserved int64
+}
+
+const (
+	// eventAllowance is the memory that one event of each stream has for itself.
+	eventAllowance = 16 << 10
+	// eventOverhead is the memory that an event takes beside its bytes.
+	eventOverhead = 64
+)
+
+// size returns the memory that the event takes.
+func (e *event) size() int64 { return int64(len(e.data)) + eventOverhead }
+
+// grow makes room for n more bytes.
+func (e *event) grow(n int, memory *reserver.Memory) error {
+	if len(e.data)+n <= cap(e.data) {
+		return nil
+	}
+	capacity := max(2*cap(e.data), len(e.data)+n)
+	needed := int64(max(0, capacity-eventAllowance))
+	if !memory.Reserve(needed - e.reserved) {
+		return errEventMemory
+	}
+	e.reserved = needed
+	e.data = append(make([]byte, 0, capacity), e.data...)
+	return nil
+}
+
+// readEvent reads one event up to and including its empty line. It returns io.EOF only between events, without any bytes. The caller must release what
+// the event has reserved.
+func readEvent(r *bufio.Reader, memory *reserver.Memory) (e event, err error) {
 	lineStart := 0
 	for {
 		chunk, err := r.ReadSlice('\n')
-		event = append(event, chunk...)
+		if growErr := e.grow(len(chunk), memory); growErr != nil {
+			return e, growErr
+		}
+		e.data = append(e.data, chunk...)
 		switch {
-		case len(event) > maximumEventBytes:
-			return event, fmt.Errorf("event exceeds %d bytes", maximumEventBytes)
+		case len(e.data) > maximumEventBytes:
+			return e, fmt.Errorf("event exceeds %d bytes", maximumEventBytes)
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && len(event) > 0:
-			return event, io.ErrUnexpectedEOF
+		case errors.Is(err, io.EOF) && len(e.data) > 0:
+			return e, io.ErrUnexpectedEOF
 		case err != nil:
-			return event, err
-		case len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0:
-			return event, nil
+			return e, err
+		case len(bytes.TrimRight(e.data[lineStart:], "\r\n")) == 0:
+			return e, nil
 		}
-		lineStart = len(event)
+		lineStart = len(e.data)
 	}
 }
 
 // eventID returns the numeric ID of an event, or false if it has none.
 func eventID(event []byte) (int, bool) {
-	for _, line := range strings.Split(string(event), "\n") {
-		if value, ok := strings.CutPrefix(line, "id:"); ok {
-			id, err := strconv.Atoi(strings.TrimSpace(value))
+	for line := range bytes.Lines(event) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id, err := strconv.Atoi(string(bytes.TrimSpace(value)))
 			return id, err == nil
 		}
 	}
