Long responses: other requests get their turn between two reads

What callers saw: nothing here. In TestMisbehavingTargets 1 of 4 ordinary requests to another target was served on beside 300 responses in chunks of a byte without end, and 2 of 4 with the memory bounded.

Cause: one read of such a response takes milliseconds for 32 KiB, and what is relayed never waits while its target sends and its client reads. The goroutines of an ordinary request waited for all of them at each step.

Change: a response of unknown length, beyond its buffered start, is read in parts of 4 KiB, and others run before each.

--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -9,6 +9,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"runtime"
 	"strconv"
 	"sync"
 	"time"
@@ -239,10 +240,14 @@
 	return nil
 }
 
-// maximumUnframedBytes limits a response of unknown length, which a faulty target may never end.
-const maximumUnframedBytes = 64 << 20
+const (
+	// maximumUnframedBytes limits a response of unknown length, which a faulty target may never end.
+	maximumUnframedBytes = 64 << 20
+	// readBytes limits one read of such a response. In chunks of a byte it takes long.
+	readBytes = 4 << 10
+)
 
-// boundedReader fails once the remaining bytes are read.
+// boundedReader fails once the remaining bytes are read. Other requests get their turn before each read.
 type boundedReader struct {
 	io.Reader
 	remaining int
@@ -250,7 +255,8 @@
 
 // Read reads from the underlying reader.
 func (r *boundedReader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
+	runtime.Gosched()
+	n, err := r.Reader.Read(p[:min(len(p), readBytes)])
 	if r.remaining -= n; r.remaining < 0 {
 		return n, fmt.Errorf("response exceeds %d bytes", maximumUnframedBytes)
 	}
