Refused responses are counted, and logged with their request, target and reason

What operators saw: lines "target failed" with an error, from which they had to tell a connection that broke from an answer that is none; no metric; nothing of a long answer that broke off after its start had been sent but the client's refusal, without the target.

Change: ResponsesRefused counts the responses that were refused, by Reason: Status, FieldName, NotHTTP, TooLong, MemoryFull, OtherRequest, Unsealed, Empty, Content, BrokenOff. The log line "response refused" names request, target or peer, reason and error; of control calls, the store and the cloud it names the call. A connection that breaks before the first byte of a response is no refusal, and neither is what breaks because the client has left or at the deadline.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -82,7 +82,9 @@
 	Gate *gatekeeper.Gatekeeper
 	// OnLoad sets the function that receives what targets say about their load; nil if they say nothing.
 	OnLoad func(LoadFunc)
-	Store  StoreEra
+	// OnRefused sets the function that is called when a response to a call that serves no request is refused; it may be nil.
+	OnRefused func(RefusedFunc)
+	Store     StoreEra
 	// RankedAdmission is set if requests are refused under overload, the least urgent ones first.
 	RankedAdmission bool
 	// Usage and Scaling are nil on a platform without usage reports and scaling.
@@ -265,6 +267,9 @@
 	c.wireLimits(&gate.Limits)
 	c.targetStates.SharedPartsOnly = c.peers.UsesHubs
 	c.wireCalibration()
+	if c.platform.OnRefused != nil {
+		c.platform.OnRefused(c.noteRefused)
+	}
 	c.quarantine.Logger, c.quarantine.Gone = c.logger, c.targetGone
 	c.wireProber()
 	c.streamRecorder.Put = c.putStreamRecord
--- a/internal/forwarder/body.go
+++ b/internal/forwarder/body.go
@@ -80,7 +80,7 @@
 		size = min(size, length)
 	}
 	start, reserved, err := b.ReadStart(r, size)
-	if err != nil && !errors.Is(err, io.EOF) {
+	if err != nil && err != io.EOF {
 		b.Release(reserved)
 		if errors.Is(err, reserver.ErrFull) {
 			err = ErrBodyMemory
--- a/internal/forwarder/handover.go
+++ b/internal/forwarder/handover.go
@@ -153,6 +153,7 @@
 			return true, nil
 		}
 		rs.f.Logger.Info("peer failed", zap.String("RequestID", string(rs.call.ID)), zap.String("Peer", address), zap.Error(err))
+		rs.noteRefused(ctx, address, err)
 		if errors.Is(err, ErrPeerCutOff) {
 			rs.f.OnPeerCutOff(rs.service, address)
 		} else {
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -18,6 +18,7 @@
 
 	"github.com/coltsfootscale/coltsfootscale/internal/chooser"
 	"github.com/coltsfootscale/coltsfootscale/internal/gatekeeper"
+	"github.com/coltsfootscale/coltsfootscale/internal/inspector"
 	"github.com/coltsfootscale/coltsfootscale/internal/matcher"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
 	"github.com/coltsfootscale/coltsfootscale/internal/reserver"
@@ -53,6 +54,7 @@
 		response, start, err := rs.attemptPlain(ctx, choice)
 		if err != nil || response.Status >= http.StatusInternalServerError {
 			rs.logFailedAttempt(choice.Target, response, err)
+			rs.noteRefused(ctx, string(choice.Target.ID), err)
 		}
 		if errors.Is(err, ErrOutcomeUnknown) && ctx.Err() == nil {
 			rs.reportBroken(choice.Target, false)
@@ -167,7 +169,7 @@
 	rs.markStarted()
 	start, err := rs.f.readStart(response)
 	if err == nil && len(start.data) == 0 && response.Unframed && response.Status < http.StatusMultipleChoices {
-		err = errNoBody
+		err = fmt.Errorf("%w: connection closed after its head", inspector.ErrEmpty)
 	}
 	if err == nil {
 		rs.f.Quarantine.Completed(rs.digest(), nil, time.Now())
@@ -193,18 +195,15 @@
 func (f *Forwarder) readStart(response *Response) (bodyStart, error) {
 	data, reserved, err := f.Memory.ReadStart(response.Body, bufferedResponseBytes)
 	response.Body = &endingBody{response.Body, sync.OnceFunc(func() { f.Memory.Release(reserved) })}
-	switch {
-	case errors.Is(err, io.EOF):
+	switch err {
+	case io.EOF:
 		return bodyStart{data, true}, nil
-	case errors.Is(err, reserver.ErrFull):
+	case reserver.ErrFull:
 		err = nil
 	}
 	return bodyStart{data: data}, err
 }
 
-// errNoBody is the error of a successful response without a length of which nothing but the head arrived: nothing shows that it is whole.
-var errNoBody = errors.New("connection closed after the head of a response without a length")
-
 // endingBody ends the wait for its target when it is closed.
 type endingBody struct {
 	io.ReadCloser
@@ -235,6 +234,7 @@
 		body = &boundedReader{body, maximumUnframedBytes}
 	}
 	if _, err := io.Copy(rs.w, body); err != nil {
+		rs.noteRefused(ctx, rs.responder(), err)
 		return refuseOutcomeUnknown(ctx, "AnswerBroken", err)
 	}
 	return nil
@@ -258,7 +258,7 @@
 	runtime.Gosched()
 	n, err := r.Reader.Read(p[:min(len(p), readBytes)])
 	if r.remaining -= n; r.remaining < 0 {
-		return n, fmt.Errorf("response exceeds %d bytes", maximumUnframedBytes)
+		return n, fmt.Errorf("%w: over %d bytes", reserver.ErrTooLong, maximumUnframedBytes)
 	}
 	return n, err
 }
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/coltsfootscale/coltsfootscale/internal/inspector"
 	"github.com/coltsfootscale/coltsfootscale/internal/registrar"
 	"github.com/coltsfootscale/coltsfootscale/internal/reserver"
 )
@@ -50,9 +51,9 @@
 	events := 0
 	for {
 		event, partial, err := queue.next()
-		if errors.Is(err, io.EOF) && !partial {
+		if err == io.EOF && !partial {
 			if events == 0 && (response.Unframed || !s.goesOn()) {
-				return fmt.Errorf("%w: response without events after event %d", ErrOutcomeUnknown, s.lastID)
+				return fmt.Errorf("%w: %w: no events after event %d", ErrOutcomeUnknown, inspector.ErrEmpty, s.lastID)
 			}
 			s.requestState.writeHeader(response)
 			s.requestState.observeAnswer(t, first, last, events)
@@ -92,10 +93,10 @@
 func (s *stream) advance(event []byte) error {
 	id, ok := eventID(event)
 	if !ok {
-		return fmt.Errorf("%w: received %.40q, which has no event ID, after event %d", ErrOutcomeUnknown, event, s.lastID)
+		return fmt.Errorf("%w: %w: received %.40q, which has no event ID, after event %d", ErrOutcomeUnknown, inspector.ErrContent, event, s.lastID)
 	}
 	if id <= s.lastID {
-		return fmt.Errorf("%w: received event %d after event %d", ErrOutcomeUnknown, id, s.lastID)
+		return fmt.Errorf("%w: %w: received event %d after event %d", ErrOutcomeUnknown, inspector.ErrContent, id, s.lastID)
 	}
 	s.lastID, s.lastEvent = id, strconv.Itoa(id)
 	return nil
@@ -112,7 +113,7 @@
 }
 
 // errEventMemory is the error of an event for which there is no memory.
-var errEventMemory = errors.New("no memory for an event")
+var errEventMemory = fmt.Errorf("no memory for an event: %w", reserver.ErrFull)
 
 // event is an event of a stream, and how much of the memory of responses it holds.
 type event struct {
@@ -157,11 +158,11 @@
 		e.data = append(e.data, chunk...)
 		switch {
 		case len(e.data) > maximumEventBytes:
-			return e, fmt.Errorf("event exceeds %d bytes", maximumEventBytes)
+			return e, fmt.Errorf("event: %w: over %d bytes", reserver.ErrTooLong, maximumEventBytes)
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && len(e.data) > 0:
-			return e, io.ErrUnexpectedEOF
+			return e, fmt.Errorf("%w: inside an event: %w", inspector.ErrBrokenOff, io.ErrUnexpectedEOF)
 		case err != nil:
 			return e, err
 		case len(bytes.TrimRight(e.data[lineStart:], "\r\n")) == 0:
--- a/internal/forwarder/streamed.go
+++ b/internal/forwarder/streamed.go
@@ -64,6 +64,7 @@
 		}
 		rs.f.Logger.Info("answer target failed", zap.String("RequestID", string(rs.call.ID)), rs.digestField(),
 			zap.String("Target", string(t.ID)), zap.String("Build", string(t.Build)), zap.Int("Event", stream.lastID), zap.Error(err))
+		rs.noteRefused(ctx, string(t.ID), err)
 		rs.avoid(t, err)
 		switch {
 		case ctx.Err() != nil:
@@ -128,6 +129,7 @@
 		}
 		rs.f.Logger.Info("prompt target failed", zap.String("RequestID", string(rs.call.ID)),
 			zap.String("Target", string(promptChoice.Target.ID)), zap.Duration("Predicted", promptChoice.Predicted), zap.Error(err))
+		rs.noteRefused(ctx, string(promptChoice.Target.ID), err)
 		rs.prefillFailed = true
 		rs.addEvidence(err)
 		rs.avoid(promptChoice.Target, err)
--- a/internal/inspector/doc.go
+++ b/internal/inspector/doc.go
@@ -1,2 +1,2 @@
-// Package inspector finds responses whose heads or trailers are no HTTP, although net/http accepts them.
+// Package inspector finds responses that are not in order, some of which net/http accepts, and names the reasons for which responses are refused.
 package inspector
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -5,16 +5,52 @@
 	"fmt"
 	"net/http"
 	"strings"
+
+	"github.com/coltsfootscale/coltsfootscale/internal/reserver"
 )
 
-// Errors of responses.
+// Errors of responses that are refused.
 var (
 	// ErrStatus is returned for a status that is not three digits from 100 to 599, and for 101, for which no request asks.
 	ErrStatus = errors.New("invalid status in a response")
 	// ErrFieldName is returned for a name of a field that is no token. What frames the body may stand under such a name.
 	ErrFieldName = errors.New("invalid field name in a response")
+	// ErrNotHTTP is returned for bytes that are no response.
+	ErrNotHTTP = errors.New("no HTTP response")
+	// ErrOtherRequest is returned for a response to another request.
+	ErrOtherRequest = errors.New("response to another request")
+	// ErrBrokenOff is returned if the connection broke after the first byte of a response.
+	ErrBrokenOff = errors.New("response broke off")
+	// ErrUnsealed is returned for a success without the mark that all of them have.
+	ErrUnsealed = errors.New("successful response without a seal")
+	// ErrEmpty is returned for a response of which nothing shows that it is whole.
+	ErrEmpty = errors.New("response without content")
+	// ErrContent is returned for a body that is not in the form of its kind.
+	ErrContent = errors.New("invalid content of a response")
 )
 
+// Reason is why a response was refused, as metrics and logs name it.
+type Reason string
+
+var reasons = []struct {
+	err    error
+	reason Reason
+}{
+	{ErrStatus, "Status"}, {ErrFieldName, "FieldName"}, {reserver.ErrTooLong, "TooLong"}, {reserver.ErrFull, "MemoryFull"},
+	{ErrOtherRequest, "OtherRequest"}, {ErrUnsealed, "Unsealed"}, {ErrEmpty, "Empty"}, {ErrContent, "Content"}, {ErrNotHTTP, "NotHTTP"},
+	{ErrBrokenOff, "BrokenOff"},
+}
+
+// ReasonOf returns why a response was refused, or the empty string if an error does not say that one was.
+func ReasonOf(err error) Reason {
+	for _, r := range reasons {
+		if errors.Is(err, r.err) {
+			return r.reason
+		}
+	}
+	return ""
+}
+
 const (
 	statusDigits  = 3
 	highestStatus = 599
--- a/internal/inspector/transport.go
+++ b/internal/inspector/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -45,10 +46,13 @@
 // Read reads from the body.
 func (b *checkedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case err == io.EOF:
 		if fieldErr := CheckFields(b.res.Trailer); fieldErr != nil {
 			err = fieldErr
 		}
+	case err != nil:
+		err = fmt.Errorf("%w: %w", ErrBrokenOff, err)
 	}
 	return n, err
 }
--- a/internal/pooler/exchange.go
+++ b/internal/pooler/exchange.go
@@ -19,6 +19,7 @@
 
 	"github.com/coltsfootscale/coltsfootscale/internal/inspector"
 	"github.com/coltsfootscale/coltsfootscale/internal/networker"
+	"github.com/coltsfootscale/coltsfootscale/internal/reserver"
 )
 
 // maximumStrayResponses is how many responses to earlier requests are skipped before the connection is closed.
@@ -95,7 +96,7 @@
 const noLimit = -1
 
 // errTooLong is returned if the bytes before a response's body exceed their limit.
-var errTooLong = fmt.Errorf("no response within %d bytes", maximumBytesBeforeBody)
+var errTooLong = fmt.Errorf("no response within %d bytes: %w", maximumBytesBeforeBody, reserver.ErrTooLong)
 
 // limitedInput reads from a connection and fails once the remaining bytes are read.
 type limitedInput struct {
@@ -285,7 +286,7 @@
 		}
 		if r.Matches != nil && !r.Matches(res.StatusCode, res.Header) {
 			if stray++; stray > maximumStrayResponses || res.ContentLength < 0 {
-				return nil, fmt.Errorf("%w: status %d", ErrUnexpectedResponse, res.StatusCode)
+				return nil, fmt.Errorf("%w: %w: status %d", ErrUnexpectedResponse, inspector.ErrOtherRequest, res.StatusCode)
 			}
 			if _, err := io.Copy(io.Discard, res.Body); err != nil {
 				return nil, classify(err)
@@ -293,7 +294,7 @@
 			continue
 		}
 		if (x.conn.reused || stray > 0) && r.Unmarked != nil && r.Unmarked(res.Header) {
-			return nil, fmt.Errorf("%w: status %d, for an unknown request", ErrUnexpectedResponse, res.StatusCode)
+			return nil, fmt.Errorf("%w: %w: status %d, for an unknown request", ErrUnexpectedResponse, inspector.ErrOtherRequest, res.StatusCode)
 		}
 		x.conn.input.remaining = noLimit
 		return &Response{
@@ -318,6 +319,9 @@
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) || errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("%w: %w", ErrBroken, err)
 	}
+	if inspector.ReasonOf(err) == "" {
+		err = fmt.Errorf("%w: %w", inspector.ErrNotHTTP, err)
+	}
 	return fmt.Errorf("%w: %w", ErrUnexpectedResponse, err)
 }
 
@@ -339,7 +343,10 @@
 	}
 	if err != nil {
 		b.x.abort()
-		return n, classify(err)
+		if err = classify(err); errors.Is(err, ErrBroken) {
+			err = fmt.Errorf("%w: %w", inspector.ErrBrokenOff, err)
+		}
+		return n, err
 	}
 	keep := time.Duration(0)
 	if !b.res.Close {
--- a/internal/pooler/head.go
+++ b/internal/pooler/head.go
@@ -5,8 +5,8 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
 
+	"github.com/coltsfootscale/coltsfootscale/internal/inspector"
 	"github.com/coltsfootscale/coltsfootscale/internal/networker"
 	"github.com/coltsfootscale/coltsfootscale/internal/reserver"
 )
@@ -15,7 +15,7 @@
 const headShare = 8
 
 // ErrHeadMemory is returned if there is no memory for the head of a response; it wraps ErrUnexpectedResponse.
-var ErrHeadMemory = fmt.Errorf("%w: no memory for its head", ErrUnexpectedResponse)
+var ErrHeadMemory = fmt.Errorf("%w: no memory for its head: %w", ErrUnexpectedResponse, reserver.ErrFull)
 
 // reservation is the shared memory that the head of one response holds; its zero value holds none.
 type reservation struct {
@@ -47,8 +47,8 @@
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && len(head) > 0:
-			return io.ErrUnexpectedEOF
+		case err != nil && len(head) > 0 && !errors.Is(err, errTooLong):
+			return fmt.Errorf("%w: in its head: %w", inspector.ErrBrokenOff, err)
 		case err != nil:
 			return err
 		}
--- a/internal/reserver/memory.go
+++ b/internal/reserver/memory.go
@@ -92,10 +92,10 @@
 func (m *Memory) ReadAll(r io.Reader, size int64) ([]byte, error) {
 	body, reserved, err := m.ReadStart(r, size+1)
 	defer m.Release(reserved)
-	switch {
-	case errors.Is(err, io.EOF):
+	switch err {
+	case io.EOF:
 		return body, nil
-	case err == nil:
+	case nil:
 		return nil, ErrTooLong
 	}
 	return nil, err
