--- a/internal/forwarder/handover.go
+++ b/internal/forwarder/handover.go
@@ -210,7 +210,7 @@
 		return err
 	}
 	rs.unusedCache = nil
-	defer func() { response.Body.Close() }()
+	defer func() { response.Body.Close() }() // readStart replaces the body.
 	rs.f.Metrics.Counter("HandedOver").Inc(1)
 	// The peer counts the request, and announces where its stream begins.
 	rs.started = true
--- a/internal/forwarder/streamed.go
+++ b/internal/forwarder/streamed.go
@@ -261,7 +261,7 @@
 		rs.countFailedAttempt(err)
 		return err
 	}
-	defer func() { response.Body.Close() }()
+	defer func() { response.Body.Close() }() // readStart replaces the body.
 	if response.Status != http.StatusOK {
 		rs.markStarted()
 		return rs.relayErrorResponse(ctx, response)
