--- a/internal/coordinator/listen.go
+++ b/internal/coordinator/listen.go
@@ -60,7 +60,7 @@
 	return receiveShare(b, connections, minimumReceiveBytes)
 }
 
-// ResponseReceiveBytes returns the size of the receive buffer of each connection to a target or a peer: each request has one at most.
+// ResponseReceiveBytes returns the size of the receive buffer of each connection to a target or a peer, of which each request in progress uses one.
 func ResponseReceiveBytes(b parser.EntryBounds) int {
 	return receiveShare(b, b.ClientConnections+b.RelayConnections, minimumResponseReceiveBytes)
 }
