--- a/review/standin-3/drill.go
+++ b/review/standin-3/drill.go
@@ -42,11 +42,11 @@
 	defer close(stop)
 	reports := watchReports(s)
 	for range drillReports {
-		if _, err := nextHolder(reports, ""); err != nil {
+		if _, err := nextHolder(reports); err != nil {
 			return false, err
 		}
 	}
-	holder, err := nextHolder(reports, "")
+	holder, err := nextHolder(reports)
 	if err != nil {
 		return false, err
 	}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -18,7 +18,6 @@
 
 // cases holds the scripts by name. Each returns whether the rule was broken.
 var cases = map[string]func(s *site) (broken bool, err error){
-	"usage":   runUsage,
 	"tenants": runTenants,
 	"drill":   runDrill,
 	"logs":    runLogs,
--- a/review/standin-3/site.go
+++ b/review/standin-3/site.go
@@ -228,16 +228,6 @@
 	_ = e.cmd.Process.Signal(sig)
 }
 
-// awaitEnd waits for the end of the process.
-func (e *entry) awaitEnd(limit time.Duration) bool {
-	select {
-	case <-e.done:
-		return true
-	case <-time.After(limit):
-		return false
-	}
-}
-
 // kill ends the process.
 func (e *entry) kill() {
 	if e.cmd == nil || e.cmd.Process == nil {
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -161,13 +161,6 @@
 	return s.topic(name).end()
 }
 
-// first returns the first retained offset of a topic.
-func (s *store) first(name string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.topic(name).first
-}
-
 // ServeHTTP answers the calls of the system.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
