--- a/review/standin-3/site.go
+++ b/review/standin-3/site.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -28,6 +29,8 @@
 	cloud     *cloud
 	cloudAddr string
 	ports     map[string]int
+	// network is the start of the instances' addresses. It differs between runs, so that several can run side by side.
+	network string
 
 	mu      sync.Mutex
 	record  *os.File
@@ -39,6 +42,7 @@
 // newSite starts the platform's stand-ins; the record goes into the given folder.
 func newSite(folder string, trouble bool) (*site, error) {
 	s := &site{trouble: trouble, started: time.Now(), ports: map[string]int{}}
+	s.network = fmt.Sprintf("127.%d.%d", 16+rand.IntN(200), rand.IntN(250))
 	var err error
 	if s.dir, err = os.MkdirTemp("", "review-3-"); err != nil {
 		return nil, err
@@ -126,7 +130,7 @@
 
 // addEntry adds an instance with an address of its own; it is not started yet.
 func (s *site) addEntry(name string, number int) *entry {
-	e := &entry{site: s, name: name, ip: fmt.Sprintf("127.0.3.%d", number), cpuShare: "0.4"}
+	e := &entry{site: s, name: name, ip: fmt.Sprintf("%s.%d", s.network, number), cpuShare: "0.4"}
 	s.entries = append(s.entries, e)
 	return e
 }
