--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -29,7 +29,7 @@
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE RECORD")
 		return exitNotRun
 	}
 	s, err := newSite(os.Args[2], os.Getenv("TROUBLE") != "0")
--- a/review/standin-3/site.go
+++ b/review/standin-3/site.go
@@ -39,15 +39,15 @@
 	closers []func()
 }
 
-// newSite starts the platform's stand-ins; the record goes into the given folder.
-func newSite(folder string, trouble bool) (*site, error) {
+// newSite starts the platform's stand-ins; the record goes into the given file.
+func newSite(recordPath string, trouble bool) (*site, error) {
 	s := &site{trouble: trouble, started: time.Now(), ports: map[string]int{}}
 	s.network = fmt.Sprintf("127.%d.%d", 16+rand.IntN(200), rand.IntN(250))
 	var err error
 	if s.dir, err = os.MkdirTemp("", "review-3-"); err != nil {
 		return nil, err
 	}
-	if s.record, err = os.Create(filepath.Join(folder, "record.txt")); err != nil {
+	if s.record, err = os.Create(recordPath); err != nil {
 		return nil, err
 	}
 	s.store = newStore(s)
