Usage windows that may have been reported before a return of the store are withheld

Callers saw: nothing.

Cause: a holder closes a window anew when neither the duties log nor its memory has figures for it. After the store has come back from an older copy that shows only that it has not heard of a close. The figures of closed windows go to hubs and to the holder alone, and any ready instance may be the next holder; with more hubs the loss has to be larger, and the fault is the same.

The holder's close of the third window was among the records that the store had lost, nobody else had the figures, and the next holder closed and reported the window under a higher fencing number.

Change: Elector.CompleteFrom tells from which window on every close that was ever made is known. Two facts make that better: an instance that held the lease when it learned of the era knows all closes, because nobody else can have made one; and claims and renewals say from which window on the log of their era has all closes, which a later holder reads there. A window before that, without known figures, is logged, counted and left out unless a peer tells its figures.

The builds before ignore the new field, and their records without it count as not told.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -243,7 +243,7 @@
 	bounds := c.bounds
 	c.elector = &elector.Elector{
 		Holder: c.self.ID + "/" + c.self.Incarnation, Log: c.platform.Duties, Lease: bounds.Lease, Logger: c.logger,
-		Now: bootTime, Eligible: c.eligible, MayHold: c.mayHoldDuties,
+		Now: bootTime, Eligible: c.eligible, MayHold: c.mayHoldDuties, Window: c.usageWindow,
 	}
 	lease := c.platformLease()
 	c.targetScaler = &scaler.Scaler{
@@ -257,6 +257,7 @@
 	c.windowReporter = &reporter.WindowReporter{
 		DutyLease: lease, Platform: c.platform.Usage, Length: bounds.UsageWindow, MaximumDelay: bounds.UsageLate,
 		Now: c.medianTime, Total: c.counts.Total, Held: c.heldByPeer, Logger: c.logger,
+		OnWithheld: func() { c.metrics.Counter("UsageWindowsWithheld").Inc(1) },
 	}
 }
 
--- a/internal/coordinator/gossip.go
+++ b/internal/coordinator/gossip.go
@@ -339,6 +339,11 @@
 	return !c.leaving.Load() && c.mayHoldDuties() && c.table.Load() != nil && expiredFor >= time.Duration(c.rank())*claimDelay
 }
 
+// usageWindow returns the number of the usage window in which the given time ago was.
+func (c *Coordinator) usageWindow(ago time.Duration) int64 {
+	return counter.Window(c.medianTime().Add(-ago), c.bounds.UsageWindow)
+}
+
 // medianTime returns the median wall clock time of all instances, so that a few wrong clocks have no effect.
 func (c *Coordinator) medianTime() time.Time {
 	now := time.Now()
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -76,6 +76,10 @@
 // again. A new era of the store therefore ends the authority of the holder that learns of it. Contenders read the log
 // again and wait a whole lease from then on, as after a renewal. A holder that has not learned of the era sent its last
 // renewal before the return, so its authority ends before theirs begins. Fencing numbers rise with the era.
+//
+// The closes of usage windows may be lost as well, after a holder has reported their figures. CompleteFrom tells which windows this
+// concerns: those that had ended when this instance learned of the era, unless it held the lease then, or a holder of the era has told
+// in the log that it knows more.
 type Elector struct {
 	Holder string
 	Log    Log
@@ -87,6 +91,9 @@
 	MayHold func() bool
 	// Eligible reports whether this instance may claim a lease that has been expired for the given time.
 	Eligible func(expiredFor time.Duration) bool
+	// Window returns the number of the usage window in which the given time ago was. It is called with the lock held; nil means that no
+	// windows are closed.
+	Window func(ago time.Duration) int64
 
 	mu sync.Mutex
 	// era is the era of the store to which fold, peerNext and fence belong.
@@ -94,6 +101,10 @@
 	fold Fold
 	// remembered holds the figures of windows that are known to have been closed, also if the log has lost them.
 	remembered map[int64]Figures
+	// enteredAt is when this instance learned of the era, on the clock of Now. If it held the lease then, it knows all closes of earlier
+	// eras from the window inherited on; else inherited is nil.
+	enteredAt time.Duration
+	inherited *int64
 	// headSince is when the newest record was first known to be in the log, on the clock of Now.
 	headSince time.Duration
 	logRead   bool
@@ -133,7 +144,12 @@
 	for window, figures := range e.fold.Closed {
 		e.remember(window, figures)
 	}
-	e.era, e.fold, e.peerNext, e.logRead = era, Fold{}, 0, false
+	held, from := e.fence != 0 && e.Now() < e.expiresAt, e.completeFrom()
+	if e.inherited = nil; held {
+		e.inherited = &from // Nobody else can have closed a window before this lease ends.
+	}
+	e.enteredAt = e.Now()
+	e.era, e.fold, e.peerNext, e.logRead = era, Fold{Era: era}, 0, false
 	e.headSince = e.Now()
 	e.dropLease("new era")
 }
@@ -204,6 +220,40 @@
 	return all
 }
 
+// CompleteFrom returns the first window from which on each close that was ever made is known to a holder. An earlier window that is neither
+// closed nor remembered may have been closed, and reported, in an earlier era of the store.
+func (e *Elector) CompleteFrom() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.completeFrom()
+}
+
+// completeFrom is CompleteFrom for a caller that holds mu.
+func (e *Elector) completeFrom() int64 {
+	if e.era == 0 || e.Window == nil {
+		return 0 // The log has lost nothing.
+	}
+	from := e.Window(e.Now() - e.enteredAt)
+	for _, told := range []*int64{e.inherited, e.fold.completeFrom} {
+		if told != nil {
+			from = min(from, *told)
+		}
+	}
+	return from
+}
+
+// loggedFrom returns the first window from which on the log has each close that was ever made. A window that is only remembered is not in
+// the log. The caller must hold mu.
+func (e *Elector) loggedFrom() int64 {
+	from := e.completeFrom()
+	for window := range e.remembered {
+		if _, closed := e.fold.Closed[window]; !closed {
+			from = max(from, window+1)
+		}
+	}
+	return from
+}
+
 // Remember records the figures of a window that a peer knows to have been closed. The first figures stand.
 func (e *Elector) Remember(window int64, figures Figures) {
 	e.mu.Lock()
@@ -298,7 +348,7 @@
 
 func (e *Elector) claim(ctx context.Context) {
 	e.mu.Lock()
-	end := identifier.Position{Era: e.era, Offset: e.fold.Next}
+	end, from := identifier.Position{Era: e.era, Offset: e.fold.Next}, e.loggedFrom()
 	if end != (identifier.Position{}) {
 		e.precededUntil = e.Now() + flightTime
 	}
@@ -306,21 +356,25 @@
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	started := e.Now()
-	err := e.append(ctx, &Duty{Body: &Duty_Claim{Claim: &Claim{Holder: e.Holder, Attempt: e.nextAttempt(), Era: uint64(end.Era)}}})
+	err := e.append(ctx, &Duty{Body: &Duty_Claim{Claim: &Claim{Holder: e.Holder, Attempt: e.nextAttempt(), Era: uint64(end.Era), CompleteFrom: &from}}})
 	if err != nil {
 		e.Logger.Info("claim failed", zap.Uint64("Era", uint64(end.Era)), zap.Uint64("End", uint64(end.Offset)), zap.Error(err))
 		return
 	}
 	fence := identifier.FenceAt(end)
 	e.setLease(fence, started)
-	e.Logger.Info("duties claimed", zap.Uint64("Fence", uint64(fence)))
+	e.Logger.Info("duties claimed", zap.Uint64("Fence", uint64(fence)), zap.Int64("CompleteFrom", from))
 }
 
 func (e *Elector) renew(ctx context.Context, fence identifier.Fence) {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
+	e.mu.Lock()
+	from := e.loggedFrom()
+	e.mu.Unlock()
 	started := e.Now()
-	err := e.append(ctx, &Duty{Body: &Duty_Renewal{Renewal: &Renewal{Holder: e.Holder, Fence: uint64(fence), Attempt: e.nextAttempt()}}})
+	renewal := &Renewal{Holder: e.Holder, Fence: uint64(fence), Attempt: e.nextAttempt(), CompleteFrom: &from}
+	err := e.append(ctx, &Duty{Body: &Duty_Renewal{Renewal: renewal}})
 	if err != nil {
 		e.Logger.Info("renewal failed", zap.Uint64("Fence", uint64(fence)), zap.Error(err))
 		return
--- a/internal/elector/era_test.go
+++ b/internal/elector/era_test.go
@@ -30,6 +30,15 @@
 	usedBy   map[identifier.Fence]string
 	reported map[int64]elector.Figures
 	last     identifier.Fence
+	// silent is set if the instances do not exchange the closed windows.
+	silent bool
+}
+
+// returnWindow is the length of a usage window, and a window is closed a window's length after its end at the earliest.
+const returnWindow = 1500 * time.Millisecond
+
+func (r *returns) window(ago time.Duration) int64 {
+	return int64((time.Since(r.start) - ago) / returnWindow)
 }
 
 // startElector starts the elector of an instance in a new process.
@@ -42,6 +51,7 @@
 		Holder: process, Log: r.views[i], Lease: lease, Logger: zap.NewNop(),
 		Now:      func() time.Duration { return time.Duration(float64(time.Since(r.start)+time.Second) * rate) },
 		Eligible: func(expiredFor time.Duration) bool { return expiredFor > time.Duration(i)*700*time.Millisecond },
+		Window:   r.window,
 	}
 	r.electors[i], r.cancels[i] = e, cancel
 	r.group.Go(func() { e.Run(ctx) })
@@ -49,10 +59,12 @@
 
 // disturb rewinds the log or restarts an instance, sometimes both at once.
 func (r *returns) disturb() {
+	restart := r.schedule.Float64() < 0.01
 	if r.schedule.Float64() < 0.01 {
 		r.log.rewind(r.schedule.IntN(8))
+		restart = restart || r.schedule.Float64() < 0.5
 	}
-	if r.schedule.Float64() < 0.01 {
+	if restart {
 		i := r.schedule.IntN(len(r.electors))
 		r.cancels[i]()
 		r.startElector(i)
@@ -73,8 +85,10 @@
 			if i == j {
 				continue
 			}
-			for window, figures := range from.Remembered() {
-				to.Remember(window, figures)
+			if !r.silent {
+				for window, figures := range from.Remembered() {
+					to.Remember(window, figures)
+				}
 			}
 			r.views[j].answered(r.views[i].Era())
 			if read {
@@ -89,6 +103,9 @@
 	figures, known := e.Remembered()[window]
 	if _, closed := e.Closed()[window]; !closed {
 		if !known {
+			if window < e.CompleteFrom() {
+				return ""
+			}
 			figures = elector.Figures{"team": uint64(r.schedule.IntN(1000))}
 		}
 		if e.Close(context.Background(), window, figures) != nil {
@@ -126,8 +143,8 @@
 			violations = append(violations, fmt.Sprintf("fence %d after %d", fence, r.last))
 		}
 		r.last = max(r.last, fence)
-		if r.schedule.Float64() < 0.1 {
-			if v := r.report(e, int64(r.schedule.IntN(20)), fence); v != "" {
+		if r.schedule.Float64() < 0.3 {
+			if v := r.report(e, r.window(0)-2-int64(r.schedule.IntN(6)), fence); v != "" {
 				violations = append(violations, v)
 			}
 		}
@@ -140,12 +157,12 @@
 
 // runReturns runs the random schedule of a seed for half a minute. It returns the violations, the number of claims and
 // the number of eras.
-func runReturns(t *testing.T, seed uint64, faultRate float64) (violations []string, claims int, eras identifier.Era) {
+func runReturns(t *testing.T, seed uint64, faultRate float64, silent bool) (violations []string, claims int, eras identifier.Era) {
 	synctest.Test(t, func(*testing.T) {
 		r := &returns{
 			log:      &log{rng: rand.New(rand.NewPCG(seed, 1)), faultRate: faultRate, disconnected: map[string]bool{}},
 			schedule: rand.New(rand.NewPCG(seed, 2)), start: time.Now(), electors: make([]*elector.Elector, 3), views: make([]view, 3),
-			cancels: make([]context.CancelFunc, 3), usedBy: map[identifier.Fence]string{}, reported: map[int64]elector.Figures{},
+			cancels: make([]context.CancelFunc, 3), usedBy: map[identifier.Fence]string{}, reported: map[int64]elector.Figures{}, silent: silent,
 		}
 		for i := range r.electors {
 			r.startElector(i)
@@ -168,12 +185,12 @@
 
 // TestReturnsFromOlderCopies loses acknowledged records, restarts instances, delays calls and loses answers. It guards
 // against fencing numbers that two processes use or that fall, two holders at a time, and a usage window that is
-// reported with two different figures.
+// reported with two different figures, also if no instance tells another one which windows are closed.
 func TestReturnsFromOlderCopies(t *testing.T) {
 	claims, eras := 0, identifier.Era(0)
 	for i := range *schedulesFlag {
 		seed := *seedFlag + uint64(i)
-		violations, c, e := runReturns(t, seed, 0.02+0.2*float64(i%10)/10)
+		violations, c, e := runReturns(t, seed, 0.02+0.2*float64(i%10)/10, i%2 == 0)
 		if len(violations) > 0 {
 			t.Fatalf("seed %d: %v", seed, violations[0])
 		}
--- a/internal/elector/fold.go
+++ b/internal/elector/fold.go
@@ -12,14 +12,19 @@
 // maximumClosedWindows is the number of closed windows that a fold holds: some minutes of the shortest windows in use.
 const maximumClosedWindows = 64
 
-// Fold is the state of the duties log up to an offset; the zero value is that of an empty log.
+// Fold is the state of the duties log up to an offset; the zero value is that of an empty log of era 0.
 type Fold struct {
+	// Era is the era of the store to which the log belongs.
+	Era identifier.Era
 	// Next is the offset of the next record to apply.
 	Next   identifier.Offset
 	Holder string
 	Fence  identifier.Fence
 	// Closed holds the newest closed windows.
 	Closed map[int64]Figures
+	// completeFrom is the first window from which on the log has all closes that were made before one of its records, according to a
+	// holder of this era; nil if none has told it.
+	completeFrom *int64
 }
 
 // Apply applies the record at Next. A record that cannot be decoded is ignored, as is a close by a former holder.
@@ -35,12 +40,16 @@
 		// A claim that was sent in an earlier era may be appended late; its number is lower.
 		if fence := identifier.FenceAt(identifier.Position{Era: identifier.Era(body.Claim.Era), Offset: offset}); fence > f.Fence {
 			f.Holder, f.Fence = body.Claim.Holder, fence
+			f.complete(fence, body.Claim.CompleteFrom)
 		}
 	case *Duty_Renewal:
 		// The claim may have expired from the log.
 		if f.Fence == 0 {
 			f.Holder, f.Fence = body.Renewal.Holder, identifier.Fence(body.Renewal.Fence)
 		}
+		if identifier.Fence(body.Renewal.Fence) == f.Fence {
+			f.complete(f.Fence, body.Renewal.CompleteFrom)
+		}
 	case *Duty_Close:
 		if identifier.Fence(body.Close.Fence) == f.Fence {
 			f.close(body.Close)
@@ -48,6 +57,13 @@
 	}
 }
 
+// complete takes what the holder with a fencing number has told. A holder of an earlier era knew nothing of the closes that were lost.
+func (f *Fold) complete(fence identifier.Fence, from *int64) {
+	if from != nil && fence.Era() == f.Era && (f.completeFrom == nil || *from < *f.completeFrom) {
+		f.completeFrom = from
+	}
+}
+
 // close adds a closed window. The first figures of a window are final; later ones are ignored.
 func (f *Fold) close(c *Close) {
 	if f.Closed == nil {
--- a/internal/reporter/windows.go
+++ b/internal/reporter/windows.go
@@ -31,6 +31,9 @@
 	// Remembered returns the figures of all windows that are known to have been closed, also of those that the log has
 	// lost. They come before those in the log, where a late record may have taken the place of a lost one.
 	Remembered() map[int64]elector.Figures
+	// CompleteFrom returns the first window that was closed by nobody if it is neither closed nor remembered. An earlier one may have
+	// been closed and reported in an earlier era of the store.
+	CompleteFrom() int64
 }
 
 // UsagePlatform accepts the figures of a window.
@@ -50,10 +53,14 @@
 	// Total returns the requests of each team in a window so far.
 	Total func(window int64) map[identifier.TeamID]uint64
 	// Held reports whether the figures of a closed window would survive this instance and the log; nil means that they do.
-	Held   func(window int64) bool
-	Logger *zap.Logger
+	Held func(window int64) bool
+	// OnWithheld is called once for each window that is not reported because it may have been reported before; nil ignores it.
+	OnWithheld func()
+	Logger     *zap.Logger
 
 	reported map[int64]bool
+	// withheld is the newest window that was withheld.
+	withheld int64
 	fenced   identifier.Fence
 }
 
@@ -88,7 +95,8 @@
 }
 
 // report reports the figures that the log holds for a window, after closing the window if necessary. A window that the
-// log has lost is closed again with the same figures, and one without requests is not closed.
+// log has lost is closed again with the same figures, and one without requests is not closed. A window whose figures may have been
+// reported, but are not known, is not closed either.
 func (r *WindowReporter) report(ctx context.Context, window int64) {
 	figures, known := r.DutyLease.Remembered()[window]
 	if _, closed := r.DutyLease.Closed()[window]; !closed {
@@ -98,6 +106,10 @@
 		if len(figures) == 0 {
 			return
 		}
+		if from := r.DutyLease.CompleteFrom(); !known && window < from {
+			r.withhold(window, from)
+			return
+		}
 		if err := r.DutyLease.Close(ctx, window, figures); err != nil {
 			r.Logger.Info("cannot close the usage window", zap.Int64("Window", window), zap.Error(err))
 			return
@@ -121,3 +133,17 @@
 		r.fenced = fence
 	}
 }
+
+// withhold logs and counts a window that may have been reported with other figures before. It is checked again, because a peer may still
+// tell its figures.
+func (r *WindowReporter) withhold(window, completeFrom int64) {
+	if window <= r.withheld {
+		return
+	}
+	r.withheld = window
+	r.Logger.Warn("window withheld, it may have been reported before the store came back from an older copy", zap.Int64("Window", window),
+		zap.Int64("CompleteFrom", completeFrom))
+	if r.OnWithheld != nil {
+		r.OnWithheld()
+	}
+}
--- a/internal/reporter/windows_test.go
+++ b/internal/reporter/windows_test.go
@@ -21,6 +21,8 @@
 	fence      identifier.Fence
 	closed     map[int64]elector.Figures
 	remembered map[int64]elector.Figures
+	// completeFrom is the first window that nobody has closed if it is in neither.
+	completeFrom int64
 }
 
 func (d *fakeLease) Remembered() map[int64]elector.Figures {
@@ -51,6 +53,8 @@
 	return nil
 }
 
+func (d *fakeLease) CompleteFrom() int64 { return d.completeFrom }
+
 func (d *fakeLease) Closed() map[int64]elector.Figures { return d.closed }
 
 // platform records reports and returns err if it is set.
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -59,6 +59,9 @@
 // FenceAt returns the fencing number of a claim at a position.
 func FenceAt(p Position) Fence { return Fence(uint64(p.Era)<<eraShift|uint64(p.Offset)) + 1 }
 
+// Era returns the era of the claim that has the fencing number, or zero for the zero value.
+func (f Fence) Era() Era { return Era((max(f, 1) - 1) >> eraShift) }
+
 // Version counts accepted publishes.
 type Version uint64
 
