Copies of the store's streams tell from where on they know removals

Cause: an instance that starts reads the newest record of each key once the store has deleted older ones. A key that was removed before has no trace in that copy, yet the instance offered it as complete from any position on: Compose set From to the peer's own position. A peer that had the key, and had not read its removal yet, took over the position and the age of the copy and never read the removal; nor did anybody who had a copy from that peer.

Change: a copy has a beginning of its history, from which on it holds all removals: zero if all records were read, the end of the stream if the newest of each key were, and that of the sender if a whole copy came from a peer. Messages tell it. A receiver whose own copy ends before it takes the records, which are true by themselves, but neither position nor age, so that it reads the store.

Builds side by side: an earlier build ignores messages that begin after its own position, and From now does where the history begins there. Messages of an earlier build do not tell their history; their records count, and this build reads the store itself.

Ruled out: sending the whole copy with From zero, for receivers to replace theirs: earlier builds would merge it as complete.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -142,13 +142,18 @@
 		f.failingSince.CompareAndSwap(nil, &calledAt)
 		return err
 	}
+	historyFrom := identifier.Offset(0)
+	if f.expired {
+		historyFrom = next // The newest records tell nothing of the keys that were removed.
+		f.Logger.Info("copy taken from the newest of each key", zap.String("Stream", f.Name), zap.Uint64("Next", uint64(next)))
+	}
 	f.expired = false
 	if f.lost {
 		f.lost = false
 		f.Logger.Info("store regained", zap.String("Stream", f.Name))
 	}
 	if whole {
-		f.Mirror.Replace(era, records, next, calledAt)
+		f.Mirror.Replace(mirrorer.Copy{Era: era, Records: records, Next: next, HistoryFrom: historyFrom, AsOf: calledAt})
 	} else {
 		f.Mirror.Apply(era, records, next, calledAt)
 	}
--- a/internal/mirrorer/mirror.go
+++ b/internal/mirrorer/mirror.go
@@ -23,6 +23,19 @@
 	versioned bool
 }
 
+// Copy is a whole copy of a keyed stream.
+type Copy struct {
+	Era identifier.Era
+	// Records holds at least the newest record of each key; keys without one were deleted before Next.
+	Records []Record
+	Next    identifier.Offset
+	// HistoryFrom is the offset from which on Records holds the newest record of each deleted key too. It is zero for a copy with all
+	// records of the stream, and Next for one of the keys that are present.
+	HistoryFrom identifier.Offset
+	// AsOf is the time as of which the copy is complete; zero means that this is unknown.
+	AsOf time.Time
+}
+
 // Mirror is a copy of a keyed stream in one era of the store; the zero value is empty and of era 0.
 //
 // Records may arrive in any order and more than once; for each key the one with the highest offset is kept. Data of an
@@ -48,7 +61,9 @@
 	records map[string]Record
 	era     identifier.Era
 	next    identifier.Offset
-	freshAt time.Time
+	// historyFrom is the offset from which on all removals of keys are among the records.
+	historyFrom identifier.Offset
+	freshAt     time.Time
 	// recoveredAt is when fresh data arrived after the last outage.
 	recoveredAt time.Time
 }
@@ -56,7 +71,8 @@
 // Apply merges records of an era into the mirror. Together with the records already in the mirror, they must be all
 // records before the offset next, as of the time asOf. It has no effect if the mirror is in another era.
 //
-// A zero asOf means that the sender's own copy was never known to be complete; it does not change the mirror's age.
+// A zero asOf means that the sender's own copy was never known to be complete; it does not change the mirror's age. A zero next
+// claims nothing about the mirror as a whole: only the records are merged.
 func (m *Mirror) Apply(era identifier.Era, records []Record, next identifier.Offset, asOf time.Time) {
 	m.mu.Lock()
 	var changed []Record
@@ -67,31 +83,36 @@
 	m.report(changed)
 }
 
-// Replace merges all records of an era, at least the newest one of each key; keys without a record were deleted before
-// next. Older records of a key are not applied. It has no effect if the mirror is in a later era.
-func (m *Mirror) Replace(era identifier.Era, records []Record, next identifier.Offset, asOf time.Time) {
+// Replace merges a whole copy. Older records of a key are not applied. It has no effect if the mirror is in a later era.
+func (m *Mirror) Replace(c Copy) {
 	m.mu.Lock()
-	if era < m.era {
+	if c.Era < m.era {
 		m.mu.Unlock()
 		return
 	}
-	newEra := era > m.era
+	newEra := c.Era > m.era
 	newest := map[string]Record{}
-	for _, r := range records {
+	for _, r := range c.Records {
 		if old, present := newest[r.Key]; !present || r.Offset > old.Offset {
 			newest[r.Key] = r
 		}
 	}
 	for key, r := range m.records {
-		if _, present := newest[key]; !present && len(r.Value) > 0 && (newEra || r.Offset < next) {
-			newest[key] = Record{Key: key, Offset: max(next, 1) - 1}
+		if _, present := newest[key]; !present && len(r.Value) > 0 && (newEra || r.Offset < c.Next) {
+			newest[key] = Record{Key: key, Offset: max(c.Next, 1) - 1}
 		}
 	}
-	records = slices.SortedFunc(maps.Values(newest), func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	records := slices.SortedFunc(maps.Values(newest), func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	if newEra {
-		m.enter(era, records, asOf)
+		m.enter(c.Era, records, c.AsOf)
+	}
+	switch {
+	case newEra, c.HistoryFrom > m.next: // Removals between the two copies may have left no trace.
+		m.historyFrom = c.HistoryFrom
+	case c.Next >= m.historyFrom:
+		m.historyFrom = min(m.historyFrom, c.HistoryFrom)
 	}
-	changed := m.merge(records, next, asOf)
+	changed := m.merge(records, c.Next, c.AsOf)
 	m.mu.Unlock()
 	m.report(changed)
 }
@@ -193,6 +214,14 @@
 	return identifier.Position{Era: m.era, Offset: m.next}
 }
 
+// HistoryFrom returns the offset from which on the mirror holds all removals of keys. Of a key that was removed before, it may have no
+// trace.
+func (m *Mirror) HistoryFrom() identifier.Offset {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.historyFrom
+}
+
 // Version returns the highest version among the records, or zero if none has one.
 func (m *Mirror) Version() uint64 {
 	m.mu.Lock()
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -17,6 +17,9 @@
 // A record with a large value carries a reference to it. A peer that lacks the value requests it from one sender at a time
 // and gets it compressed, in pieces: messages stay small whatever the size of a value, and a failed exchange repeats one
 // piece only.
+//
+// A copy that was taken from the newest record of each key knows nothing of the keys that were removed before. It tells where its history
+// begins, and a peer whose own copy ends before that takes its records but not its position and age: the peer reads the store.
 type Replicator struct {
 	Name   string
 	Mirror *mirrorer.Mirror
@@ -34,10 +37,11 @@
 // Compose returns the position and age of the mirror and the records that the peer lacks according to its last message.
 // Without a last message, records are left out.
 func (r *Replicator) Compose(last *gossiper.Beat, now time.Time) *gossiper.Stream {
-	position := r.Mirror.Position()
+	position := r.Mirror.Position() // Before the beginning of the history, which may rise meanwhile.
+	historyFrom := uint64(r.Mirror.HistoryFrom())
 	s := &gossiper.Stream{
 		Name: r.Name, Era: uint64(position.Era), From: uint64(position.Offset), Next: uint64(position.Offset), AgeMilliseconds: -1,
-		Version: r.Mirror.Version(),
+		Version: r.Mirror.Version(), HistoryFrom: &historyFrom,
 	}
 	if age, known := r.Mirror.Age(now); known {
 		s.AgeMilliseconds = age.Milliseconds()
@@ -52,9 +56,12 @@
 		s.Request = r.download.request()
 	}
 	s.Piece = r.requestedPiece(peer)
-	s.From = peer.Next
+	from := peer.Next
 	if peer.Era != s.Era {
-		s.From = 0
+		from = 0
+	}
+	if s.From = from; from > 0 {
+		s.From = max(from, historyFrom) // A peer of an earlier build ignores records that begin after its own position.
 	}
 	if peer.Era > s.Era {
 		return s
@@ -63,7 +70,7 @@
 	if !last.Extended {
 		peerVersion = s.Version // Earlier builds do not tell theirs.
 	}
-	for _, record := range r.Mirror.Newer(identifier.Offset(s.From), peerVersion) {
+	for _, record := range r.Mirror.Newer(identifier.Offset(from), peerVersion) {
 		next := &gossiper.Record{Key: record.Key, Value: record.Value, Offset: uint64(record.Offset)}
 		if len(record.Value) > inlineBytes && last.AcceptsReferences {
 			next.Value, next.Reference = nil, r.largeValue(record.Key, record.Value).reference()
@@ -135,25 +142,38 @@
 // Apply applies the records and the age of the stream in a peer's message.
 func (r *Replicator) Apply(b *gossiper.Beat, s *gossiper.Stream, receipt gossiper.Receipt) {
 	position, era := r.Mirror.Position(), identifier.Era(s.Era)
-	if era < position.Era || era == position.Era && identifier.Offset(s.From) > position.Offset {
-		return // Records are missing; the peer sends them once it has received this instance's position.
+	if era < position.Era {
+		return
 	}
-	if era > position.Era && (s.From > 0 || s.AgeMilliseconds < 0) {
+	if era > position.Era && (s.From > 0 || s.AgeMilliseconds < 0 || s.HistoryFrom == nil) {
 		return
 	}
-	records, next, complete := r.resolve(senderOf(b), s, receipt.At)
-	asOf := time.Time{}
-	if complete {
-		asOf = completeAsOf(b, s, receipt)
+	if era == position.Era && identifier.Offset(s.From) > position.Offset && len(s.Records) == 0 {
+		return // The peer sends the records once it has received this instance's position.
+	}
+	c := mirrorer.Copy{Era: era, HistoryFrom: identifier.Offset(s.GetHistoryFrom())}
+	complete := false
+	if c.Records, c.Next, complete = r.resolve(senderOf(b), s, receipt.At); complete {
+		c.AsOf = completeAsOf(b, s, receipt)
 	}
+	whole := s.From == 0 && (era > position.Era || position.Offset == 0)
 	switch {
-	case era == position.Era:
-		r.Mirror.Apply(era, records, next, asOf)
-	case !asOf.IsZero():
-		r.Mirror.Replace(era, records, next, asOf)
+	case era > position.Era && c.AsOf.IsZero():
+	case whole && complete && s.HistoryFrom != nil:
+		r.Mirror.Replace(c)
+	case connects(s, position.Offset, c):
+		r.Mirror.Apply(era, c.Records, c.Next, c.AsOf)
+	default:
+		// Removals may be missing, which this instance reads from the store.
+		r.Mirror.Apply(era, c.Records, 0, time.Time{})
 	}
 }
 
+// connects reports whether a copy that ends at a position and what a message holds of a peer's copy make a complete copy together.
+func connects(s *gossiper.Stream, end identifier.Offset, c mirrorer.Copy) bool {
+	return s.HistoryFrom != nil && identifier.Offset(s.From) <= end && c.HistoryFrom <= end
+}
+
 // completeAsOf returns the time as of which a stream is complete, or zero if that is unknown. The time that the message was in
 // transit counts as age; else the age of a copy that peers send each other would not rise as fast as time passes.
 func completeAsOf(b *gossiper.Beat, s *gossiper.Stream, receipt gossiper.Receipt) time.Time {
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -24,7 +24,7 @@
 func newInstance(id string, era identifier.Era, offset identifier.Offset, value []byte) *instance {
 	m := &mirrorer.Mirror{}
 	if value != nil {
-		m.Replace(era, []mirrorer.Record{{Key: "config", Value: value, Offset: offset}}, offset+1, time.Now())
+		m.Replace(mirrorer.Copy{Era: era, Records: []mirrorer.Record{{Key: "config", Value: value, Offset: offset}}, Next: offset + 1, AsOf: time.Now()})
 	}
 	return &instance{&replicator.Replicator{Name: "Configuration", Mirror: m, Logger: zap.NewNop()}, id}
 }
