Closes under a fencing number whose claim has expired from the log count

Callers saw: nothing.

An instance that is not the holder reads the duties log at its start and then only learns by gossip how far it reaches. If the duties change hands and the claim of the new holder expires before the instance reads on, it skips to the first record retained. Fold.Apply took the holder from a renewal only while it knew none at all, so that the fold kept to the earlier holder and ignored every close of the present one.

Change: every record with a higher fencing number than the known one stands for a claim that was not read. Records of former holders have lower numbers and still do not count. The search of the lease's model follows.

--- a/internal/elector/fold.go
+++ b/internal/elector/fold.go
@@ -38,25 +38,33 @@
 	switch body := d.Body.(type) {
 	case *Duty_Claim:
 		// A claim that was sent in an earlier era may be appended late; its number is lower.
-		if fence := identifier.FenceAt(identifier.Position{Era: identifier.Era(body.Claim.Era), Offset: offset}); fence > f.Fence {
-			f.Holder, f.Fence = body.Claim.Holder, fence
+		fence := identifier.FenceAt(identifier.Position{Era: identifier.Era(body.Claim.Era), Offset: offset})
+		if f.hold(body.Claim.Holder, fence) {
 			f.complete(fence, body.Claim.CompleteFrom)
 		}
 	case *Duty_Renewal:
-		// The claim may have expired from the log.
-		if f.Fence == 0 {
-			f.Holder, f.Fence = body.Renewal.Holder, identifier.Fence(body.Renewal.Fence)
-		}
-		if identifier.Fence(body.Renewal.Fence) == f.Fence {
-			f.complete(f.Fence, body.Renewal.CompleteFrom)
+		if fence := identifier.Fence(body.Renewal.Fence); f.hold(body.Renewal.Holder, fence) {
+			f.complete(fence, body.Renewal.CompleteFrom)
 		}
 	case *Duty_Close:
-		if identifier.Fence(body.Close.Fence) == f.Fence {
+		if f.hold("", identifier.Fence(body.Close.Fence)) {
 			f.close(body.Close)
 		}
 	}
 }
 
+// hold takes the holder that a record names, or "" if it names none, and reports whether it is not a former one. The claim of a holder may
+// have expired from the log before it was read: every record with a higher fencing number stands for it.
+func (f *Fold) hold(holder string, fence identifier.Fence) bool {
+	if fence > f.Fence {
+		f.Holder, f.Fence = "", fence
+	}
+	if fence == f.Fence && f.Holder == "" {
+		f.Holder = holder
+	}
+	return fence == f.Fence
+}
+
 // complete takes what the holder with a fencing number has told. A holder of an earlier era knew nothing of the closes that were lost.
 func (f *Fold) complete(fence identifier.Fence, from *int64) {
 	if from != nil && fence.Era() == f.Era && (f.completeFrom == nil || *from < *f.completeFrom) {
--- a/internal/elector/model_test.go
+++ b/internal/elector/model_test.go
@@ -93,7 +93,7 @@
 	if r.claim {
 		fence = f.fenceAt(r.era, p.next)
 	}
-	if r.claim && fence > p.foldFence || !r.claim && p.foldFence == 0 {
+	if fence > p.foldFence {
 		p.foldFence = fence
 	}
 	p.next++
