Records of removed keys do not come back from peers that have not read the removal

An instance that starts asks a peer for its copy and reads the newest record of each key itself. If the peer has not read a removal yet, because it is cut off from the store, its message holds the removed key; the instance has no trace of the removal and took the record for a new one, although its own copy was complete up to a later offset. It kept the key until a third peer told it of the removal.

Change: a mirror that is complete up to an offset takes a record of a key that it does not know only from that offset on: an earlier one was removed. Versioned records are excepted, since their version decides, also after the store has lost the key.

--- a/internal/mirrorer/era_test.go
+++ b/internal/mirrorer/era_test.go
@@ -60,6 +60,10 @@
 	missing := survivor.Newer(restarted.Position().Offset, restarted.Version())
 	restarted.Apply(1, missing, 5, at(2))
 	quicktest.Check(t, value(restarted, "config"), quicktest.Equals, "9")
+	emptied := &mirrorer.Mirror{VersionOf: versionOf}
+	emptied.Replace(mirrorer.Copy{Era: 1, Next: 5, AsOf: at(1)})
+	emptied.Apply(1, survivor.Newer(emptied.Position().Offset, emptied.Version()), 5, at(2))
+	quicktest.Check(t, value(emptied, "config"), quicktest.Equals, "9", quicktest.Commentf("the store has lost the key"))
 	for _, lower := range []string{"8", "9", "not readable", ""} {
 		survivor.Apply(1, []mirrorer.Record{record("config", lower, 5)}, 6, at(3))
 		quicktest.Check(t, value(survivor, "config"), quicktest.Equals, "9", quicktest.Commentf("after %q", lower))
--- a/internal/mirrorer/mirror.go
+++ b/internal/mirrorer/mirror.go
@@ -38,8 +38,9 @@
 
 // Mirror is a copy of a keyed stream in one era of the store; the zero value is empty and of era 0.
 //
-// Records may arrive in any order and more than once; for each key the one with the highest offset is kept. Data of an
-// earlier era is ignored. Only Replace changes to a later era, because offsets of different eras are unrelated.
+// Records may arrive in any order and more than once; for each key the one with the highest offset is kept. A record of a key that the mirror
+// does not know counts only from the offset on up to which the mirror is complete, unless it has a version. Data of an earlier era is ignored.
+// Only Replace changes to a later era, because offsets of different eras are unrelated.
 type Mirror struct {
 	// OnChange is called, without the lock held, for each record that is new or replaces an older one; it may be nil.
 	OnChange func(Record)
@@ -170,6 +171,9 @@
 			if known && !old.outdated && old.Offset >= r.Offset {
 				continue
 			}
+			if !known && !r.versioned && r.Offset < m.next {
+				continue // The key was removed before the offset up to which the mirror is complete.
+			}
 			if known && m.Equivalent != nil && len(r.Value) > 0 && m.Equivalent(old.Value, r.Value) {
 				continue
 			}
--- a/internal/replicator/removals_test.go
+++ b/internal/replicator/removals_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/follower"
+	"github.com/coltsfootscale/coltsfootscale/internal/gossiper"
 	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
 	"github.com/coltsfootscale/coltsfootscale/internal/replicator"
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
@@ -151,8 +152,25 @@
 	})
 }
 
-// TestRemovalsReachAllCopies restarts instances, deletes old records and lets instances talk in any order. No copy may hold a key whose
-// removal it counts as read.
+// TestRemovedKeysDoNotComeBack guards against requests to targets that have left: the message of a peer that has not read a removal yet
+// reaches an instance that has just taken its copy from the newest record of each key, and knows nothing of the removal either.
+func TestRemovedKeysDoNotComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		topic := &compactedTopic{}
+		topic.put("gone", "1")
+		running, started := emptyInstance("running"), emptyInstance("started")
+		running.read(topic)
+		late := running.message(started.message(nil))
+		topic.put("gone", "")
+		topic.first = topic.end()
+		started.read(topic)
+		started.receive(late, time.Now())
+		quicktest.Check(t, started.unread(topic), quicktest.HasLen, 0)
+	})
+}
+
+// TestRemovalsReachAllCopies restarts instances, deletes old records, and lets instances talk in any order and delays messages. No copy may
+// hold a key whose removal it counts as read.
 func TestRemovalsReachAllCopies(t *testing.T) {
 	for seed := range uint64(200) {
 		synctest.Test(t, func(t *testing.T) {
@@ -162,9 +180,11 @@
 			for i := range instances {
 				instances[i] = emptyInstance(fmt.Sprint("entry-", i))
 			}
+			late := map[int]*gossiper.Beat{}
 			for range 150 {
 				i := rng.IntN(len(instances))
-				switch key := fmt.Sprint("i-", rng.IntN(6)); rng.IntN(10) {
+				other := (i + 1 + rng.IntN(len(instances)-1)) % len(instances)
+				switch key := fmt.Sprint("i-", rng.IntN(6)); rng.IntN(12) {
 				case 0:
 					topic.put(key, fmt.Sprint("entry ", len(topic.records)))
 				case 1:
@@ -175,8 +195,14 @@
 					instances[i] = emptyInstance(instances[i].id)
 				case 4, 5:
 					instances[i].read(topic)
+				case 6:
+					late[i] = instances[other].message(instances[i].message(nil))
+				case 7:
+					if late[i] != nil {
+						instances[i].receive(late[i], time.Now())
+					}
 				default:
-					talk(instances[i], instances[(i+1+rng.IntN(len(instances)-1))%len(instances)])
+					talk(instances[i], instances[other])
 				}
 				for _, n := range instances {
 					quicktest.Assert(t, n.unread(topic), quicktest.HasLen, 0, quicktest.Commentf("seed %d, %s", seed, n.id))
