--- a/internal/reporter/windows.go
+++ b/internal/reporter/windows.go
@@ -118,7 +118,7 @@
 			return
 		}
 	}
-	// A report with other figures after a loss of both would contradict this one.
+	// After a loss of both, the next holder would have to leave the window out, or would, with an earlier build, report other figures.
 	if r.Held != nil && !r.Held(window) {
 		return
 	}
@@ -141,8 +141,8 @@
 		return
 	}
 	r.withheld = window
-	r.Logger.Warn("window withheld, it may have been reported before the store came back from an older copy", zap.Int64("Window", window),
-		zap.Int64("CompleteFrom", completeFrom))
+	r.Logger.Warn("window withheld", zap.Int64("Window", window), zap.Int64("CompleteFrom", completeFrom),
+		zap.String("Reason", "it may have been reported before the store came back from an older copy"))
 	if r.OnWithheld != nil {
 		r.OnWithheld()
 	}
