A mirror does not claim removals that it has not kept

Cause: Replace lowered the beginning of the history to that of the copy. Since records of unknown keys from before the mirror's end are left out, a whole copy that arrives after the mirror has advanced by another way brings no removals from before, and the mirror would have offered them.

Change: the beginning of the history is that of the copy only if the mirror is empty, in an earlier era, or ends before the copy's history; else it stays. Evidence: TestHistoryIsNotOverstated failed before (0 where 10 was right).

--- a/internal/mirrorer/mirror.go
+++ b/internal/mirrorer/mirror.go
@@ -107,11 +107,8 @@
 	if newEra {
 		m.enter(c.Era, records, c.AsOf)
 	}
-	switch {
-	case newEra, c.HistoryFrom > m.next: // Removals between the two copies may have left no trace.
+	if newEra || m.next == 0 || c.HistoryFrom > m.next {
 		m.historyFrom = c.HistoryFrom
-	case c.Next >= m.historyFrom:
-		m.historyFrom = min(m.historyFrom, c.HistoryFrom)
 	}
 	changed := m.merge(records, c.Next, c.AsOf)
 	m.mu.Unlock()
--- a/internal/mirrorer/mirror_test.go
+++ b/internal/mirrorer/mirror_test.go
@@ -37,3 +37,19 @@
 	m.Apply(0, nil, 3, at(37))
 	quicktest.Assert(t, m.RecoveredAt(), quicktest.Equals, at(26), quicktest.Commentf("a pause is not an outage"))
 }
+
+// TestHistoryIsNotOverstated guards against a mirror that offers removals which it has not kept: a whole copy arrives after the mirror has
+// advanced by another way, and what the copy tells of keys that the mirror does not know is left out.
+func TestHistoryIsNotOverstated(t *testing.T) {
+	m := &mirrorer.Mirror{}
+	quicktest.Check(t, int(m.HistoryFrom()), quicktest.Equals, 0)
+	m.Replace(mirrorer.Copy{Records: []mirrorer.Record{{Key: "a", Value: []byte("1"), Offset: 3}}, Next: 10, HistoryFrom: 10, AsOf: at(0)})
+	quicktest.Check(t, int(m.HistoryFrom()), quicktest.Equals, 10)
+	late := []mirrorer.Record{{Key: "gone", Offset: 2}, {Key: "a", Value: []byte("1"), Offset: 3}, {Key: "gone later", Offset: 11}}
+	m.Replace(mirrorer.Copy{Records: late, Next: 12, AsOf: at(1)})
+	quicktest.Check(t, int(m.HistoryFrom()), quicktest.Equals, 10)
+	_, known := m.Get("gone later")
+	quicktest.Check(t, known, quicktest.IsTrue)
+	m.Replace(mirrorer.Copy{Records: late, Next: 20, HistoryFrom: 20, AsOf: at(2)})
+	quicktest.Check(t, int(m.HistoryFrom()), quicktest.Equals, 20)
+}
