--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -38,6 +38,8 @@
 	set := func(name string, value float64) { c.metrics.Gauge(name).Update(value) }
 	if t := c.table.Load(); t != nil {
 		set("ConfigurationVersion", float64(t.Version))
+		set("Keys", float64(t.KeyCount()))
+		set("KeyRequired", map[bool]float64{true: 1}[t.RequiresKey()])
 	}
 	for name, m := range map[string]*mirrorer.Mirror{"ConfigurationAgeSeconds": &c.config, "TargetsAgeSeconds": &c.targets} {
 		if age, known := m.Age(now); known {
--- a/internal/matcher/table.go
+++ b/internal/matcher/table.go
@@ -64,6 +64,9 @@
 // Team returns the team that the key belongs to, or nil.
 func (t *Table) Team(key string) *Team { return t.teams[key] }
 
+// KeyCount returns the number of keys of all teams.
+func (t *Table) KeyCount() int { return len(t.teams) }
+
 // RequiresKey reports whether requests need a key; requests of public routes never do.
 func (t *Table) RequiresKey() bool { return len(t.Teams) > 0 }
 
