--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -39,7 +39,7 @@
 	if t := c.table.Load(); t != nil {
 		set("ConfigurationVersion", float64(t.Version))
 		set("Keys", float64(t.KeyCount()))
-		set("KeyRequired", map[bool]float64{true: 1}[t.RequiresKey()])
+		set("KeyRequired", map[bool]float64{true: 1}[!t.Public])
 	}
 	for name, m := range map[string]*mirrorer.Mirror{"ConfigurationAgeSeconds": &c.config, "TargetsAgeSeconds": &c.targets} {
 		if age, known := m.Age(now); known {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -307,7 +307,7 @@
 	if rs.route == nil {
 		return rs.refuseUnknown(http.StatusNotFound, "UnknownRoute")
 	}
-	if table.RequiresKey() && !rs.route.Public {
+	if table.RequiresKey(rs.route) {
 		if rs.team = table.Team(rs.call.Key); rs.team == nil {
 			return rs.refuseUnknown(http.StatusUnauthorized, "UnknownKey")
 		}
--- a/internal/matcher/configuration.go
+++ b/internal/matcher/configuration.go
@@ -111,4 +111,6 @@
 	Services []Service
 	Limits   Limits
 	Teams    []Team
+	// Public is set if the configuration has no list of teams, so that no request needs a key. An empty list grants access to nobody.
+	Public bool
 }
--- a/internal/matcher/table.go
+++ b/internal/matcher/table.go
@@ -67,8 +67,8 @@
 // KeyCount returns the number of keys of all teams.
 func (t *Table) KeyCount() int { return len(t.teams) }
 
-// RequiresKey reports whether requests need a key; requests of public routes never do.
-func (t *Table) RequiresKey() bool { return len(t.Teams) > 0 }
+// RequiresKey reports whether requests of a route need a key.
+func (t *Table) RequiresKey(r *Route) bool { return !t.Public && !r.Public }
 
 // PickService returns the service at a point of the route's cumulative weights, from 0 to 1.
 func (r *Route) PickService(point float64) identifier.ServiceID {
