--- a/internal/matcher/table.go
+++ b/internal/matcher/table.go
@@ -15,6 +15,13 @@
 	services map[identifier.ServiceID]*Service
 	teams    map[string]*Team
 	quotas   map[identifier.TeamID]*Quota
+	omitted  Omissions
+}
+
+// Omissions counts the parts of a configuration that have no effect because something in them is empty or zero.
+type Omissions struct {
+	// EmptyKeys are keys that would grant access to requests without a key.
+	EmptyKeys int
 }
 
 // New returns a table of the configuration.
@@ -42,6 +49,10 @@
 			t.quotas[t.Teams[i].ID] = q
 		}
 		for _, key := range t.Teams[i].Keys {
+			if key == "" {
+				t.omitted.EmptyKeys++
+				continue
+			}
 			t.teams[key] = &t.Teams[i]
 		}
 	}
@@ -61,12 +72,15 @@
 // Service returns the service, or nil if it is not configured.
 func (t *Table) Service(id identifier.ServiceID) *Service { return t.services[id] }
 
-// Team returns the team that the key belongs to, or nil.
+// Team returns the team that the key belongs to, or nil; no team has the empty key, which stands for none.
 func (t *Table) Team(key string) *Team { return t.teams[key] }
 
 // KeyCount returns the number of keys of all teams.
 func (t *Table) KeyCount() int { return len(t.teams) }
 
+// Omitted returns how much of the configuration has no effect.
+func (t *Table) Omitted() Omissions { return t.omitted }
+
 // RequiresKey reports whether requests of a route need a key.
 func (t *Table) RequiresKey(r *Route) bool { return !t.Public && !r.Public }
 
