A team without a name gets no access

Callers saw: a key of a team whose name is left out, null or empty was accepted. Its requests ran without X-Tenant, were in no usage report, as requests without a team are not counted, and their quota was that of the empty name. Cause: the empty name stands for "no team" everywhere else. Change: the table leaves such teams out, and the warning counts them: the others hold. Test: TestTeamWithoutNameGetsNoAccess fails on the code before.

--- a/internal/matcher/table.go
+++ b/internal/matcher/table.go
@@ -22,6 +22,8 @@
 type Omissions struct {
 	// EmptyKeys are keys that would grant access to requests without a key.
 	EmptyKeys int
+	// NamelessTeams are teams that targets and usage reports could not name; their keys grant no access.
+	NamelessTeams int
 }
 
 // New returns a table of the configuration.
@@ -45,6 +47,10 @@
 		t.services[t.Services[i].ID] = &t.Services[i]
 	}
 	for i := range t.Teams {
+		if t.Teams[i].ID == "" {
+			t.omitted.NamelessTeams++
+			continue
+		}
 		if q := t.Teams[i].Quota; q != nil {
 			t.quotas[t.Teams[i].ID] = q
 		}
