A route without a host or path prefix matches no request

Callers saw: a route whose path_prefix is left out or empty took all paths of its host that no other route matches; one without a host took requests without a host. Change: the table leaves such routes out, and the warning counts them. Test: TestRouteWithoutPrefixMatchesNoPath fails on the code before.

--- a/internal/matcher/table.go
+++ b/internal/matcher/table.go
@@ -24,6 +24,8 @@
 	EmptyKeys int
 	// NamelessTeams are teams that targets and usage reports could not name; their keys grant no access.
 	NamelessTeams int
+	// UnmatchedRoutes are routes without a host or path prefix, which match no request.
+	UnmatchedRoutes int
 }
 
 // New returns a table of the configuration.
@@ -38,6 +40,10 @@
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		host := normalizeHost(r.Host)
+		if host == "" || r.Prefix == "" {
+			t.omitted.UnmatchedRoutes++
+			continue
+		}
 		t.byHost[host] = append(t.byHost[host], r)
 	}
 	for _, routes := range t.byHost {
