A service whose weight is zero gets no request

Callers saw: on a route whose weights are all 0, all requests ran at the last service. By reading: an offset that rounding leaves beyond the last weight also picked the last service, whatever its weight. Cause: the last service was the fallback of the draw. Change: only services with a weight above zero are picked. A route without one, or without a service, refuses its requests at once with 503 (`NoService`) instead of looking for targets of a service without a name.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -471,7 +471,7 @@
 		zap.Int("Routes", len(cfg.Routes)), zap.Int("Teams", len(cfg.Teams)), zap.Int("Keys", next.KeyCount()), zap.Bool("KeyRequired", !next.Public))
 	if o := next.Omitted(); o != (matcher.Omissions{}) {
 		c.logger.Warn("parts of the configuration have no effect", zap.Uint64("Version", uint64(cfg.Version)),
-			zap.Int("EmptyKeys", o.EmptyKeys), zap.Int("NamelessTeams", o.NamelessTeams), zap.Int("UnmatchedRoutes", o.UnmatchedRoutes))
+			zap.Int("EmptyKeys", o.EmptyKeys), zap.Int("NamelessTeams", o.NamelessTeams), zap.Int("UnmatchedRoutes", o.UnmatchedRoutes), zap.Int("UnservedRoutes", o.UnservedRoutes))
 	}
 	c.passOn()
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -319,7 +319,9 @@
 	if rs.route.Resumable && rs.f.RecordDeadline != nil {
 		rs.f.RecordDeadline(rs.call.Deadline)
 	}
-	rs.service = rs.route.PickService(rand.Float64())
+	if rs.service = rs.route.PickService(rand.Float64()); rs.service == "" {
+		return refuseNotRun("NoService", defaultRetryAfter, nil)
+	}
 	if !rs.call.HandedOver {
 		rs.f.Budget.AddRequest(rs.service)
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -454,6 +454,20 @@
 	}
 }
 
+// TestRouteWithoutServiceRefusesAtOnce guards against requests of a route without a weight above zero that wait for a target, or get one.
+func TestRouteWithoutServiceRefusesAtOnce(t *testing.T) {
+	table := matcher.New(matcher.Configuration{Public: true, Routes: []matcher.Route{{Host: "h", Prefix: "/p/", WeightedServices: []matcher.WeightedService{{Service: "s"}}}}})
+	f := &forwarder.Forwarder{
+		Table: func() *matcher.Table { return table }, TableAge: func() time.Duration { return 0 },
+		Logger: zap.NewNop(), Metrics: tally.NoopScope,
+	}
+	w := httptest.NewRecorder()
+	f.Serve(context.Background(), w, &forwarder.Call{Host: "h", Path: "/p/x"})
+	quicktest.Check(t, fmt.Sprint(w.Code, w.Body), quicktest.Equals, "503 NoService\n")
+	quicktest.Check(t, w.Header().Get("Retry-After"), quicktest.Not(quicktest.Equals), "")
+	quicktest.Check(t, table.Omitted().UnservedRoutes, quicktest.Equals, 1)
+}
+
 // TestLongErrorResponses checks that an error response that exceeds the buffer is relayed whole, or visibly breaks off.
 func TestLongErrorResponses(t *testing.T) {
 	text := strings.Repeat("0123456789abcdef", 40_000)
--- a/internal/matcher/table.go
+++ b/internal/matcher/table.go
@@ -26,6 +26,8 @@
 	NamelessTeams int
 	// UnmatchedRoutes are routes without a host or path prefix, which match no request.
 	UnmatchedRoutes int
+	// UnservedRoutes are routes without a service or with no weight above zero; their requests are refused.
+	UnservedRoutes int
 }
 
 // New returns a table of the configuration.
@@ -45,6 +47,9 @@
 			continue
 		}
 		t.byHost[host] = append(t.byHost[host], r)
+		if r.PickService(0) == "" {
+			t.omitted.UnservedRoutes++
+		}
 	}
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -96,23 +101,25 @@
 // RequiresKey reports whether requests of a route need a key.
 func (t *Table) RequiresKey(r *Route) bool { return !t.Public && !r.Public }
 
-// PickService returns the service at a point of the route's cumulative weights, from 0 to 1.
+// PickService returns the service at a point of the route's cumulative weights, from 0 to 1, or the empty string if no service has a
+// weight above zero.
 func (r *Route) PickService(point float64) identifier.ServiceID {
 	total := 0.0
 	for _, s := range r.WeightedServices {
-		total += s.Weight
+		total += max(0, s.Weight)
 	}
-	offset := point * total
+	offset, picked := point*total, identifier.ServiceID("")
 	for _, s := range r.WeightedServices {
-		if offset < s.Weight {
-			return s.Service
+		if s.Weight <= 0 {
+			continue
+		}
+		// Rounding may leave an offset beyond the last weight.
+		if picked = s.Service; offset < s.Weight {
+			break
 		}
 		offset -= s.Weight
 	}
-	if len(r.WeightedServices) == 0 {
-		return ""
-	}
-	return r.WeightedServices[len(r.WeightedServices)-1].Service
+	return picked
 }
 
 // EffectivePriority returns the priority of a request: the team's if set, else the route's.
--- a/internal/tracer/trace.go
+++ b/internal/tracer/trace.go
@@ -107,6 +107,7 @@
 	"UnknownRouteYet":      "the route is in no configuration known here, and the copy was too old to refuse for good; it did not run",
 	"UnknownKey":           "the configuration in force has no such key",
 	"UnknownKeyYet":        "the key is in no configuration known here, and the copy was too old to refuse for good; it did not run",
+	"NoService":            "its route names no service, or none with a weight above zero; it did not run",
 	"NoTarget":             "no target took new work; it did not run",
 	"TargetsFull":          "the targets refused it; it did not run",
 	"MemoryFull":           "no answer target had KV memory for it; it did not run",
