--- a/internal/matcher/configuration.go
+++ b/internal/matcher/configuration.go
@@ -82,7 +82,7 @@
 	ConnectionLimit int
 	// Engine is nil for plain services.
 	Engine *Engine
-	// Scaling is nil if targets cannot be ordered.
+	// Scaling is nil if no targets may be ordered.
 	Scaling *Scaling
 }
 
