Rules: Teams and Targets without a value are faults

Operators saw: `Teams =` with nothing after it opened the route to all teams, and `Targets =` gave the team all targets that are not reserved. Both pages say "if given, just these". Who takes the last team off that line means the opposite. Rules that an earlier build has published cannot be told apart and stay as they are. Test: TestEmptyListIsNotNoRestriction fails on the code before.

--- a/internal/parser/document.go
+++ b/internal/parser/document.go
@@ -178,7 +178,7 @@
 }
 
 // list returns the comma-separated values of a key, each of which must be in allowed; expected describes the allowed values
-// in a fault.
+// in a fault. A key without a value is a fault, because no values would mean the same as no key: no restriction.
 func (s *section) list(key string, allowed map[string]bool, expected string) []string {
 	var values []string
 	for _, v := range strings.Split(s.raw(key, ""), ",") {
@@ -191,6 +191,9 @@
 		}
 		values = append(values, v)
 	}
+	if len(values) == 0 && s.s.HasKey(key) {
+		s.addFault(key, s.raw(key, ""), "one or more "+expected)
+	}
 	return values
 }
 
--- a/internal/parser/parser_test.go
+++ b/internal/parser/parser_test.go
@@ -61,6 +61,21 @@
 		[]string{"Team nobody/", "Team nobody/Priority", "Route x/", "Route x/Service", "Route x/Teams", "Scaling m/"})
 }
 
+// TestEmptyListIsNotNoRestriction guards against a route that is open to all teams, and a team that may use all shared targets, once the last
+// entry of the list has been removed.
+func TestEmptyListIsNotNoRestriction(t *testing.T) {
+	inv, err := parser.ParseInventory("inventory.ini", read(t, "inventory.ini"))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	service := "[Route /x]\nService = settlement\n"
+	for text, want := range map[string][]string{
+		service: nil, service + "Teams = tabline\n": nil, service + "Teams =\n": {"Route /x/Teams"}, service + "Teams = , \n": {"Route /x/Teams"},
+		"[Team tabline]\n": nil, "[Team tabline]\nTargets =\n": {"Team tabline/Targets"},
+	} {
+		_, err := parser.ParseRules("rules.ini", []byte(text), inv)
+		quicktest.Check(t, faults(err), quicktest.ContentEquals, want, quicktest.Commentf(text))
+	}
+}
+
 // FuzzParse checks that no input makes a parser panic.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte("[Target t]\nAddress = 1.2.3.4:5\n"))
