Operators' commands need a key that is not empty

Operators would see: with the hash of an empty key as OperatorKeyHash, which `hash` prints for an empty file and `check` accepts, everybody may publish rules and grant keys without a key. Cause: a request without a key was looked up under the hash of the empty key. Change: the server refuses the empty key, `hash` an empty file, and `check` its hash.

--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -51,6 +51,7 @@
 		"check, all faults":  {[]string{"check", "--EntrySettings", bad}, commander.ExitRefused, "Policy", "9 faults"},
 		"dry run":            {[]string{"entry", "--DryRun", "--Settings", good}, commander.ExitDone, `"LinkMegabits": 1000`, ""},
 		"entry, bad":         {[]string{"entry", "--Settings", bad}, commander.ExitUsage, "", "PeerListen"},
+		"hash, empty key":    {[]string{"hash", "--KeyFile", write(t, "empty.key", " \n")}, commander.ExitUsage, "", "is empty"},
 		"entry, no settings": {[]string{"entry", "--Settings", "nowhere.ini"}, commander.ExitUsage, "", "nowhere.ini"},
 	} {
 		code, stdout, stderr := runAll(t, tc.args...)
--- a/internal/commander/key.go
+++ b/internal/commander/key.go
@@ -81,6 +81,9 @@
 		return fmt.Errorf("%w: --KeyFile: %w", ErrUsage, err)
 	}
 	c.key = strings.TrimSpace(string(data))
+	if c.key == "" {
+		return fmt.Errorf("%w: --KeyFile %s is empty", ErrUsage, c.KeyFile)
+	}
 	return nil
 }
 
--- a/internal/parser/parser_test.go
+++ b/internal/parser/parser_test.go
@@ -3,12 +3,14 @@
 import (
 	"errors"
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 
 	"github.com/frankban/quicktest"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/parser"
+	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
 )
 
 const site = "../../examples/site/"
@@ -61,6 +63,15 @@
 		[]string{"Team nobody/", "Team nobody/Priority", "Route x/", "Route x/Service", "Route x/Teams", "Scaling m/"})
 }
 
+// TestHashOfEmptyOperatorKey guards against settings that let anybody run the operators' commands.
+func TestHashOfEmptyOperatorKey(t *testing.T) {
+	for _, hash := range []string{"", string(identifier.HashKey("")), strings.ToUpper(string(identifier.HashKey("")))} {
+		text := regexp.MustCompile(`(?m)^OperatorKeyHash = .*$`).ReplaceAllString(string(read(t, "entry-a.ini")), "OperatorKeyHash = "+hash)
+		_, err := parser.ParseSettings("entry-a.ini", []byte(text))
+		quicktest.Check(t, faults(err), quicktest.DeepEquals, []string{"Instance/OperatorKeyHash"}, quicktest.Commentf("%q", hash))
+	}
+}
+
 // TestEmptyListIsNotNoRestriction guards against a route that is open to all teams, and a team that may use all shared targets, once the last
 // entry of the list has been removed.
 func TestEmptyListIsNotNoRestriction(t *testing.T) {
--- a/internal/parser/settings.go
+++ b/internal/parser/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"strings"
 	"time"
 
 	"github.com/coltsfootscale/coltsfootscale/pkg/identifier"
@@ -61,9 +62,10 @@
 	s.PeerListen = instance.hostPort("PeerListen", "")
 	s.Platform = instance.url("Platform")
 	s.OperatorKeyHash = identifier.KeyHash(instance.text("OperatorKeyHash", ""))
-	if b, err := hex.DecodeString(string(s.OperatorKeyHash)); err != nil || len(b) != 32 {
+	b, err := hex.DecodeString(string(s.OperatorKeyHash))
+	if err != nil || len(b) != 32 || strings.EqualFold(string(s.OperatorKeyHash), string(identifier.HashKey(""))) {
 		instance.addFault("OperatorKeyHash", string(s.OperatorKeyHash),
-			"64 hexadecimal digits, the SHA-256 digest of the operators' key")
+			"64 hexadecimal digits, the SHA-256 digest of the operators' key, which is not empty")
 	}
 	s.Limits = parseLimits(d.sectionNamed("Limits"))
 	s.Timing = parseTiming(d.sectionNamed("Timing"))
--- a/internal/server/commands.go
+++ b/internal/server/commands.go
@@ -51,7 +51,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		hash := identifier.HashKey(key)
-		if subtle.ConstantTimeCompare([]byte(hash), []byte(s.OperatorKeyHash)) != 1 {
+		if key == "" || subtle.ConstantTimeCompare([]byte(hash), []byte(s.OperatorKeyHash)) != 1 {
 			refusal := &refuser.Refusal{Status: http.StatusUnauthorized, Code: refuser.CodeUnauthorized, Run: refuser.NotRun, Message: "not the operators' key"}
 			refusal.Write(w)
 			return
