Publishing without rules is refused

Operators would see: a publish command without the member Rules, or with null, put an empty set of rules in force: no routes, and targets reserved for a team open to all others. Cause: left out and empty were one value. Test: TestPublishNeedsRules fails on the code before.

--- a/internal/commander/publish.go
+++ b/internal/commander/publish.go
@@ -32,7 +32,8 @@
 	if err := checkDocuments(c.Inventory, inventory, c.Rules, rules); err != nil {
 		return err
 	}
-	c.request = server.PublishRequest{Inventory: string(inventory), Rules: string(rules)}
+	text := string(rules)
+	c.request = server.PublishRequest{Inventory: string(inventory), Rules: &text}
 	return validateAll(c.Site.validate, c.Operator.validate)
 }
 
--- a/internal/runner/site_test.go
+++ b/internal/runner/site_test.go
@@ -248,7 +248,7 @@
 }
 
 func (s *site) publish(name string, base identifier.Version) (int, string) {
-	return s.callOperator(name, http.MethodPost, "/publish", server.PublishRequest{BaseVersion: base, Inventory: s.inventory, Rules: s.rules})
+	return s.callOperator(name, http.MethodPost, "/publish", server.PublishRequest{BaseVersion: base, Inventory: s.inventory, Rules: &s.rules})
 }
 
 func (s *site) grant(name, id, team, key string) (int, string) {
--- a/internal/server/commands.go
+++ b/internal/server/commands.go
@@ -29,7 +29,8 @@
 type PublishRequest struct {
 	BaseVersion identifier.Version
 	Inventory   string
-	Rules       string
+	// Rules must be given, even if they are empty: without rules no target is reserved for a team.
+	Rules *string
 }
 
 // GrantRequest grants the key with the given hash to a team.
@@ -65,12 +66,16 @@
 	if !decodeBody(w, r, &in) {
 		return
 	}
+	if in.Rules == nil {
+		writeInvalid(w, fmt.Errorf("%w: the member Rules is missing", parser.ErrInvalid))
+		return
+	}
 	inventory, err := parser.ParseInventory("inventory", []byte(in.Inventory))
 	if err != nil {
 		writeInvalid(w, err)
 		return
 	}
-	rules, err := parser.ParseRules("rules", []byte(in.Rules), inventory)
+	rules, err := parser.ParseRules("rules", []byte(*in.Rules), inventory)
 	if err != nil {
 		writeInvalid(w, err)
 		return
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/frankban/quicktest"
@@ -32,3 +33,16 @@
 	s.Handler().ServeHTTP(w, r)
 	quicktest.Check(t, w.Code, quicktest.Equals, http.StatusOK)
 }
+
+// TestPublishNeedsRules guards against a command without rules that opens the targets reserved for a team to all others.
+func TestPublishNeedsRules(t *testing.T) {
+	const inventory = `"BaseVersion":1,"Inventory":"[AvailabilityZone a]\nRegion = r\n[Target t]\nAddress = 1.2.3.4:5\nAvailabilityZone = a\nModel = m\n"`
+	s := &server.Server{OperatorKeyHash: identifier.HashKey("x"), Relayer: &relayer.Relayer{}, Metrics: http.NotFoundHandler()}
+	for _, body := range []string{"{" + inventory + "}", "{" + inventory + `,"Rules":null}`} {
+		w, r := httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/operator/publish", strings.NewReader(body))
+		r.Header.Set("Authorization", "Bearer x")
+		s.Handler().ServeHTTP(w, r)
+		quicktest.Check(t, w.Code, quicktest.Equals, http.StatusUnprocessableEntity, quicktest.Commentf(body))
+		quicktest.Check(t, w.Body.String(), quicktest.Contains, "Rules", quicktest.Commentf(body))
+	}
+}
