--- a/internal/parser/entry_test.go
+++ b/internal/parser/entry_test.go
@@ -56,7 +56,6 @@
 	quicktest.Check(t, s.Bounds.QuotaOvershoot, quicktest.Equals, 0.1)
 	quicktest.Check(t, s.Bounds.QuotaSlack, quicktest.Equals, 190_000.0)
 
-
 	// One run reports all faults.
 	bad := strings.NewReplacer("ID = front-1\n", "", "10.0.0.1:81", "here", "3000", "soon", "10.0.0.2:8367", "seed", "Overshoot = 0.1", "Overshoot = -0.1", "LeastLoad", "Best\nStages = Some").Replace(entry) + "Colour = red\n"
 	_, err = parser.ParseEntrySettings("entry.ini", []byte(bad))
