--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -38,6 +38,7 @@
 		"MetricsListen = 10.0.0.1:83\nPeerListen = 10.0.0.1:84\n[Store]\nAddress = 10.0.0.9:90\n"
 	good, bad := write(t, "good.ini", settings), write(t, "bad.ini", "[Instance]\nListen = nowhere\n[Routing]\nPolicy = Best\n")
 	logs := write(t, "a.log", `{"Time":"2026-07-01T10:00:04Z","Message":"request served","Instance":"front-1","RequestID":"r2","After":0.02,"Status":200}`+"\n{broken\n")
+	gap := write(t, "gap.log", `{"Time":"2026-07-01T10:00:04Z","Message":"log lines dropped","Instance":"front-1","Lines":7,"Bytes":900}`+"\n")
 	for name, tc := range map[string]struct {
 		args           []string
 		code           int
@@ -46,6 +47,7 @@
 		"version":            {[]string{"version"}, commander.ExitDone, "coltsfootscale ", ""},
 		"trace":              {[]string{"trace", "--Logs", logs, "r2"}, commander.ExitDone, "request r2 at front-1: served after 20ms", "a.log:2: "},
 		"trace, unknown":     {[]string{"trace", "--Logs", logs, "r3"}, commander.ExitRefused, "", "no line names the request: r3"},
+		"trace, dropped":     {[]string{"trace", "--Logs", gap, "r3"}, commander.ExitRefused, "", "no line names the request: r3; 7 lines were dropped because nobody read the log"},
 		"trace, no file":     {[]string{"trace", "--Logs", "nowhere.log", "r2"}, commander.ExitUsage, "", "nowhere.log"},
 		"check":              {[]string{"check", "--EntrySettings", good}, commander.ExitDone, "", ""},
 		"check, all faults":  {[]string{"check", "--EntrySettings", bad}, commander.ExitRefused, "Policy", "9 faults"},
--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -9,7 +9,6 @@
 
 	"github.com/go-kratos/kratos/v2/log"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/coordinator"
 	"github.com/coltsfootscale/coltsfootscale/internal/parser"
@@ -52,7 +51,9 @@
 	}
 	// The settings are reloaded while the instance runs. Before and after, a SIGHUP must not end the process.
 	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
-	logger := NewLogger(zapcore.Lock(zapcore.AddSync(env.Stdout)), c.Debug).With(zap.String("Instance", string(c.settings.Instance)))
+	output := newLogOutput(env.Stdout, c.settings.Instance)
+	defer flushLog(output)
+	logger := NewLogger(output, c.Debug).With(zap.String("Instance", string(c.settings.Instance)))
 	// kratos logs through a process-wide logger.
 	log.SetLogger(kratosLogger{logger})
 	handlers := coordinator.Handlers{
@@ -71,7 +72,9 @@
 	}
 	p, closeIdle := platform.New(c.settings)
 	go closeIdle(env.Stop)
-	if err := coordinator.New(c.settings, p, handlers, c.readSettings, logger).Run(env.Stop); err != nil {
+	co := coordinator.New(c.settings, p, handlers, c.readSettings, logger)
+	co.LogOutput = output
+	if err := co.Run(env.Stop); err != nil {
 		return fmt.Errorf("%w: %w", ErrUsage, err)
 	}
 	return nil
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -6,7 +6,6 @@
 
 	"github.com/go-kratos/kratos/v2/log"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"github.com/coltsfootscale/coltsfootscale/internal/explainer"
 	"github.com/coltsfootscale/coltsfootscale/internal/networker"
@@ -35,7 +34,9 @@
 }
 
 func (c *serveCommand) run(env *Environment) error {
-	out, err := explainer.New(zapcore.Lock(zapcore.AddSync(env.Stdout)))
+	output := newLogOutput(env.Stdout, c.settings.Instance)
+	defer flushLog(output)
+	out, err := explainer.New(output)
 	if err != nil {
 		return err
 	}
@@ -48,15 +49,3 @@
 	}
 	return nil
 }
-
-// NewLogger returns a logger that writes JSON lines with Pascal-case field names.
-func NewLogger(out zapcore.WriteSyncer, debug bool) *zap.Logger {
-	cfg := zap.NewProductionEncoderConfig()
-	cfg.TimeKey, cfg.LevelKey, cfg.MessageKey, cfg.CallerKey, cfg.StacktraceKey = "Time", "Level", "Message", "", ""
-	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	level := zapcore.InfoLevel
-	if debug {
-		level = zapcore.DebugLevel
-	}
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(cfg), out, level))
-}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -154,6 +154,8 @@
 
 	// BodyBuffers limits the memory that request bodies use.
 	BodyBuffers forwarder.BodyBuffers
+	// LogOutput is the output of the logger; nil if it is not known.
+	LogOutput LogOutput
 	// Metrics serves all metrics in the Prometheus text format.
 	Metrics http.Handler
 	metrics tally.Scope
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/coltsfootscale/coltsfootscale/internal/asserter"
 	"github.com/coltsfootscale/coltsfootscale/internal/mirrorer"
+	"github.com/coltsfootscale/coltsfootscale/internal/spooler"
 )
 
 // metricsInterval is the time between updates of the exported metrics.
@@ -33,6 +34,14 @@
 	c.metrics, c.closer, c.Metrics = scope, closer.Close, reporter.HTTPHandler()
 }
 
+// LogOutput passes log lines on, and drops some of them rather than wait for their reader.
+type LogOutput interface {
+	// Lost returns what was dropped or could not be written so far.
+	Lost() spooler.Loss
+	// Waiting returns the number of bytes that are not written yet.
+	Waiting() int
+}
+
 // updateGauges sets the gauges for this instance's copies of replicated data, its peers, its requests and its duties.
 func (c *Coordinator) updateGauges(now time.Time) {
 	set := func(name string, value float64) { c.metrics.Gauge(name).Update(value) }
@@ -54,6 +63,10 @@
 	set("Instances", float64(c.instanceCount()))
 	set("GossipPartners", float64(c.peers.Partners()))
 	set("GossipHub", map[bool]float64{true: 1}[c.peers.IsHub(now)])
+	if c.LogOutput != nil {
+		set("LogLinesLost", float64(c.LogOutput.Lost().Lines))
+		set("LogBytesWaiting", float64(c.LogOutput.Waiting()))
+	}
 	set("InFlight", float64(c.inFlight.Load()))
 	set("Violations", float64(asserter.Violations()))
 	fence, err := c.elector.Authority()
--- a/internal/tracer/trace.go
+++ b/internal/tracer/trace.go
@@ -36,7 +36,18 @@
 	"configuration in force": "", "store lost": "Stream", "store regained": "Stream", "entry instance starts": "", "leaving": "",
 	"store has come back from an older copy": "", "target says that it leaves": "Target", "target leaves or is gone, says a peer": "Target",
 	"target wants no requests": "Target", "prompt part denied, targets crash under it": "Part",
-	"peer": "Peer",
+	"peer": "Peer", "log lines dropped": "",
+}
+
+// countDropped returns the number of lines that are missing in the logs because they were dropped.
+func countDropped(lines []Line) (n int) {
+	for _, l := range lines {
+		if l.Message == "log lines dropped" {
+			dropped, _ := l.Fields["Lines"].(float64)
+			n += int(dropped)
+		}
+	}
+	return n
 }
 
 // Find returns the trace of a request; the lines must be sorted.
@@ -57,6 +68,9 @@
 		}
 	}
 	if len(t.RequestLines) == 0 {
+		if n := countDropped(lines); n > 0 {
+			return nil, fmt.Errorf("%w: %s; %d lines were dropped because nobody read the log", ErrUnknownRequest, request, n)
+		}
 		return nil, fmt.Errorf("%w: %s", ErrUnknownRequest, request)
 	}
 	start, end := t.span()
