--- a/internal/spooler/spooler.go
+++ b/internal/spooler/spooler.go
@@ -49,7 +49,7 @@
 func (s *Spooler) Write(line []byte) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	// A line that is short enough waits until the gap before it has been written.
+	// Until the gap has been written, a line that would fit is dropped too: it would stand before the gap.
 	if s.gap.Lines > 0 || s.writing+len(s.waiting)+len(line) > s.maximumBytes() {
 		s.gap.add(1, len(line))
 		s.total.add(1, len(line))
