Tests of the spooler wait until the first write has begun

Cause: in the test. If the writer starts after lines have been dropped, it puts a gap line before its first write and a second one later, as it should; the test expected one gap. Change: both tests begin to fill the spooler once its output is being written to, and check as much as before.

--- a/internal/spooler/spooler_test.go
+++ b/internal/spooler/spooler_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,11 +19,14 @@
 type pipe struct {
 	mu     sync.Mutex
 	paused sync.Mutex
+	// writes counts the writes that have begun.
+	writes atomic.Int64
 	text   strings.Builder
 	err    error
 }
 
 func (p *pipe) Write(data []byte) (int, error) {
+	p.writes.Add(1)
 	p.paused.Lock()
 	defer p.paused.Unlock()
 	p.mu.Lock()
@@ -33,6 +37,13 @@
 	return p.text.Write(data)
 }
 
+// awaitWrite waits until a write has begun: lines that are dropped from then on make one gap.
+func (p *pipe) awaitWrite() {
+	for p.writes.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func (p *pipe) read() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -55,6 +66,7 @@
 		n, err := fmt.Fprintf(s, "%09d\n", i)
 		quicktest.Assert(t, err, quicktest.IsNil)
 		quicktest.Assert(t, n, quicktest.Equals, size)
+		p.awaitWrite()
 	}
 	quicktest.Check(t, time.Since(start) < time.Second, quicktest.IsTrue)
 	quicktest.Check(t, s.Waiting(), quicktest.Equals, maximum)
@@ -84,6 +96,7 @@
 	p.paused.Lock()
 	for _, line := range []string{"first\n", "too long\n", "x\n"} {
 		fmt.Fprint(s, line)
+		p.awaitWrite()
 	}
 	p.paused.Unlock()
 	quicktest.Assert(t, s.Flush(t.Context()), quicktest.IsNil)
